--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks that measure the slopes used in docs/CAPACITY.md."""
--- /dev/null
+++ b/src/lycheefall/_agent/__init__.py
@@ -0,0 +1,1 @@
+"""The pipeline beside an upstream."""
--- /dev/null
+++ b/src/lycheefall/_control/__init__.py
@@ -0,0 +1,1 @@
+"""The pipeline of a control replica."""
--- /dev/null
+++ b/src/lycheefall/_core/__init__.py
@@ -0,0 +1,1 @@
+"""Ids, states, codes, messages and the pipeline parts that every role shares."""
--- /dev/null
+++ b/src/lycheefall/_core/ids.py
@@ -0,0 +1,40 @@
+"""Distinct types for identifiers, so that one can't be passed for another."""
+
+from typing import NewType
+
+InstanceId = NewType("InstanceId", str)
+DataCentreId = NewType("DataCentreId", str)
+TeamId = NewType("TeamId", str)
+UpstreamId = NewType("UpstreamId", str)
+PoolId = NewType("PoolId", str)
+RouteId = NewType("RouteId", str)
+PriorityId = NewType("PriorityId", str)
+ModelId = NewType("ModelId", str)
+
+RequestId = NewType("RequestId", str)
+AttemptNumber = NewType("AttemptNumber", int)
+IdempotencyKey = NewType("IdempotencyKey", str)
+Fingerprint = NewType("Fingerprint", str)
+Digest = NewType("Digest", str)
+
+# One run of one process; a restarted process has another one.
+Incarnation = NewType("Incarnation", str)
+
+Revision = NewType("Revision", int)
+Term = NewType("Term", int)
+LogIndex = NewType("LogIndex", int)
+FencingNumber = NewType("FencingNumber", int)
+LeaseName = NewType("LeaseName", str)
+CommandId = NewType("CommandId", str)
+
+GroupId = NewType("GroupId", str)
+RankId = NewType("RankId", int)
+ExpertId = NewType("ExpertId", int)
+MapEpoch = NewType("MapEpoch", int)
+StepNumber = NewType("StepNumber", int)
+
+# host:port, with an IP number as the host.
+Address = NewType("Address", str)
+
+NO_REVISION = Revision(0)
+FIRST_ATTEMPT = AttemptNumber(1)
--- /dev/null
+++ b/src/lycheefall/_core/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between processes, one module a conversation."""
--- /dev/null
+++ b/src/lycheefall/_core/pipeline.py
@@ -0,0 +1,104 @@
+"""Parts that filters are joined with."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from typing import Any, Generic, TypeVar, overload
+
+A = TypeVar("A")
+B = TypeVar("B")
+C = TypeVar("C")
+D = TypeVar("D")
+E = TypeVar("E")
+S = TypeVar("S")
+T = TypeVar("T")
+M = TypeVar("M")
+
+Step = Callable[[S, T, float], tuple[S, list[M]]]
+
+
+@overload
+def pipe(first: Callable[[A], B], /) -> Callable[[A], B]: ...
+@overload
+def pipe(first: Callable[[A], B], second: Callable[[B], C], /) -> Callable[[A], C]: ...
+@overload
+def pipe(
+    first: Callable[[A], B], second: Callable[[B], C], third: Callable[[C], D], /
+) -> Callable[[A], D]: ...
+@overload
+def pipe(
+    first: Callable[[A], B],
+    second: Callable[[B], C],
+    third: Callable[[C], D],
+    fourth: Callable[[D], E],
+    /,
+) -> Callable[[A], E]: ...
+def pipe(*filters: Callable[[Any], Any]) -> Callable[[Any], Any]:
+    """Join filters without state into one; each takes what the one before returned."""
+
+    def joined(item: Any) -> Any:
+        for each in filters:
+            item = each(item)
+        return item
+
+    return joined
+
+
+class Inbox(Generic[T]):
+    """Bounded queue of the messages for one task."""
+
+    __slots__ = ("_queue",)
+
+    def __init__(self, capacity: int) -> None:
+        self._queue: asyncio.Queue[T] = asyncio.Queue(capacity)
+
+    def offer(self, message: T) -> bool:
+        """Add a message and return True, or return False when the queue is full."""
+        try:
+            self._queue.put_nowait(message)
+        except asyncio.QueueFull:
+            return False
+        return True
+
+    async def put(self, message: T) -> None:
+        """Add a message; wait while the queue is full."""
+        await self._queue.put(message)
+
+    async def get(self) -> T:
+        """Take the next message; wait for one."""
+        return await self._queue.get()
+
+    async def drain(self) -> list[T]:
+        """Take all messages that are there; wait for at least one."""
+        batch = [await self._queue.get()]
+        while not self._queue.empty():
+            batch.append(self._queue.get_nowait())
+        return batch
+
+    def __len__(self) -> int:
+        return self._queue.qsize()
+
+
+async def run_owner(
+    inbox: Inbox[T],
+    state: S,
+    step: Step[S, T, M],
+    emit: Callable[[M], None],
+) -> None:
+    """Own a state: apply the step to each message of the inbox and emit what it returns."""
+    loop = asyncio.get_running_loop()
+    while True:
+        for message in await inbox.drain():
+            state, results = step(state, message, loop.time())
+            _emit_all(emit, results)
+
+
+def _emit_all(emit: Callable[[M], None], messages: Iterable[M]) -> None:
+    for message in messages:
+        emit(message)
+
+
+async def tick(inbox: Inbox[T], message: T, period_s: float) -> None:
+    """Put a message into the inbox at each period, and skip it while the inbox is full."""
+    while True:
+        await asyncio.sleep(period_s)
+        inbox.offer(message)
--- /dev/null
+++ b/src/lycheefall/_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The pipeline between callers and agents."""
--- /dev/null
+++ b/src/lycheefall/_fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, for demo, load and tests."""
--- /dev/null
+++ b/src/lycheefall/_load/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator and report."""
--- /dev/null
+++ b/src/lycheefall/_operate/__init__.py
@@ -0,0 +1,1 @@
+"""Settings, command line, logging and metrics."""
--- /dev/null
+++ b/src/lycheefall/_rules/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions as deterministic functions of state, message and time."""
--- /dev/null
+++ b/src/lycheefall/_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Codecs and sockets."""
--- /dev/null
+++ b/src/lycheefall/_wire/zmq_ends.py
@@ -0,0 +1,133 @@
+"""ZeroMQ sockets that their task reads through the event loop, without a thread.
+
+The descriptor of a ZeroMQ socket is edge-triggered: a send can consume the event that announced
+a received message. So the socket is drained on readability and again after each send.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import zmq
+
+from lycheefall._core.exceptions import PortInUse
+from lycheefall._core.ids import Address
+
+# Messages that wait for a peer; a longer queue would only deliver expired ones.
+SEND_QUEUE_MESSAGES = 1_000
+# A drain hands over to the event loop after this many messages, so that timers still run.
+DRAIN_BATCH_MESSAGES = 256
+
+
+def _new_socket(kind: int) -> zmq.Socket[bytes]:
+    socket: zmq.Socket[bytes] = zmq.Context.instance().socket(kind)
+    socket.setsockopt(zmq.LINGER, 0)
+    socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+    socket.setsockopt(zmq.IMMEDIATE, 1)
+    socket.setsockopt(zmq.TCP_KEEPALIVE, 1)
+    socket.setsockopt(zmq.RECONNECT_IVL, 50)
+    socket.setsockopt(zmq.RECONNECT_IVL_MAX, 500)
+    return socket
+
+
+class _Reader:
+    """A socket, its registration with the event loop and the function that takes its messages."""
+
+    __slots__ = ("_closed", "_deliver", "_descriptor", "_loop", "_scheduled", "_socket")
+
+    def __init__(self, socket: zmq.Socket[bytes], deliver: Callable[[list[bytes]], None]) -> None:
+        self._socket = socket
+        self._deliver = deliver
+        self._closed = False
+        self._scheduled = False
+        self._loop = asyncio.get_running_loop()
+        self._descriptor = int(socket.getsockopt(zmq.FD))
+        self._loop.add_reader(self._descriptor, self._drain)
+        self._schedule()
+
+    def _schedule(self) -> None:
+        if not self._scheduled and not self._closed:
+            self._scheduled = True
+            self._loop.call_soon(self._drain)
+
+    def _drain(self) -> None:
+        self._scheduled = False
+        for _ in range(DRAIN_BATCH_MESSAGES):
+            if self._closed:
+                return
+            try:
+                parts = self._socket.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            self._deliver(parts)
+        self._schedule()
+
+    def send(self, parts: list[bytes]) -> bool:
+        if self._closed:
+            return False
+        try:
+            self._socket.send_multipart(parts, zmq.NOBLOCK)
+        except zmq.ZMQError:
+            return False
+        self._schedule()
+        return True
+
+    def close(self) -> None:
+        if self._closed:
+            return
+        self._closed = True
+        self._loop.remove_reader(self._descriptor)
+        self._socket.close(linger=0)
+
+
+class RouterEnd:
+    """A bound socket with many peers."""
+
+    __slots__ = ("_reader", "_receive")
+
+    def __init__(self, address: Address, receive: Callable[[bytes, bytes], None]) -> None:
+        socket = _new_socket(zmq.ROUTER)
+        # Sending to an unknown peer then fails instead of dropping the message.
+        socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
+        try:
+            socket.bind(f"tcp://{address}")
+        except zmq.ZMQError as error:
+            socket.close(linger=0)
+            raise PortInUse(f"can't listen on {address}: {error}") from error
+        self._receive = receive
+        self._reader = _Reader(socket, self._deliver)
+
+    def _deliver(self, parts: list[bytes]) -> None:
+        if len(parts) == 2:
+            self._receive(parts[0], parts[1])
+
+    def send(self, peer: bytes, payload: bytes) -> bool:
+        """Queue a message for a peer; return False if there is no such connection."""
+        return self._reader.send([peer, payload])
+
+    def close(self) -> None:
+        """Close the socket; later sends return False."""
+        self._reader.close()
+
+
+class DealerEnd:
+    """A socket that is connected to one peer."""
+
+    __slots__ = ("_reader", "_receive")
+
+    def __init__(self, address: Address, receive: Callable[[bytes], None]) -> None:
+        socket = _new_socket(zmq.DEALER)
+        socket.connect(f"tcp://{address}")
+        self._receive = receive
+        self._reader = _Reader(socket, self._deliver)
+
+    def _deliver(self, parts: list[bytes]) -> None:
+        if len(parts) == 1:
+            self._receive(parts[0])
+
+    def send(self, payload: bytes) -> bool:
+        """Queue a message; return False if the connection is down or its queue is full."""
+        return self._reader.send([payload])
+
+    def close(self) -> None:
+        """Close the socket; later sends return False."""
+        self._reader.close()
--- /dev/null
+++ b/tests/test_zmq_ends.py
@@ -0,0 +1,58 @@
+"""Tests of the ZeroMQ ends."""
+
+import asyncio
+import socket
+
+import pytest
+
+from lycheefall._core.exceptions import PortInUse
+from lycheefall._core.ids import Address
+from lycheefall._wire.zmq_ends import DealerEnd, RouterEnd
+
+
+def free_address() -> Address:
+    """Return a loopback address with a port that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return Address(f"127.0.0.1:{probe.getsockname()[1]}")
+
+
+class TestEnds:
+    async def test_echo_of_many_messages(self) -> None:
+        """Guards against messages that wait since the edge-triggered descriptor stays silent."""
+        address = free_address()
+        count = 2_000
+        replies: list[bytes] = []
+        done = asyncio.Event()
+
+        def collect(payload: bytes) -> None:
+            replies.append(payload)
+            if len(replies) == count:
+                done.set()
+
+        router = RouterEnd(address, lambda peer, payload: bool(router.send(peer, payload)))
+        dealer = DealerEnd(address, collect)
+        sent = 0
+        while sent < count:
+            if dealer.send(b"%d" % sent):
+                sent += 1
+            else:
+                await asyncio.sleep(0.001)
+        await asyncio.wait_for(done.wait(), 10)
+        dealer.close()
+        router.close()
+        assert replies == [b"%d" % number for number in range(count)]
+
+    async def test_send_without_peer(self) -> None:
+        """Guards against messages queued for a peer that isn't there."""
+        dealer = DealerEnd(free_address(), lambda payload: None)
+        assert not dealer.send(b"lost")
+        dealer.close()
+
+    async def test_port_in_use(self) -> None:
+        """Guards against a second process that starts on a taken port."""
+        address = free_address()
+        first = RouterEnd(address, lambda peer, payload: None)
+        with pytest.raises(PortInUse):
+            RouterEnd(address, lambda peer, payload: None)
+        first.close()
