--- /dev/null
+++ b/src/lycheefall/_control/apply.py
@@ -0,0 +1,113 @@
+"""Filter that owns the state machine."""
+
+from collections.abc import Callable
+
+from msgspec import Struct, field
+
+from lycheefall._control.messages import AppliedView, Expect, Reject, ToApply, ToPublish, ToStep
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.ids import CommandId, LogIndex
+from lycheefall._core.messages.consensus import LogEntry, Membership, Snapshot, Submitted
+from lycheefall._core.messages.control import Failed, Proposed, Result
+from lycheefall._core.pipeline import Inbox
+from lycheefall._rules.consensus.state import Committed, Compact, Restore
+from lycheefall._rules.replicated.machine import Apply, Machine
+from lycheefall._wire.codec import encode
+from lycheefall._wire.consensus_codec import decode_machine
+
+# Connections that wait for a command which never commits are forgotten after so many others.
+WAITING_COMMANDS = 50_000
+
+
+class Applied(Struct, eq=False, kw_only=True):
+    """The state machine, where it is in the log, and who waits for a result."""
+
+    machine: Machine
+    apply: Apply
+    snapshot_entries: int
+    index: LogIndex = LogIndex(0)
+    snapshot_index: LogIndex = LogIndex(0)
+    membership: Membership | None = None
+    waiting: dict[CommandId, list[bytes]] = field(default_factory=dict)
+
+
+class ApplyOutlets(Struct, frozen=True):
+    """Where results, snapshots and views go."""
+
+    answer: Callable[[bytes, Proposed], None]
+    step: Inbox[ToStep]
+    publish: Inbox[ToPublish]
+
+
+def restored(state: Applied, snapshot: Snapshot) -> None:
+    """Put the state machine into the state of a snapshot."""
+    state.machine = decode_machine(snapshot.state)
+    state.index = state.snapshot_index = snapshot.index
+    state.membership = snapshot.membership
+
+
+async def run_apply(state: Applied, inbox: Inbox[ToApply], outlets: ApplyOutlets) -> None:
+    """Own the state machine: apply committed entries and answer who waits for them."""
+    while True:
+        for message in await inbox.drain():
+            _take(state, message, outlets)
+        await outlets.publish.put(view_of(state))
+
+
+def _take(state: Applied, message: ToApply, outlets: ApplyOutlets) -> None:
+    match message:
+        case Expect():
+            _expect(state, message)
+        case Reject():
+            for command_id in message.command_ids:
+                result = Failed(ResultCode.NOT_LEADER, "ask the leader", message.leader)
+                _answer(state, command_id, result, outlets)
+        case Restore():
+            restored(state, message.snapshot)
+        case Committed():
+            for entry in message.entries:
+                _apply_entry(state, entry, outlets)
+            _compact_when_due(state, message.entries, outlets)
+
+
+def _expect(state: Applied, message: Expect) -> None:
+    peers = state.waiting.setdefault(message.command_id, [])
+    if message.peer not in peers:
+        peers.append(message.peer)
+    if len(state.waiting) > WAITING_COMMANDS:
+        del state.waiting[next(iter(state.waiting))]
+
+
+def _apply_entry(state: Applied, entry: LogEntry, outlets: ApplyOutlets) -> None:
+    if entry.index <= state.index:
+        return
+    if entry.index != state.index + 1:
+        raise AssertionError(f"entry {entry.index} follows {state.index}")
+    state.index = entry.index
+    match entry.payload:
+        case Membership():
+            state.membership = entry.payload
+        case Submitted():
+            state.machine, result = state.apply(state.machine, entry.payload, entry.stamp_ms)
+            _answer(state, entry.payload.command_id, result, outlets)
+
+
+def _answer(state: Applied, command_id: CommandId, result: Result, outlets: ApplyOutlets) -> None:
+    for peer in state.waiting.pop(command_id, ()):
+        outlets.answer(peer, Proposed(command_id, result))
+
+
+def _compact_when_due(state: Applied, entries: tuple[LogEntry, ...], outlets: ApplyOutlets) -> None:
+    due = state.index - state.snapshot_index >= state.snapshot_entries
+    if not due or state.membership is None or entries[-1].index != state.index:
+        return
+    last = entries[-1]
+    data = encode(state.machine)
+    snapshot = Snapshot(last.index, last.term, last.stamp_ms, state.membership, data)
+    if outlets.step.offer(Compact(snapshot)):
+        state.snapshot_index = last.index
+
+
+def view_of(state: Applied) -> AppliedView:
+    """Return what watchers see of the state machine."""
+    return AppliedView(state.index, state.machine.revisions.configuration, 0)
--- /dev/null
+++ b/src/lycheefall/_control/client.py
@@ -0,0 +1,302 @@
+"""Control client: one owner task with one connection to a replica at a time."""
+
+import asyncio
+from collections.abc import Callable
+from uuid import uuid4
+
+from msgspec import Struct, field, structs
+
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.configuration import Configuration
+from lycheefall._core.exceptions import ControlUnavailable
+from lycheefall._core.ids import NO_REVISION, Address, CommandId, Incarnation, Revision
+from lycheefall._core.messages.control import (
+    Changes,
+    Command,
+    Failed,
+    FromControl,
+    Propose,
+    Proposed,
+    Result,
+    StatusQuery,
+    StatusReport,
+    Watch,
+)
+from lycheefall._core.messages.membership import Announce
+from lycheefall._core.pipeline import Inbox, tick
+from lycheefall._wire.codec import DecodeError, decode_from_control, encode
+from lycheefall._wire.zmq_ends import DealerEnd
+
+POLL_PERIOD_S = 0.1
+# A connection without an answer for this long is replaced by one to the next address.
+SILENT_AFTER_S = 1.0
+# A connection that takes no message for this long is down, which is found before the silence.
+DOWN_AFTER_S = 0.25
+# A proposal without a result is sent again after this time, with the same command id.
+RESEND_AFTER_S = 0.5
+# Longer ones could be resent after the replicas forgot the result.
+MAX_TIMEOUT_S = 20.0
+CLIENT_INBOX_MESSAGES = 10_000
+
+
+class Poll(Struct, frozen=True):
+    """Let time pass: poll, resend and replace a silent connection."""
+
+
+class Submit(Struct, frozen=True):
+    """Propose a command and set the reply when its result arrives."""
+
+    command_id: CommandId
+    command: Command
+    reply: asyncio.Future[Result]
+
+
+class Forget(Struct, frozen=True):
+    """Stop sending a command whose caller gave up."""
+
+    command_id: CommandId
+
+
+class Ask(Struct, frozen=True):
+    """Ask the connected replica for its status."""
+
+    reply: asyncio.Future[StatusReport]
+
+
+class Received(Struct, frozen=True):
+    """A message of the connection with this number."""
+
+    link: int
+    message: FromControl
+
+
+ToClient = Poll | Submit | Forget | Ask | Received | Announce
+
+
+class Pending(Struct, eq=False):
+    """A command without a result."""
+
+    command: Command
+    reply: asyncio.Future[Result]
+    send_due_s: float
+
+
+class Client(Struct, eq=False, kw_only=True):
+    """State of the owner task."""
+
+    addresses: tuple[Address, ...]
+    watch: Callable[[Changes], None]
+    link: int = 0
+    position: int = -1
+    address: Address = Address("")
+    end: DealerEnd | None = None
+    heard_s: float = 0.0
+    # When the connection took the last message.
+    taken_s: float = 0.0
+    sequence: int = 0
+    revision: Revision = NO_REVISION
+    replica: Incarnation = Incarnation("")
+    membership_version: int = 0
+    pending: dict[CommandId, Pending] = field(default_factory=dict)
+    asked: dict[int, asyncio.Future[StatusReport]] = field(default_factory=dict)
+
+
+class ControlClient(Struct, frozen=True):
+    """Handle by which other tasks reach the owner task."""
+
+    inbox: Inbox[ToClient]
+
+    async def propose(
+        self, command: Command, timeout_s: float, command_id: CommandId | None = None
+    ) -> Result:
+        """Have a command carried out once, and return its result.
+
+        Raises ControlUnavailable after `timeout_s` (at most 20 s); the command may then have
+        taken effect, or may still do so.
+        """
+        reply: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
+        chosen = CommandId(uuid4().hex) if command_id is None else command_id
+        try:
+            async with asyncio.timeout(min(timeout_s, MAX_TIMEOUT_S)):
+                await self.inbox.put(Submit(chosen, command, reply))
+                return await reply
+        except TimeoutError:
+            raise ControlUnavailable(f"no result of {chosen} within {timeout_s} s") from None
+        finally:
+            self.inbox.offer(Forget(chosen))
+
+    async def status(self, timeout_s: float) -> StatusReport:
+        """Return the status of the replica that is connected."""
+        reply: asyncio.Future[StatusReport] = asyncio.get_running_loop().create_future()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.inbox.put(Ask(reply))
+                return await reply
+        except TimeoutError:
+            raise ControlUnavailable(f"no status within {timeout_s} s") from None
+
+    def announce(self, message: Announce) -> bool:
+        """Send a heartbeat to the connected replica; return False if it was dropped."""
+        return self.inbox.offer(message)
+
+
+def new_client() -> ControlClient:
+    """Return a handle; `run_client` serves it."""
+    return ControlClient(Inbox(CLIENT_INBOX_MESSAGES))
+
+
+def _ignore(changes: Changes) -> None:
+    return None
+
+
+async def run_client(
+    client: ControlClient,
+    addresses: tuple[Address, ...],
+    watch: Callable[[Changes], None] = _ignore,
+) -> None:
+    """Own the connection to control until cancelled.
+
+    `watch` gets each `Changes` whose revision is not below one that was delivered before.
+    """
+    loop = asyncio.get_running_loop()
+    state = Client(addresses=addresses, watch=watch)
+    poll = asyncio.ensure_future(tick(client.inbox, Poll(), POLL_PERIOD_S))
+    _connect_next(state, client.inbox, loop.time())
+    try:
+        while True:
+            for message in await client.inbox.drain():
+                _take(state, message, client.inbox, loop.time())
+    finally:
+        poll.cancel()
+        if state.end is not None:
+            state.end.close()
+
+
+def _take(state: Client, message: ToClient, inbox: Inbox[ToClient], now_s: float) -> None:
+    match message:
+        case Poll():
+            _poll(state, inbox, now_s)
+        case Submit():
+            pending = Pending(message.command, message.reply, now_s)
+            state.pending[message.command_id] = pending
+            _send_command(state, message.command_id, pending, now_s)
+        case Forget():
+            state.pending.pop(message.command_id, None)
+        case Ask():
+            state.sequence += 1
+            state.asked[state.sequence] = message.reply
+            _send(state, StatusQuery(state.sequence))
+        case Announce():
+            _send(state, message)
+        case Received() if message.link == state.link:
+            state.heard_s = now_s
+            _on_received(state, message.message, inbox, now_s)
+
+
+def _poll(state: Client, inbox: Inbox[ToClient], now_s: float) -> None:
+    is_down = now_s - state.taken_s > DOWN_AFTER_S
+    if is_down or now_s - state.heard_s > SILENT_AFTER_S:
+        _connect_next(state, inbox, now_s)
+    for command_id, pending in state.pending.items():
+        if now_s >= pending.send_due_s:
+            _send_command(state, command_id, pending, now_s)
+    state.asked = {key: each for key, each in state.asked.items() if not each.done()}
+    if _send_watch(state):
+        state.taken_s = now_s
+
+
+def _send_watch(state: Client) -> bool:
+    state.sequence += 1
+    watch = Watch(state.sequence, state.revision, state.replica, state.membership_version)
+    return _send(state, watch)
+
+
+def _send_command(state: Client, command_id: CommandId, pending: Pending, now_s: float) -> None:
+    # Without a connection it is tried again at the next poll.
+    if _send(state, Propose(command_id, pending.command)):
+        pending.send_due_s = now_s + RESEND_AFTER_S
+
+
+def _send(state: Client, message: Propose | Watch | StatusQuery | Announce) -> bool:
+    return state.end is not None and state.end.send(encode(message))
+
+
+def _connect_next(state: Client, inbox: Inbox[ToClient], now_s: float) -> None:
+    state.position = (state.position + 1) % len(state.addresses)
+    _connect(state, state.addresses[state.position], inbox, now_s)
+
+
+def _connect(state: Client, address: Address, inbox: Inbox[ToClient], now_s: float) -> None:
+    if state.end is not None:
+        state.end.close()
+    state.link += 1
+    state.address = address
+    state.heard_s = state.taken_s = now_s
+    state.end = DealerEnd(address, _receiver(state.link, inbox))
+    for pending in state.pending.values():
+        pending.send_due_s = now_s
+
+
+def _receiver(link: int, inbox: Inbox[ToClient]) -> Callable[[bytes], None]:
+    def receive(payload: bytes) -> None:
+        try:
+            message = decode_from_control(payload)
+        except DecodeError:
+            return
+        inbox.offer(Received(link, message))
+
+    return receive
+
+
+def _on_received(state: Client, message: FromControl, inbox: Inbox[ToClient], now_s: float) -> None:
+    match message:
+        case Proposed():
+            _on_proposed(state, message, inbox, now_s)
+        case Changes():
+            _on_changes(state, message)
+        case StatusReport():
+            reply = state.asked.pop(message.sequence, None)
+            if reply is not None and not reply.done():
+                reply.set_result(message)
+
+
+def _on_proposed(state: Client, message: Proposed, inbox: Inbox[ToClient], now_s: float) -> None:
+    result = message.result
+    pending = state.pending.get(message.command_id)
+    if pending is None:
+        return
+    if isinstance(result, Failed) and result.code is ResultCode.NOT_LEADER:
+        _follow_hint(state, result.leader, pending, inbox, now_s)
+        return
+    del state.pending[message.command_id]
+    if not pending.reply.done():
+        pending.reply.set_result(result)
+
+
+def _follow_hint(
+    state: Client,
+    leader: Address | None,
+    pending: Pending,
+    inbox: Inbox[ToClient],
+    now_s: float,
+) -> None:
+    if leader is None or leader == state.address:
+        pending.send_due_s = now_s + POLL_PERIOD_S
+    else:
+        _connect(state, leader, inbox, now_s)
+
+
+def _on_changes(state: Client, message: Changes) -> None:
+    """Deliver changes, without a configuration that is older than the one delivered last."""
+    state.replica = message.replica
+    state.membership_version = message.membership_version
+    configuration = message.configuration
+    if configuration is not None and not _is_newer(state, configuration):
+        message = structs.replace(message, configuration=None)
+    elif configuration is not None:
+        state.revision = configuration.revision
+    state.watch(message)
+
+
+def _is_newer(state: Client, configuration: Configuration) -> bool:
+    return configuration.revision > state.revision
--- /dev/null
+++ b/src/lycheefall/_control/messages.py
@@ -0,0 +1,68 @@
+"""Messages between the filters of a control replica."""
+
+from msgspec import Struct
+
+from lycheefall._core.configuration import Configuration
+from lycheefall._core.enums import ReplicaRole
+from lycheefall._core.ids import Address, CommandId, InstanceId, LogIndex, Term
+from lycheefall._core.messages.consensus import PeerMessage, Submitted
+from lycheefall._core.messages.control import StatusQuery, Watch
+from lycheefall._core.messages.membership import Announce
+from lycheefall._rules.consensus.state import Committed, Compact, Restore, Tick
+
+
+class Proposal(Struct, frozen=True):
+    """A command and the connection that waits for its result."""
+
+    peer: bytes
+    submitted: Submitted
+
+
+ToStep = Tick | PeerMessage | Compact | Proposal
+
+
+class Expect(Struct, frozen=True):
+    """Answer this connection when the command is applied."""
+
+    peer: bytes
+    command_id: CommandId
+
+
+class Reject(Struct, frozen=True):
+    """Answer that this replica does not lead."""
+
+    command_ids: tuple[CommandId, ...]
+    leader: Address | None
+
+
+ToApply = Expect | Reject | Committed | Restore
+
+
+class ReplicaView(Struct, frozen=True):
+    """How the step task sees the agreement."""
+
+    role: ReplicaRole
+    term: Term
+    commit: LogIndex
+    leader: Address | None
+    voters: tuple[InstanceId, ...]
+    # Until when the commit index is known to be that of a leader.
+    settled_until_s: float
+
+
+class AppliedView(Struct, frozen=True):
+    """What the state machine holds after an entry."""
+
+    index: LogIndex
+    configuration: Configuration
+    claims: int
+
+
+class ClientMessage(Struct, frozen=True):
+    """A message of a connection for the publish task."""
+
+    peer: bytes
+    message: Announce | Watch | StatusQuery
+
+
+ToPublish = ClientMessage | ReplicaView | AppliedView
--- /dev/null
+++ b/src/lycheefall/_control/service.py
@@ -0,0 +1,139 @@
+"""A control replica: receive | step | sync | apply | publish."""
+
+import asyncio
+from collections.abc import Coroutine
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
+from random import SystemRandom
+from uuid import uuid4
+
+from msgspec import Struct
+
+from lycheefall._control import receive
+from lycheefall._control.apply import Applied, ApplyOutlets, restored, run_apply, view_of
+from lycheefall._control.messages import (
+    ReplicaView,
+    ToApply,
+    ToPublish,
+    ToStep,
+)
+from lycheefall._control.publish import Published, run_publish
+from lycheefall._control.settings import ControlSettings
+from lycheefall._control.step import StepOutlets, run_step
+from lycheefall._control.storage import Loaded, close_storage, open_storage
+from lycheefall._control.sync import Sync, syncing
+from lycheefall._core.ids import Incarnation
+from lycheefall._core.messages.consensus import Replica
+from lycheefall._core.pipeline import Inbox, tick
+from lycheefall._rules.consensus.state import Consensus, Tick
+from lycheefall._rules.consensus.step import initial
+from lycheefall._rules.replicated import machine
+from lycheefall._rules.replicated.revisions import Parse
+
+STEP_INBOX_MESSAGES = 10_000
+APPLY_INBOX_MESSAGES = 10_000
+PUBLISH_INBOX_MESSAGES = 10_000
+TICK_PERIOD_S = 0.025
+_SEED_BITS = 64
+
+
+class _Inboxes(Struct, frozen=True):
+    step: Inbox[ToStep]
+    apply: Inbox[ToApply]
+    publish: Inbox[ToPublish]
+
+
+async def run_control(settings: ControlSettings, parse: Parse) -> None:
+    """Run a replica until it is cancelled; raise LycheefallError if it can't go on."""
+    loop = asyncio.get_running_loop()
+    with ThreadPoolExecutor(1, "sync") as worker:
+        storage, loaded = await loop.run_in_executor(
+            worker, open_storage, settings.data_folder, settings.instance
+        )
+        try:
+            sync = syncing(storage, worker)
+            await _run_filters(settings, parse, loaded, sync)
+        finally:
+            # The worker ends first, since it may still write.
+            worker.shutdown()
+            close_storage(storage)
+
+
+async def _run_filters(settings: ControlSettings, parse: Parse, loaded: Loaded, sync: Sync) -> None:
+    loop = asyncio.get_running_loop()
+    inboxes = _Inboxes(
+        Inbox(STEP_INBOX_MESSAGES), Inbox(APPLY_INBOX_MESSAGES), Inbox(PUBLISH_INBOX_MESSAGES)
+    )
+    consensus = _consensus(settings, loaded, loop.time())
+    applied = _applied(settings, parse, loaded)
+    published = _published(settings, consensus, applied)
+    routes = {each.instance: each.peer_address for each in settings.voters}
+    sockets = receive.Sockets(instance=settings.instance, routes=routes, now=loop.time)
+    send = partial(receive.send_to, sockets)
+    greet = partial(receive.greet, sockets)
+    answer = partial(receive.answer, sockets)
+    step_outlets = StepOutlets(send, greet, inboxes.apply, inboxes.publish)
+    apply_outlets = ApplyOutlets(answer, inboxes.step, inboxes.publish)
+    receive.open_sockets(
+        sockets, settings.client_listen, settings.peer_listen, inboxes.step, inboxes.publish
+    )
+    settings.on_ready()
+    try:
+        await _run_all(
+            run_step(consensus, inboxes.step, sync, step_outlets, loop.time),
+            run_apply(applied, inboxes.apply, apply_outlets),
+            run_publish(published, inboxes.publish, answer, loop.time),
+            receive.run_links(sockets),
+            tick(inboxes.step, Tick(), TICK_PERIOD_S),
+        )
+    finally:
+        receive.close_sockets(sockets)
+
+
+async def _run_all(*filters: Coroutine[None, None, None]) -> None:
+    """Run the filters until the first one fails, and raise its error."""
+    tasks = [asyncio.ensure_future(each) for each in filters]
+    try:
+        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for each in done:
+            each.result()
+    finally:
+        for each in tasks:
+            each.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def _consensus(settings: ControlSettings, loaded: Loaded, now_s: float) -> Consensus:
+    me = Replica(loaded.identity, settings.peer_listen, settings.client_listen)
+    return initial(
+        me,
+        tuple(each.instance for each in settings.voters),
+        SystemRandom().getrandbits(_SEED_BITS),
+        now_s,
+        settings.timing,
+        loaded.term,
+        loaded.vote,
+        loaded.snapshot,
+        loaded.entries,
+    )
+
+
+def _applied(settings: ControlSettings, parse: Parse, loaded: Loaded) -> Applied:
+    applied = Applied(
+        machine=machine.initial(),
+        apply=machine.applier(parse),
+        snapshot_entries=settings.snapshot_entries,
+    )
+    if loaded.snapshot is not None:
+        restored(applied, loaded.snapshot)
+    return applied
+
+
+def _published(settings: ControlSettings, consensus: Consensus, applied: Applied) -> Published:
+    view = ReplicaView(consensus.role, consensus.term, consensus.commit, None, (), float("-inf"))
+    return Published(
+        instance=settings.instance,
+        process=Incarnation(uuid4().hex),
+        view=view,
+        applied=view_of(applied),
+    )
--- /dev/null
+++ b/src/lycheefall/_control/storage.py
@@ -0,0 +1,292 @@
+"""Durable state of a replica: identity, log and snapshot in one data folder."""
+
+import errno
+import fcntl
+import os
+from collections.abc import Callable
+from pathlib import Path
+from typing import TypeVar
+from uuid import uuid4
+
+from msgspec import Struct
+
+from lycheefall._control.frames import Frames, frame, read_frames
+from lycheefall._core.exceptions import DataFolderUnusable, DiskFull, LogDamaged
+from lycheefall._core.ids import Incarnation, InstanceId, Term
+from lycheefall._core.messages.consensus import Batch, LogEntry, ReplicaId, Snapshot
+from lycheefall._rules.consensus.state import Durable, SaveEntries, SaveSnapshot, SaveVote
+from lycheefall._wire.codec import DecodeError, encode
+from lycheefall._wire.consensus_codec import decode_batch, decode_identity, decode_snapshot
+
+IDENTITY_FILE = "identity"
+LOG_FILE = "log"
+SNAPSHOT_FILE = "snapshot"
+LOCK_FILE = "lock"
+
+T = TypeVar("T")
+
+Write = Callable[[int, bytes], int]
+
+
+class Storage(Struct, eq=False):
+    """The open files of a data folder; one task uses it at a time."""
+
+    folder: Path
+    write: Write
+    lock: int
+    log: int
+    # The size that the log file has if nobody else wrote to it.
+    log_bytes: int
+    term: Term
+    vote: ReplicaId | None
+
+
+class Loaded(Struct, frozen=True):
+    """What a data folder held."""
+
+    identity: ReplicaId
+    term: Term
+    vote: ReplicaId | None
+    snapshot: Snapshot | None
+    entries: tuple[LogEntry, ...]
+    # Bytes of an interrupted write that were removed.
+    cut_bytes: int
+
+
+def open_storage(
+    folder: Path, instance: InstanceId, write: Write = os.write
+) -> tuple[Storage, Loaded]:
+    """Open a data folder; an empty one becomes a new incarnation of the instance."""
+    lock = _lock(folder)
+    try:
+        return _open_locked(folder, instance, write, lock)
+    except OSError as error:
+        os.close(lock)
+        raise _as_failure(error, folder) from error
+    except BaseException:
+        os.close(lock)
+        raise
+
+
+def close_storage(storage: Storage) -> None:
+    """Close the files and release the folder."""
+    os.close(storage.log)
+    os.close(storage.lock)
+
+
+def save(storage: Storage, items: tuple[Durable, ...]) -> None:
+    """Make a batch durable with one sync, or more where it holds a snapshot."""
+    try:
+        for group in _groups(items):
+            if isinstance(group, SaveSnapshot):
+                _save_snapshot(storage, group)
+            else:
+                _save_batch(storage, group)
+    except OSError as error:
+        raise _as_failure(error, storage.folder) from error
+
+
+def _lock(folder: Path) -> int:
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+        lock = os.open(folder / LOCK_FILE, os.O_RDWR | os.O_CREAT, 0o644)
+    except OSError as error:
+        raise _as_failure(error, folder) from error
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError as error:
+        os.close(lock)
+        raise DataFolderUnusable(f"{folder} is in use by another process") from error
+    return lock
+
+
+def _open_locked(
+    folder: Path, instance: InstanceId, write: Write, lock: int
+) -> tuple[Storage, Loaded]:
+    identity = _read_identity(folder, instance)
+    if identity is None:
+        identity = _create(folder, instance, write)
+    snapshot = _read_snapshot(folder)
+    data = _read_log(folder)
+    frames = read_frames(data, LOG_FILE)
+    if not frames.payloads:
+        raise LogDamaged(f"{LOG_FILE} holds no valid frame")
+    cut_bytes = len(data) - frames.size_bytes
+    log = os.open(folder / LOG_FILE, os.O_RDWR | os.O_APPEND)
+    if cut_bytes:
+        os.ftruncate(log, frames.size_bytes)
+        os.fsync(log)
+    last = _decode_frame(frames.payloads[-1])
+    entries = _replay(frames, snapshot)
+    storage = Storage(folder, write, lock, log, frames.size_bytes, last.term, last.vote)
+    return storage, Loaded(identity, last.term, last.vote, snapshot, entries, cut_bytes)
+
+
+def _create(folder: Path, instance: InstanceId, write: Write) -> ReplicaId:
+    """Create log and identity in this order, so that an identity without a log means loss."""
+    if (folder / SNAPSHOT_FILE).exists() or len(read_frames(_read_log(folder), "").payloads) > 1:
+        raise LogDamaged(f"{folder} holds a log or a snapshot, but no {IDENTITY_FILE} file")
+    identity = ReplicaId(instance, Incarnation(uuid4().hex))
+    _replace_file(folder / LOG_FILE, frame(encode(Batch(Term(0), None, ()))), write)
+    _replace_file(folder / IDENTITY_FILE, frame(encode(identity)), write)
+    return identity
+
+
+def _read_identity(folder: Path, instance: InstanceId) -> ReplicaId | None:
+    path = folder / IDENTITY_FILE
+    if not path.exists():
+        return None
+    identity = _read_single(path, decode_identity)
+    if identity.instance != instance:
+        detail = f"{folder} belongs to instance {identity.instance}, not to {instance}"
+        raise DataFolderUnusable(detail)
+    return identity
+
+
+def _read_snapshot(folder: Path) -> Snapshot | None:
+    path = folder / SNAPSHOT_FILE
+    if not path.exists():
+        return None
+    return _read_single(path, decode_snapshot)
+
+
+def _read_single(path: Path, decode: Callable[[bytes], T]) -> T:
+    """Read a file that is replaced as a whole, so that any damage is a fault of the disk."""
+    data = path.read_bytes()
+    frames = read_frames(data, path.name)
+    if len(frames.payloads) != 1 or frames.size_bytes != len(data):
+        raise LogDamaged(f"{path.name} is damaged")
+    try:
+        return decode(frames.payloads[0])
+    except DecodeError as error:
+        raise LogDamaged(f"{path.name} can't be decoded: {error}") from error
+
+
+def _read_log(folder: Path) -> bytes:
+    path = folder / LOG_FILE
+    return path.read_bytes() if path.exists() else b""
+
+
+def _decode_frame(payload: bytes) -> Batch:
+    try:
+        return decode_batch(payload)
+    except DecodeError as error:
+        raise LogDamaged(f"a frame of {LOG_FILE} can't be decoded: {error}") from error
+
+
+def _replay(frames: Frames, snapshot: Snapshot | None) -> tuple[LogEntry, ...]:
+    """Return the entries behind the snapshot, after all replacements."""
+    entries: list[LogEntry] = []
+    for payload in frames.payloads:
+        batch = _decode_frame(payload)
+        if batch.entries:
+            _replace_from(entries, batch.entries)
+    base = 0 if snapshot is None else snapshot.index
+    if entries and entries[0].index > base + 1:
+        raise LogDamaged(f"{LOG_FILE} starts at entry {entries[0].index}, after {base}")
+    return _behind(entries, snapshot)
+
+
+def _replace_from(entries: list[LogEntry], replacement: tuple[LogEntry, ...]) -> None:
+    first = replacement[0].index
+    if not entries or first < entries[0].index:
+        entries[:] = replacement
+        return
+    if first > entries[-1].index + 1:
+        raise LogDamaged(f"{LOG_FILE} lacks the entries before {first}")
+    del entries[first - entries[0].index :]
+    entries.extend(replacement)
+
+
+def _behind(entries: list[LogEntry], snapshot: Snapshot | None) -> tuple[LogEntry, ...]:
+    if snapshot is None or not entries:
+        return tuple(entries)
+    offset = snapshot.index - entries[0].index
+    if offset < 0:
+        return tuple(entries)
+    # A crash between snapshot and log leaves the old log; entries that don't continue the
+    # snapshot were replaced by it.
+    if offset >= len(entries) or entries[offset].term != snapshot.term:
+        return ()
+    return tuple(entries[offset + 1 :])
+
+
+def _groups(items: tuple[Durable, ...]) -> list[SaveSnapshot | tuple[Durable, ...]]:
+    groups: list[SaveSnapshot | tuple[Durable, ...]] = []
+    run: list[Durable] = []
+    for item in items:
+        if isinstance(item, SaveSnapshot):
+            if run:
+                groups.append(tuple(run))
+            run = []
+            groups.append(item)
+        else:
+            run.append(item)
+    if run:
+        groups.append(tuple(run))
+    return groups
+
+
+def _save_batch(storage: Storage, items: tuple[Durable, ...]) -> None:
+    frames = b"".join(_frames_of(storage, items))
+    size = os.fstat(storage.log).st_size
+    if size != storage.log_bytes:
+        raise LogDamaged(f"{LOG_FILE} has {size} bytes instead of {storage.log_bytes}")
+    _write_all(storage.write, storage.log, frames)
+    os.fsync(storage.log)
+    storage.log_bytes += len(frames)
+
+
+def _frames_of(storage: Storage, items: tuple[Durable, ...]) -> list[bytes]:
+    """Return one frame, or one for each part where a later part replaces entries."""
+    parts: list[list[LogEntry]] = [[]]
+    for item in items:
+        if isinstance(item, SaveVote):
+            storage.term, storage.vote = item.term, item.vote
+        elif isinstance(item, SaveEntries) and item.entries:
+            if parts[-1] and item.entries[0].index != parts[-1][-1].index + 1:
+                parts.append([])
+            parts[-1].extend(item.entries)
+    return [frame(encode(Batch(storage.term, storage.vote, tuple(part)))) for part in parts]
+
+
+def _save_snapshot(storage: Storage, item: SaveSnapshot) -> None:
+    """Replace the snapshot, then the log by one that starts behind it."""
+    _replace_file(storage.folder / SNAPSHOT_FILE, frame(encode(item.snapshot)), storage.write)
+    data = frame(encode(Batch(storage.term, storage.vote, item.entries)))
+    _replace_file(storage.folder / LOG_FILE, data, storage.write)
+    os.close(storage.log)
+    storage.log = os.open(storage.folder / LOG_FILE, os.O_RDWR | os.O_APPEND)
+    storage.log_bytes = len(data)
+
+
+def _replace_file(path: Path, data: bytes, write: Write) -> None:
+    temporary = path.with_suffix(".new")
+    descriptor = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o644)
+    try:
+        _write_all(write, descriptor, data)
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+    os.replace(temporary, path)
+    _sync_folder(path.parent)
+
+
+def _sync_folder(folder: Path) -> None:
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def _write_all(write: Write, descriptor: int, data: bytes) -> None:
+    rest = memoryview(data)
+    while rest:
+        rest = rest[write(descriptor, bytes(rest)) :]
+
+
+def _as_failure(error: OSError, folder: Path) -> DiskFull | DataFolderUnusable:
+    if error.errno in (errno.ENOSPC, errno.EDQUOT):
+        return DiskFull(f"{folder}: {error.strerror}")
+    return DataFolderUnusable(f"{folder}: {error}")
--- /dev/null
+++ b/src/lycheefall/_rules/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Agreement between control replicas on one log (Raft with pre-vote and leader lease)."""
--- /dev/null
+++ b/src/lycheefall/_rules/consensus/election.py
@@ -0,0 +1,197 @@
+"""Election with pre-vote; see D. Ongaro, "Consensus: Bridging Theory and Practice", 2014."""
+
+from lycheefall._core.enums import ReplicaRole
+from lycheefall._core.ids import LogIndex, Term
+from lycheefall._core.messages.consensus import (
+    Blank,
+    Hello,
+    Membership,
+    PreVote,
+    PreVoted,
+    Replica,
+    Vote,
+    Voted,
+)
+from lycheefall._rules.consensus.log import last_index, last_term
+from lycheefall._rules.consensus.replication import append_own, has_lease, send_appends
+from lycheefall._rules.consensus.state import (
+    Consensus,
+    Greet,
+    Presence,
+    Progress,
+    SaveVote,
+    Send,
+    is_member,
+    is_voter,
+    others,
+    postpone_election,
+    quorum,
+    step_down,
+    voters,
+)
+
+
+def on_election_tick(state: Consensus, now_s: float) -> None:
+    """Greet while not a member, and campaign when the leader is silent."""
+    if not is_member(state) and now_s >= state.hello_due_s:
+        state.hello_due_s = now_s + state.timing.hello_s
+        state.outputs.append(Greet(Hello(state.me)))
+    if now_s < state.election_due_s:
+        return
+    postpone_election(state, now_s)
+    if is_voter(state):
+        _start_pre_vote(state, now_s)
+    elif state.log.membership is None:
+        _start_formation(state, now_s)
+
+
+def on_hello(state: Consensus, message: Hello, now_s: float) -> None:
+    """Remember a replica that is present."""
+    state.present[message.sender.id.instance] = Presence(message.sender, now_s)
+
+
+def on_pre_vote(state: Consensus, message: PreVote, now_s: float) -> None:
+    """Grant a pre-vote unless a leader is alive or the candidate's log is behind."""
+    granted = (
+        message.term > state.term
+        and _is_up_to_date(state, message.last_term, message.last_index)
+        and not _leader_is_alive(state, now_s)
+    )
+    term = message.term if granted else state.term
+    state.outputs.append(Send(message.sender, PreVoted(state.me, message.sender.id, term, granted)))
+
+
+def on_pre_voted(state: Consensus, message: PreVoted, now_s: float) -> None:
+    """Start the election once a majority would grant it."""
+    if message.term > state.term and not message.granted:
+        step_down(state, message.term, now_s)
+        return
+    if not state.pre_voting or not message.granted or message.term != state.term + 1:
+        return
+    state.votes.add(message.sender.id)
+    if _has_majority(state):
+        _start_vote(state, now_s)
+
+
+def on_vote(state: Consensus, message: Vote, now_s: float) -> None:
+    """Grant the vote of a term once, to a candidate whose log is not behind."""
+    if _leader_is_alive(state, now_s):
+        return
+    if message.term > state.term:
+        step_down(state, message.term, now_s)
+    granted = (
+        message.term == state.term
+        and state.vote in (None, message.sender.id)
+        and _is_up_to_date(state, message.last_term, message.last_index)
+    )
+    if granted:
+        state.vote = message.sender.id
+        state.outputs.append(SaveVote(state.term, state.vote))
+        postpone_election(state, now_s)
+    state.outputs.append(
+        Send(message.sender, Voted(state.me, message.sender.id, state.term, granted))
+    )
+
+
+def on_voted(state: Consensus, message: Voted, now_s: float) -> None:
+    """Lead once enough voters granted their vote."""
+    if message.term > state.term:
+        step_down(state, message.term, now_s)
+        return
+    if state.role is not ReplicaRole.CANDIDATE or state.pre_voting:
+        return
+    if message.term == state.term and message.granted:
+        state.votes.add(message.sender.id)
+        if _has_majority(state):
+            _lead(state, now_s)
+
+
+def _start_pre_vote(state: Consensus, now_s: float) -> None:
+    state.role = ReplicaRole.CANDIDATE
+    state.leader = None
+    state.settled = False
+    state.pre_voting = True
+    state.forming = None
+    state.votes = {state.me.id}
+    if _has_majority(state):
+        _start_vote(state, now_s)
+        return
+    _ask_all(state, PreVote, Term(state.term + 1))
+
+
+def _start_formation(state: Consensus, now_s: float) -> None:
+    """Form the first cluster: one designated replica needs the votes of all initial voters.
+
+    A voter with entries in its log refuses a candidate with an empty one, so the votes prove
+    that all disks are empty, and a lost disk can't be mistaken for a first start.
+    """
+    if not state.initial or state.me.id.instance != state.initial[0]:
+        return
+    found = [_present_replica(state, instance, now_s) for instance in state.initial]
+    members = tuple(each for each in found if each is not None)
+    if len(members) == len(state.initial):
+        state.forming = Membership(len(members), members)
+        _start_vote(state, now_s)
+
+
+def _present_replica(state: Consensus, instance: str, now_s: float) -> Replica | None:
+    if instance == state.me.id.instance:
+        return state.me
+    for each in state.present.values():
+        is_fresh = now_s - each.seen_s <= state.timing.presence_s
+        if each.replica.id.instance == instance and is_fresh:
+            return each.replica
+    return None
+
+
+def _start_vote(state: Consensus, now_s: float) -> None:
+    state.role = ReplicaRole.CANDIDATE
+    state.pre_voting = False
+    state.term = Term(state.term + 1)
+    state.vote = state.me.id
+    state.votes = {state.me.id}
+    state.outputs.append(SaveVote(state.term, state.vote))
+    if _has_majority(state):
+        _lead(state, now_s)
+        return
+    _ask_all(state, Vote, state.term)
+
+
+def _ask_all(state: Consensus, kind: type[PreVote] | type[Vote], term: Term) -> None:
+    for each in voters(state):
+        if each.id != state.me.id:
+            message = kind(state.me, each.id, term, last_index(state.log), last_term(state.log))
+            state.outputs.append(Send(each, message))
+
+
+def _has_majority(state: Consensus) -> bool:
+    electorate = voters(state)
+    granted = sum(1 for each in electorate if each.id in state.votes)
+    if state.forming is not None:
+        return granted == len(electorate)
+    return granted >= quorum(len(electorate))
+
+
+def _lead(state: Consensus, now_s: float) -> None:
+    first = state.forming
+    state.role = ReplicaRole.LEADER
+    state.leader = state.me
+    state.settled = False
+    state.forming = None
+    state.progress = {}
+    state.led_since_s = now_s
+    next_index = LogIndex(last_index(state.log) + 1)
+    append_own(state, Blank() if first is None else first)
+    for each in others(state):
+        state.progress[each.id] = Progress(next_index, since_s=now_s)
+    send_appends(state, now_s)
+
+
+def _is_up_to_date(state: Consensus, term: Term, index: LogIndex) -> bool:
+    return (term, index) >= (last_term(state.log), last_index(state.log))
+
+
+def _leader_is_alive(state: Consensus, now_s: float) -> bool:
+    if state.role is ReplicaRole.LEADER:
+        return has_lease(state, now_s)
+    return now_s - state.heard_s < state.timing.election_min_s
--- /dev/null
+++ b/src/lycheefall/_rules/consensus/voters.py
@@ -0,0 +1,103 @@
+"""One-at-a-time changes of the membership, decided by the leader."""
+
+from lycheefall._core.enums import ReplicaRole
+from lycheefall._core.messages.consensus import Membership, Replica
+from lycheefall._rules.consensus.replication import append_own, send_appends
+from lycheefall._rules.consensus.state import Consensus
+
+
+def change_membership(state: Consensus, now_s: float) -> None:
+    """Make the next change that is due, once the one before it is committed."""
+    membership = state.log.membership
+    if state.role is not ReplicaRole.LEADER or membership is None or not state.settled:
+        return
+    if state.log.membership_index > state.commit:
+        return
+    changed = _next_membership(state, membership, now_s)
+    if changed is not None:
+        append_own(state, changed)
+        send_appends(state, now_s)
+
+
+def _next_membership(state: Consensus, now: Membership, now_s: float) -> Membership | None:
+    for decide in (_remove_replaced, _demote_silent, _promote, _admit_learner, _drop_learner):
+        changed = decide(state, now, now_s)
+        if changed is not None:
+            return changed
+    return None
+
+
+def _remove_replaced(state: Consensus, now: Membership, now_s: float) -> Membership | None:
+    """Remove the old incarnation of an instance whose new one votes already."""
+    for position, each in enumerate(now.voters):
+        later = now.voters[position + 1 :]
+        if each.id != state.me.id and any(_same_instance(each, other) for other in later):
+            return Membership(now.size, _without(now.voters, each), now.learners)
+    return None
+
+
+def _demote_silent(state: Consensus, now: Membership, now_s: float) -> Membership | None:
+    """Make a voter a learner after a standby took its place; a silent one if there is one."""
+    if len(now.voters) <= now.size:
+        return None
+    candidates = [each for each in now.voters if each.id != state.me.id]
+    silent = [each for each in candidates if _is_silent(state, each, now_s)]
+    chosen = silent[0] if silent else candidates[-1]
+    return Membership(now.size, _without(now.voters, chosen), (*now.learners, chosen))
+
+
+def _promote(state: Consensus, now: Membership, now_s: float) -> Membership | None:
+    """Make a caught-up learner a voter if it replaces a voter that is lost or silent."""
+    if len(now.voters) > now.size:
+        return None
+    silent = any(_is_silent(state, each, now_s) for each in now.voters)
+    for each in now.learners:
+        replaces = any(_same_instance(each, voter) for voter in now.voters)
+        if (replaces or silent) and _is_caught_up(state, each, now_s):
+            return Membership(now.size, (*now.voters, each), _without(now.learners, each))
+    return None
+
+
+def _admit_learner(state: Consensus, now: Membership, now_s: float) -> Membership | None:
+    """Add a replica that said hello; it takes the place of a learner of the same instance."""
+    members = {each.id for each in now.voters + now.learners}
+    for presence in state.present.values():
+        found = presence.replica
+        if found.id in members or now_s - presence.seen_s > state.timing.presence_s:
+            continue
+        kept = tuple(each for each in now.learners if not _same_instance(each, found))
+        return Membership(now.size, now.voters, (*kept, found))
+    return None
+
+
+def _drop_learner(state: Consensus, now: Membership, now_s: float) -> Membership | None:
+    """Remove a silent learner whose instance has a voter; a late hello can have added it."""
+    for each in now.learners:
+        has_voter = any(_same_instance(each, voter) for voter in now.voters)
+        if has_voter and _is_silent(state, each, now_s):
+            return Membership(now.size, now.voters, _without(now.learners, each))
+    return None
+
+
+def _is_silent(state: Consensus, replica: Replica, now_s: float) -> bool:
+    if replica.id == state.me.id:
+        return False
+    progress = state.progress.get(replica.id)
+    if progress is None:
+        return False
+    return now_s - max(progress.acked_s, progress.since_s) > state.timing.replace_s
+
+
+def _is_caught_up(state: Consensus, replica: Replica, now_s: float) -> bool:
+    progress = state.progress.get(replica.id)
+    if progress is None or progress.match < state.commit:
+        return False
+    return now_s - progress.acked_s < state.timing.presence_s
+
+
+def _same_instance(one: Replica, other: Replica) -> bool:
+    return one.id.instance == other.id.instance
+
+
+def _without(members: tuple[Replica, ...], removed: Replica) -> tuple[Replica, ...]:
+    return tuple(each for each in members if each.id != removed.id)
--- /dev/null
+++ b/src/lycheefall/_rules/replicated/__init__.py
@@ -0,0 +1,1 @@
+"""The state machine of the replicated log."""
--- /dev/null
+++ b/src/lycheefall/_rules/replicated/leases.py
@@ -0,0 +1,73 @@
+"""Leases with fencing numbers."""
+
+from msgspec import Struct, field
+
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.ids import FencingNumber, Incarnation, LeaseName
+from lycheefall._core.messages.control import AcquireLease, Failed, LeaseResult, RenewLease
+
+_MS_PER_S = 1_000
+
+
+class Lease(Struct, frozen=True, array_like=True):
+    """The latest grant of a lease."""
+
+    holder: Incarnation
+    fencing: FencingNumber
+    expires_ms: int
+
+
+class Leases(Struct):
+    """All leases that were ever granted; a fencing number must never be used again."""
+
+    granted: dict[LeaseName, Lease] = field(default_factory=dict)
+
+
+def initial() -> Leases:
+    """Return the state before the first command."""
+    return Leases()
+
+
+def apply(
+    state: Leases, command: AcquireLease | RenewLease, stamp_ms: int
+) -> tuple[Leases, LeaseResult | Failed]:
+    """Grant or extend a lease."""
+    if not command.duration_s > 0:
+        return state, Failed(ResultCode.BAD_FIELD, "duration_s must be above 0")
+    if isinstance(command, AcquireLease):
+        return state, _acquire(state, command, stamp_ms)
+    return state, _renew(state, command, stamp_ms)
+
+
+def _acquire(state: Leases, command: AcquireLease, stamp_ms: int) -> LeaseResult:
+    held = state.granted.get(command.name)
+    if held is None or stamp_ms >= held.expires_ms:
+        number = FencingNumber(1 if held is None else held.fencing + 1)
+        return _grant(state, command, number, stamp_ms)
+    if held.holder == command.holder:
+        return _grant(state, command, held.fencing, stamp_ms)
+    return _result(ResultCode.LEASE_HELD, held, stamp_ms)
+
+
+def _renew(state: Leases, command: RenewLease, stamp_ms: int) -> LeaseResult:
+    held = state.granted.get(command.name)
+    if held is None:
+        return LeaseResult(ResultCode.LEASE_EXPIRED, Incarnation(""), FencingNumber(0), 0.0)
+    is_holder = held.holder == command.holder and held.fencing == command.fencing
+    if not is_holder or stamp_ms >= held.expires_ms:
+        return _result(ResultCode.LEASE_EXPIRED, held, stamp_ms)
+    return _grant(state, command, held.fencing, stamp_ms)
+
+
+def _grant(
+    state: Leases, command: AcquireLease | RenewLease, number: FencingNumber, stamp_ms: int
+) -> LeaseResult:
+    expires_ms = stamp_ms + round(command.duration_s * _MS_PER_S)
+    lease = Lease(command.holder, number, expires_ms)
+    state.granted[command.name] = lease
+    return _result(ResultCode.OK, lease, stamp_ms)
+
+
+def _result(code: ResultCode, lease: Lease, stamp_ms: int) -> LeaseResult:
+    remaining_s = max(0, lease.expires_ms - stamp_ms) / _MS_PER_S
+    return LeaseResult(code, lease.holder, lease.fencing, remaining_s)
--- /dev/null
+++ b/src/lycheefall/_rules/replicated/machine.py
@@ -0,0 +1,98 @@
+"""The state machine: dispatches each committed command to the module that owns its state."""
+
+from collections.abc import Callable
+
+from msgspec import Struct, field
+
+from lycheefall._core.ids import CommandId
+from lycheefall._core.messages.consensus import Submitted
+from lycheefall._core.messages.control import (
+    AcquireLease,
+    ApplyFile,
+    Claim,
+    Command,
+    CommitEpoch,
+    Reassign,
+    RecordCrash,
+    RecordOutcome,
+    RenewLease,
+    Result,
+)
+from lycheefall._rules.replicated import claims, epochs, leases, revisions, suspects
+from lycheefall._rules.replicated.claims import Claims
+from lycheefall._rules.replicated.epochs import Epochs
+from lycheefall._rules.replicated.leases import Leases
+from lycheefall._rules.replicated.revisions import Revisions
+from lycheefall._rules.replicated.suspects import Suspects
+
+# A command sent again within this time gets the first result; clients give up well before.
+RESULT_KEPT_MS = 30_000
+
+
+class Recorded(Struct, frozen=True, array_like=True):
+    """The result of a command."""
+
+    stamp_ms: int
+    result: Result
+
+
+class Machine(Struct):
+    """All replicated state."""
+
+    revisions: Revisions = field(default_factory=Revisions)
+    claims: Claims = field(default_factory=Claims)
+    leases: Leases = field(default_factory=Leases)
+    epochs: Epochs = field(default_factory=Epochs)
+    suspects: Suspects = field(default_factory=Suspects)
+    # In the order of the log, so that expired results are at the front.
+    results: dict[CommandId, Recorded] = field(default_factory=dict)
+
+
+Apply = Callable[[Machine, Submitted, int], tuple[Machine, Result]]
+
+
+def initial() -> Machine:
+    """Return the state before the first command."""
+    return Machine()
+
+
+def applier(parse: revisions.Parse) -> Apply:
+    """Return the apply function; files are read with the given parser."""
+    apply_file = revisions.applier(parse)
+
+    def apply(state: Machine, submitted: Submitted, stamp_ms: int) -> tuple[Machine, Result]:
+        _forget_results(state, stamp_ms)
+        recorded = state.results.get(submitted.command_id)
+        if recorded is not None:
+            return state, recorded.result
+        result = _dispatch(state, submitted.command, stamp_ms, apply_file)
+        state.results[submitted.command_id] = Recorded(stamp_ms, result)
+        return state, result
+
+    return apply
+
+
+def _forget_results(state: Machine, stamp_ms: int) -> None:
+    while state.results:
+        oldest = next(iter(state.results))
+        if stamp_ms - state.results[oldest].stamp_ms <= RESULT_KEPT_MS:
+            return
+        del state.results[oldest]
+
+
+def _dispatch(
+    state: Machine, command: Command, stamp_ms: int, apply_file: revisions.Apply
+) -> Result:
+    result: Result
+    match command:
+        case ApplyFile():
+            state.revisions, result = apply_file(state.revisions, command, stamp_ms)
+        case Claim() | Reassign() | RecordOutcome():
+            state.claims, result = claims.apply(state.claims, command, stamp_ms)
+        case AcquireLease() | RenewLease():
+            state.leases, result = leases.apply(state.leases, command, stamp_ms)
+        case CommitEpoch():
+            state.epochs, result = epochs.apply(state.epochs, command, stamp_ms)
+        case RecordCrash():
+            state.suspects, result = suspects.apply(state.suspects, command, stamp_ms)
+    return result
--- /dev/null
+++ b/src/lycheefall/_rules/replicated/revisions.py
@@ -0,0 +1,74 @@
+"""Accepted configuration files: compare-and-set on the number that a file replaces."""
+
+from collections.abc import Callable
+from hashlib import sha256
+
+from msgspec import Struct, field, structs
+
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.configuration import Configuration
+from lycheefall._core.exceptions import FileFieldError, FileReferenceError, FileSyntaxError
+from lycheefall._core.ids import Digest, Revision
+from lycheefall._core.messages.control import ApplyFile, FileResult
+
+# A file that is sent again after this many later ones gets a conflict; about four days of
+# changes at the size to design for.
+KEPT_DIGESTS = 10_000
+
+Parse = Callable[[str, Revision], Configuration]
+Apply = Callable[["Revisions", ApplyFile, int], tuple["Revisions", FileResult]]
+
+
+class Revisions(Struct):
+    """The configuration in force and the digests of the files before it."""
+
+    configuration: Configuration = field(default_factory=Configuration)
+    accepted: dict[Revision, Digest] = field(default_factory=dict)
+
+
+def initial() -> Revisions:
+    """Return the state before the first command."""
+    return Revisions()
+
+
+def digest_of(text: str) -> Digest:
+    """Return the digest by which equal files are recognised."""
+    return Digest(sha256(text.encode()).hexdigest())
+
+
+def applier(parse: Parse) -> Apply:
+    """Return the apply function that reads files with the given parser."""
+
+    def apply(state: Revisions, command: ApplyFile, stamp_ms: int) -> tuple[Revisions, FileResult]:
+        current = state.configuration
+        if command.replaces != current.revision:
+            return state, _earlier_result(state, command)
+        revision = Revision(current.revision + 1)
+        try:
+            parsed = parse(command.text, revision)
+        except (FileSyntaxError, FileFieldError, FileReferenceError) as error:
+            return state, FileResult(error.code, current.revision, current.digest, error.detail)
+        _accept(state, structs.replace(parsed, revision=revision, digest=command.digest))
+        return state, FileResult(ResultCode.OK, revision, command.digest)
+
+    return apply
+
+
+def _accept(state: Revisions, accepted: Configuration) -> None:
+    state.configuration = accepted
+    state.accepted[accepted.revision] = accepted.digest
+    state.accepted.pop(Revision(accepted.revision - KEPT_DIGESTS), None)
+
+
+def _earlier_result(state: Revisions, command: ApplyFile) -> FileResult:
+    """Answer a file whose number is taken, or is not reached yet."""
+    current = state.configuration
+    revision = Revision(command.replaces + 1)
+    winner = state.accepted.get(revision)
+    if winner is None:
+        detail = f"the file replaces {command.replaces}, but {current.revision} is in force"
+        return FileResult(ResultCode.FILE_CONFLICT, current.revision, current.digest, detail)
+    if winner == command.digest:
+        return FileResult(ResultCode.OK, revision, winner)
+    detail = f"another file was accepted as revision {revision}"
+    return FileResult(ResultCode.FILE_CONFLICT, revision, winner, detail)
--- /dev/null
+++ b/tests/processes/replica.py
@@ -0,0 +1,47 @@
+"""A control replica as a process: `python -m processes.replica SETTINGS_AS_JSON`."""
+
+import asyncio
+import json
+import os
+import sys
+from pathlib import Path
+
+import uvloop
+
+from lycheefall._control.service import run_control
+from lycheefall._control.settings import ControlSettings, Voter
+from lycheefall._core.configuration import Configuration, Limits
+from lycheefall._core.exceptions import FileFieldError, LycheefallError
+from lycheefall._core.ids import Revision
+
+
+def parse_number(text: str, revision: Revision) -> Configuration:
+    """Read a file that consists of one number; stands in for the TOML parser."""
+    if not text.isdigit():
+        raise FileFieldError(f"line 1: {text!r} is not a number")
+    return Configuration(revision=revision, limits=Limits(queue_requests=int(text)))
+
+
+def settings_of(fields: dict[str, object]) -> ControlSettings:
+    """Return the settings that the test wrote as JSON."""
+    voters = tuple(Voter(*each) for each in fields.pop("voters"))
+    folder = Path(str(fields.pop("data_folder")))
+    return ControlSettings(
+        **fields, voters=voters, data_folder=folder, on_ready=lambda: print("ready", flush=True)
+    )
+
+
+def main() -> None:
+    """Run until killed; end with status 1 and the error on the standard output."""
+    try:
+        uvloop.run(run_control(settings_of(json.loads(sys.argv[1])), parse_number))
+    except LycheefallError as error:
+        print(error, flush=True)
+        # The interpreter would wait for the threads of ZeroMQ.
+        os._exit(1)
+    except asyncio.CancelledError:
+        pass
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/processes/scaffold.py
@@ -0,0 +1,307 @@
+"""Starts and stops control replicas as processes, and cuts connections between them."""
+
+import asyncio
+import contextlib
+import json
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from lycheefall._control.client import ControlClient, new_client, run_client
+from lycheefall._core.ids import Address, Revision
+from lycheefall._core.messages.control import ApplyFile, Changes, FileResult, StatusReport
+from lycheefall._rules.replicated.revisions import digest_of
+
+TESTS = Path(__file__).resolve().parents[1]
+START_TIMEOUT_S = 10.0
+POLL_S = 0.02
+
+
+def free_addresses(count: int) -> list[Address]:
+    """Return loopback addresses with ports that are free now and different."""
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind(("127.0.0.1", 0))
+        return [Address(f"127.0.0.1:{probe.getsockname()[1]}") for probe in probes]
+
+
+@dataclass
+class Forwarder:
+    """TCP forwarder; blocked directions hold their bytes, as a silent network does."""
+
+    target: Address
+    address: Address | None = None
+    server: asyncio.Server | None = None
+    forth: asyncio.Event = field(default_factory=asyncio.Event)
+    back: asyncio.Event = field(default_factory=asyncio.Event)
+    writers: list[asyncio.StreamWriter] = field(default_factory=list)
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    async def open(self) -> None:
+        """Listen on a free port."""
+        self.heal()
+        self.server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self.address = Address(f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}")
+
+    def block(self, forth: bool = True, back: bool = True) -> None:
+        """Hold all bytes of these directions."""
+        if forth:
+            self.forth.clear()
+        if back:
+            self.back.clear()
+
+    def heal(self) -> None:
+        """Let all bytes pass, those that were held first."""
+        self.forth.set()
+        self.back.set()
+
+    def silence_open_connections(self) -> None:
+        """Hold the bytes of the connections that are open now for ever; new ones work."""
+        self.forth.clear()
+        self.back.clear()
+        self.forth, self.back = asyncio.Event(), asyncio.Event()
+        self.heal()
+
+    def cut(self) -> None:
+        """Close all connections."""
+        for writer in self.writers:
+            writer.close()
+        self.writers.clear()
+
+    async def close(self) -> None:
+        """Stop listening and close all connections."""
+        if self.server is not None:
+            self.server.close()
+        self.cut()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        host, port = self.target.split(":")
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.close()
+            return
+        self.writers += [writer, far_writer]
+        for source, sink, gate in (
+            (reader, far_writer, self.forth),
+            (far_reader, writer, self.back),
+        ):
+            task = asyncio.ensure_future(_pump(source, sink, gate))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+
+async def _pump(
+    source: asyncio.StreamReader, sink: asyncio.StreamWriter, gate: asyncio.Event
+) -> None:
+    with contextlib.suppress(OSError):
+        while data := await source.read(65_536):
+            await gate.wait()
+            sink.write(data)
+            await sink.drain()
+    sink.close()
+
+
+@dataclass
+class Spec:
+    """Where a replica listens and keeps its data."""
+
+    name: str
+    client: Address
+    peer: Address
+    folder: Path
+
+
+@dataclass
+class Cluster:
+    """Replicas as processes; links between them are forwarders if `forwarded`."""
+
+    folder: Path
+    names: tuple[str, ...]
+    voters: tuple[str, ...]
+    forwarded: bool = False
+    snapshot_entries: int = 200
+    timing: dict[str, float] = field(default_factory=dict)
+    specs: dict[str, Spec] = field(default_factory=dict)
+    processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+    links: dict[tuple[str, str], Forwarder] = field(default_factory=dict)
+
+    async def open(self) -> None:
+        """Choose ports and open the forwarders."""
+        ports = free_addresses(2 * len(self.names))
+        for position, name in enumerate(self.names):
+            client, peer = ports[2 * position : 2 * position + 2]
+            self.specs[name] = Spec(name, client, peer, self.folder / name)
+        if self.forwarded:
+            for source in self.names:
+                for target in self.names:
+                    if source != target:
+                        link = Forwarder(self.specs[target].peer)
+                        await link.open()
+                        self.links[source, target] = link
+
+    async def start(self, *names: str) -> None:
+        """Start replicas and wait until they listen."""
+        for name in names:
+            self.processes[name] = self._spawn(name)
+        await asyncio.gather(*(self._ready(name) for name in names))
+
+    def kill(self, *names: str) -> None:
+        """End replicas with SIGKILL."""
+        for name in names:
+            process = self.processes.pop(name)
+            process.kill()
+            process.wait()
+
+    def pause(self, name: str) -> None:
+        """Stop a replica without ending it."""
+        os.kill(self.processes[name].pid, signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let a stopped replica continue."""
+        os.kill(self.processes[name].pid, signal.SIGCONT)
+
+    def wipe(self, name: str) -> None:
+        """Delete the data folder of a replica that is not running."""
+        shutil.rmtree(self.specs[name].folder)
+
+    def isolate(self, name: str) -> None:
+        """Hold all bytes between a replica and the others."""
+        for ends, link in self.links.items():
+            if name in ends:
+                link.block()
+
+    def heal(self) -> None:
+        """Let all links work."""
+        for link in self.links.values():
+            link.heal()
+
+    def clients(self, *names: str) -> tuple[Address, ...]:
+        """Return the client addresses of replicas, of all if none is named."""
+        return tuple(self.specs[name].client for name in names or self.names)
+
+    def name_at(self, client: Address | None) -> str | None:
+        """Return the name of the replica with this client address."""
+        return next((each.name for each in self.specs.values() if each.client == client), None)
+
+    async def close(self) -> None:
+        """End all processes that were started and close the forwarders."""
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+        for link in self.links.values():
+            await link.close()
+
+    def _spawn(self, name: str) -> subprocess.Popen[bytes]:
+        spec = self.specs[name]
+        voters = [
+            [other, self._route(name, other), self.specs[other].client] for other in self.voters
+        ]
+        fields = {
+            "instance": name,
+            "data_centre": "cork-a",
+            "client_listen": spec.client,
+            "peer_listen": spec.peer,
+            "voters": voters,
+            "data_folder": str(spec.folder),
+            "snapshot_entries": self.snapshot_entries,
+        }
+        return subprocess.Popen(
+            [sys.executable, "-m", "processes.replica", json.dumps(fields)],
+            stdout=subprocess.PIPE,
+            cwd=TESTS,
+            env={**os.environ, "PYTHONPATH": f"{TESTS.parent / 'src'}:{TESTS}"},
+        )
+
+    def _route(self, source: str, target: str) -> Address:
+        link = self.links.get((source, target))
+        return self.specs[target].peer if link is None else link.address
+
+    async def _ready(self, name: str) -> None:
+        process = self.processes[name]
+        assert process.stdout is not None
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(START_TIMEOUT_S):
+            line = await loop.run_in_executor(None, process.stdout.readline)
+        assert line == b"ready\n", f"{name} answered {line!r}"
+
+
+@contextlib.asynccontextmanager
+async def cluster(
+    folder: Path,
+    names: str = "abc",
+    voters: str = "abc",
+    **options: object,
+) -> AsyncIterator[Cluster]:
+    """Run replicas for a test, one for each letter of `names`."""
+    made = Cluster(folder, tuple(names), tuple(voters), **options)
+    await made.open()
+    try:
+        await made.start(*names)
+        yield made
+    finally:
+        await made.close()
+
+
+@contextlib.asynccontextmanager
+async def client_of(
+    addresses: tuple[Address, ...], watch: Callable[[Changes], None] = lambda changes: None
+) -> AsyncIterator[ControlClient]:
+    """Run a control client for a test."""
+    client = new_client()
+    task = asyncio.ensure_future(run_client(client, addresses, watch))
+    try:
+        yield client
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+def file(replaces: int, number: int) -> ApplyFile:
+    """Return a command that applies a file which consists of one number."""
+    text = str(number)
+    return ApplyFile(Revision(replaces), digest_of(text), text)
+
+
+async def apply_file(
+    client: ControlClient, replaces: int, number: int, timeout_s: float = 5.0
+) -> FileResult:
+    """Apply a file and return the result."""
+    result = await client.propose(file(replaces, number), timeout_s)
+    assert isinstance(result, FileResult), result
+    return result
+
+
+async def status_of(address: Address, timeout_s: float = 2.0) -> StatusReport:
+    """Return the status of one replica."""
+    async with client_of((address,)) as client:
+        await asyncio.sleep(POLL_S)
+        return await client.status(timeout_s)
+
+
+async def leader_of(made: Cluster, names: tuple[str, ...], timeout_s: float = 5.0) -> str:
+    """Wait until one of the replicas leads and return its name."""
+    async with asyncio.timeout(timeout_s):
+        while True:
+            for name in names:
+                report = await status_of(made.specs[name].client)
+                if report.role == "leader":
+                    return name
+            await asyncio.sleep(POLL_S)
+
+
+async def eventually(check: Callable[[], bool], timeout_s: float) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(timeout_s):
+        while not check():  # noqa: ASYNC110 - the condition is about other processes
+            await asyncio.sleep(POLL_S)
