Add the fake model engine and the fake plain service

Cause: entry, agent, load generator and demo need something to call, and no outside engine may be installed.

Change: _fakes/engine.py streams chat completions, batches continuously, honours priority, caches prompt prefixes in an LRU of blocks, reports load and cache events late (cache events also with gaps), resumes streams and stops work when the connection closes. _fakes/service.py has a lookup and a booking whose executions go to memory and to a file. POST /fault makes either stall, fail fast or slow down; a marked request crashes it. The task that owns the state ends the server when it fails: before, an error in it (a str passed to xxhash) left every request waiting, and the test run was stopped after 120 s.

Both modules start with `python -m` and print their address.

Conclusion: the path from caller to upstream can be run end to end.

--- /dev/null
+++ b/src/lycheefall/_fakes/batch.py
@@ -0,0 +1,264 @@
+"""Decisions of the fake engine: continuous batching with priorities and a prefix cache."""
+
+from collections import deque
+from collections.abc import Callable
+from copy import copy
+from enum import Enum
+
+from msgspec import Struct, field
+
+from lycheefall._fakes.cache import CacheEvents, PrefixCache, events_after, use_blocks
+from lycheefall._fakes.serving import Fault, LoadAnswer, SetFault
+from lycheefall._fakes.tokens import BLOCK_CHARS, hash_of, prefix_blocks, prompt_tokens, token_at
+
+_TOKENS_PER_BLOCK = prompt_tokens("x" * BLOCK_CHARS) - 1
+
+
+class Ending(Enum):
+    """End of a generation."""
+
+    LENGTH = "length"
+    ERROR = "error"
+
+
+class Token(Struct, frozen=True):
+    """One token of an answer."""
+
+    text: str
+
+
+Reply = Token | Ending | CacheEvents | LoadAnswer
+ReplyTo = Callable[[Reply], object]
+
+
+class Submit(Struct, frozen=True):
+    """Ask for a generation; the priority 0 goes first."""
+
+    number: int
+    prompt: str
+    priority: int
+    max_tokens: int
+    resume_tokens: tuple[str, ...]
+    reply: ReplyTo
+
+
+class Withdraw(Struct, frozen=True):
+    """Stop a generation whose connection closed."""
+
+    number: int
+
+
+class ReadLoad(Struct, frozen=True):
+    """Ask for the last load report."""
+
+    reply: ReplyTo
+
+
+class ReadCacheEvents(Struct, frozen=True):
+    """Ask for the published cache events after a sequence number."""
+
+    after: int
+    reply: ReplyTo
+
+
+class ReadStatistics(Struct, frozen=True):
+    """Ask for the counters."""
+
+    reply: Callable[["Statistics"], object]
+
+
+class TakeLoad(Struct, frozen=True):
+    """Tell that it is time to measure the load."""
+
+
+ToBatch = Submit | Withdraw | ReadLoad | ReadCacheEvents | ReadStatistics | TakeLoad | SetFault
+
+
+class Costs(Struct, frozen=True, kw_only=True):
+    """Sizes and times of the engine."""
+
+    max_running: int
+    base_step_s: float
+    sequence_step_s: float
+    prefill_token_s: float
+    prefill_step_tokens: int
+    load_lag_s: float
+    cache_event_lag_s: float
+    slow_ratio: float
+    crash_marker: str
+
+
+class Statistics(Struct):
+    """Counters since the start of the engine."""
+
+    submitted: int = 0
+    finished: int = 0
+    withdrawn: int = 0
+    generated_tokens: int = 0
+    prefilled_tokens: int = 0
+    cached_tokens: int = 0
+
+
+class Generation(Struct):
+    """A request in the engine."""
+
+    submit: Submit
+    prompt_hash: str
+    next_index: int
+
+
+class LoadSample(Struct, frozen=True):
+    """A load report and the time at which it was measured."""
+
+    answer: LoadAnswer
+    at_s: float
+
+
+class BatchState(Struct, kw_only=True):
+    """State of the engine."""
+
+    costs: Costs
+    cache: PrefixCache
+    fault: Fault = Fault.NONE
+    crashed: bool = False
+    waiting: dict[int, Generation] = field(default_factory=dict)
+    running: dict[int, Generation] = field(default_factory=dict)
+    samples: deque[LoadSample] = field(default_factory=deque)
+    statistics: Statistics = field(default_factory=Statistics)
+
+
+class Delivery(Struct, frozen=True):
+    """Something to hand to the task that waits for it."""
+
+    reply: ReplyTo
+    content: Reply
+
+
+def receive(state: BatchState, message: ToBatch, now_s: float) -> BatchState:
+    """Take a message; questions are answered at once."""
+    match message:
+        case Submit():
+            _submit(state, message)
+        case Withdraw(number):
+            _withdraw(state, number)
+        case ReadLoad(reply):
+            reply(reported_load(state, now_s))
+        case ReadCacheEvents(after, reply):
+            reply(events_after(state.cache, after, now_s - state.costs.cache_event_lag_s))
+        case ReadStatistics(reply_statistics):
+            reply_statistics(copy(state.statistics))
+        case TakeLoad():
+            _sample_load(state, now_s)
+        case SetFault(fault):
+            state.fault = fault
+    return state
+
+
+def is_idle(state: BatchState) -> bool:
+    """Return whether there is no step to run."""
+    return state.fault is Fault.STALL or not (state.waiting or state.running)
+
+
+def begin_step(state: BatchState, now_s: float) -> tuple[BatchState, float]:
+    """Admit waiting requests and return how long the step takes."""
+    costs = state.costs
+    prefilled = _admit(state, now_s)
+    step_s = costs.base_step_s + costs.sequence_step_s * len(state.running)
+    step_s += costs.prefill_token_s * prefilled
+    return state, step_s * (costs.slow_ratio if state.fault is Fault.SLOW else 1.0)
+
+
+def end_step(state: BatchState) -> tuple[BatchState, list[Delivery]]:
+    """Return the tokens of a step."""
+    deliveries: list[Delivery] = []
+    for generation in list(state.running.values()):
+        deliveries += _advance(state, generation)
+    return state, deliveries
+
+
+def reported_load(state: BatchState, now_s: float) -> LoadAnswer:
+    """Return the newest load report that is at least as old as the lag."""
+    visible = [each for each in state.samples if each.at_s <= now_s - state.costs.load_lag_s]
+    if not visible:
+        return LoadAnswer(0, 0, 0, 0.0, state.costs.load_lag_s)
+    newest = visible[-1]
+    while state.samples[0] is not newest:
+        state.samples.popleft()
+    answer = newest.answer
+    return LoadAnswer(
+        answer.running,
+        answer.waiting,
+        answer.queue_tokens,
+        answer.kv_used_ratio,
+        now_s - newest.at_s,
+    )
+
+
+def _submit(state: BatchState, submit: Submit) -> None:
+    state.statistics.submitted += 1
+    if state.fault is Fault.ERROR_FAST:
+        submit.reply(Ending.ERROR)
+        return
+    generation = Generation(submit, hash_of(submit.prompt), len(submit.resume_tokens))
+    state.waiting[submit.number] = generation
+
+
+def _withdraw(state: BatchState, number: int) -> None:
+    was_waiting = state.waiting.pop(number, None)
+    was_running = state.running.pop(number, None)
+    if was_waiting or was_running:
+        state.statistics.withdrawn += 1
+
+
+def _admit(state: BatchState, now_s: float) -> int:
+    prefilled = 0
+    order = sorted(state.waiting.values(), key=lambda each: each.submit.priority)
+    for generation in order:
+        if len(state.running) >= state.costs.max_running:
+            break
+        if prefilled >= state.costs.prefill_step_tokens:
+            break
+        number = generation.submit.number
+        state.running[number] = state.waiting.pop(number)
+        prefilled += _prefill(state, generation.submit, now_s)
+        if state.costs.crash_marker and state.costs.crash_marker in generation.submit.prompt:
+            state.crashed = True
+    return prefilled
+
+
+def _prefill(state: BatchState, submit: Submit, now_s: float) -> int:
+    total = prompt_tokens(submit.prompt) + len(submit.resume_tokens)
+    hits = use_blocks(state.cache, prefix_blocks(submit.prompt), now_s)
+    cached = hits * _TOKENS_PER_BLOCK
+    state.statistics.prefilled_tokens += total - cached
+    state.statistics.cached_tokens += cached
+    return total - cached
+
+
+def _advance(state: BatchState, generation: Generation) -> list[Delivery]:
+    submit = generation.submit
+    if generation.next_index >= submit.max_tokens:
+        return [_finish(state, submit)]
+    token = Token(token_at(generation.prompt_hash, generation.next_index))
+    generation.next_index += 1
+    state.statistics.generated_tokens += 1
+    deliveries = [Delivery(submit.reply, token)]
+    if generation.next_index == submit.max_tokens:
+        deliveries.append(_finish(state, submit))
+    return deliveries
+
+
+def _finish(state: BatchState, submit: Submit) -> Delivery:
+    del state.running[submit.number]
+    state.statistics.finished += 1
+    return Delivery(submit.reply, Ending.LENGTH)
+
+
+def _sample_load(state: BatchState, now_s: float) -> None:
+    remaining = sum(
+        each.submit.max_tokens - each.next_index
+        for each in (*state.waiting.values(), *state.running.values())
+    )
+    used = len(state.cache.blocks) / state.cache.capacity_blocks
+    answer = LoadAnswer(len(state.running), len(state.waiting), remaining, used, 0.0)
+    state.samples.append(LoadSample(answer, now_s))
--- /dev/null
+++ b/src/lycheefall/_fakes/service.py
@@ -0,0 +1,286 @@
+"""Fake plain service: a lookup, and a booking that must not be carried out twice."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from contextlib import AbstractContextManager, nullcontext
+from functools import partial
+from pathlib import Path
+from typing import BinaryIO
+
+import defopt
+import msgspec
+import uvloop
+import xxhash
+from aiohttp import web
+from msgspec import Struct, field
+
+from lycheefall._core.ids import Address, Digest, IdempotencyKey
+from lycheefall._core.pipeline import Inbox, run_owner
+from lycheefall._fakes.serving import (
+    Fault,
+    Handler,
+    LoadAnswer,
+    OnReady,
+    SetFault,
+    UpstreamCrashed,
+    fault_handler,
+    ignore_address,
+    json_response,
+    print_ready,
+    serve_until,
+)
+
+__all__ = ["Execution", "ServiceSettings", "UpstreamCrashed", "digest_of_body", "run_service"]
+
+_INBOX_CAPACITY = 100_000
+_MAX_BODY_BYTES = 64 * 1024 * 1024
+
+
+class ServiceSettings(Struct, frozen=True, kw_only=True):
+    """Settings of a fake service."""
+
+    listen: Address
+    # Executions are appended to this file, one JSON object a line; empty for none.
+    executions_file: str = ""
+    service_s: float = 0.005
+    max_running: int = 32
+    slow_ratio: float = 20.0
+    fault: Fault = Fault.NONE
+    # A path or body that contains this text crashes the service after it ran; empty for none.
+    crash_marker: str = ""
+
+
+class Execution(Struct, frozen=True):
+    """A booking that was carried out."""
+
+    key: IdempotencyKey
+    digest: Digest
+    number: int
+
+
+class Value(Struct, frozen=True):
+    """Answer of a lookup, derived from the path so that a mix-up shows."""
+
+    path: str
+    value: str
+
+
+class Failure(Struct, frozen=True):
+    """Answer of a service that fails fast."""
+
+    error: str
+
+
+Reply = Execution | Value | Failure | LoadAnswer | tuple[Execution, ...]
+ReplyTo = Callable[[Reply], object]
+
+
+class Arrive(Struct, frozen=True):
+    """Ask for a lookup or a booking."""
+
+    path: str
+    key: IdempotencyKey
+    body: bytes
+    is_booking: bool
+    reply: ReplyTo
+
+
+class Done(Struct, frozen=True):
+    """Tell that the service time of a request has passed."""
+
+    job: Arrive
+
+
+class ReadExecutions(Struct, frozen=True):
+    """Ask for all executions."""
+
+    reply: ReplyTo
+
+
+class ReadLoad(Struct, frozen=True):
+    """Ask for the load."""
+
+    reply: ReplyTo
+
+
+ToDesk = Arrive | Done | ReadExecutions | ReadLoad | SetFault
+
+
+class StartWork(Struct, frozen=True):
+    """Ask for a Done message after the service time."""
+
+    job: Arrive
+    after_s: float
+
+
+class Answer(Struct, frozen=True):
+    """Hand an answer to the connection that waits for it."""
+
+    reply: ReplyTo
+    content: Reply
+
+
+class Append(Struct, frozen=True):
+    """Write an execution to the file."""
+
+    execution: Execution
+
+
+class Crash(Struct, frozen=True):
+    """Break all connections."""
+
+
+FromDesk = StartWork | Answer | Append | Crash
+
+
+class DeskState(Struct):
+    """State of the service."""
+
+    settings: ServiceSettings
+    fault: Fault
+    running: int = 0
+    waiting: deque[Arrive] = field(default_factory=deque)
+    executions: list[Execution] = field(default_factory=list)
+
+
+def step(state: DeskState, message: ToDesk, now_s: float) -> tuple[DeskState, list[FromDesk]]:
+    """Decide what one message leads to."""
+    match message:
+        case Arrive():
+            return state, _arrive(state, message)
+        case Done(job):
+            return state, _finish(state, job)
+        case ReadExecutions(reply):
+            return state, [Answer(reply, tuple(state.executions))]
+        case ReadLoad(reply):
+            return state, [Answer(reply, _load(state))]
+        case SetFault(fault):
+            state.fault = fault
+            return state, _start_waiting(state)
+
+
+def value_of(path: str) -> str:
+    """Return the value that a lookup of a path gives."""
+    return xxhash.xxh3_64_hexdigest(path.encode())
+
+
+def digest_of_body(body: bytes) -> Digest:
+    """Return the digest under which a booking is recorded."""
+    return Digest(xxhash.xxh3_128_hexdigest(body))
+
+
+async def run_service(settings: ServiceSettings, on_ready: OnReady = ignore_address) -> None:
+    """Run a service until cancelled; raise UpstreamCrashed when a marked request crashes it."""
+    inbox: Inbox[ToDesk] = Inbox(_INBOX_CAPACITY)
+    with _open_for_append(settings.executions_file) as file:
+        emit = partial(_emit, inbox, file)
+        state = DeskState(settings, settings.fault)
+        desk = asyncio.create_task(run_owner(inbox, state, step, emit))
+        await serve_until(_application(inbox), settings.listen, on_ready, desk)
+
+
+def _open_for_append(path: str) -> AbstractContextManager[BinaryIO | None]:
+    return Path(path).open("ab") if path else nullcontext()
+
+
+def _emit(inbox: Inbox[ToDesk], file: BinaryIO | None, message: FromDesk) -> None:
+    match message:
+        case StartWork(job, after_s):
+            asyncio.get_running_loop().call_later(after_s, inbox.offer, Done(job))
+        case Answer(reply, content):
+            reply(content)
+        case Append(execution) if file is not None:
+            file.write(msgspec.json.encode(execution) + b"\n")
+            # The record must survive the end of this process, not that of the machine.
+            file.flush()
+        case Crash():
+            raise UpstreamCrashed("crashed on a marked request")
+
+
+def _arrive(state: DeskState, job: Arrive) -> list[FromDesk]:
+    if state.fault is Fault.ERROR_FAST:
+        return [Answer(job.reply, Failure("service failed"))]
+    state.waiting.append(job)
+    return _start_waiting(state)
+
+
+def _start_waiting(state: DeskState) -> list[FromDesk]:
+    started: list[FromDesk] = []
+    settings = state.settings
+    after_s = settings.service_s * (settings.slow_ratio if state.fault is Fault.SLOW else 1.0)
+    while state.waiting and state.running < settings.max_running and state.fault is not Fault.STALL:
+        state.running += 1
+        started.append(StartWork(state.waiting.popleft(), after_s))
+    return started
+
+
+def _finish(state: DeskState, job: Arrive) -> list[FromDesk]:
+    state.running -= 1
+    results = _run(state, job)
+    marker = state.settings.crash_marker
+    if marker and (marker in job.path or marker.encode() in job.body):
+        return [*(each for each in results if isinstance(each, Append)), Crash()]
+    if state.fault is Fault.STALL_AFTER_RUN:
+        results = [each for each in results if isinstance(each, Append)]
+    return results + _start_waiting(state)
+
+
+def _run(state: DeskState, job: Arrive) -> list[FromDesk]:
+    if not job.is_booking:
+        return [Answer(job.reply, Value(job.path, value_of(job.path)))]
+    number = len(state.executions) + 1
+    execution = Execution(job.key, digest_of_body(job.body), number)
+    state.executions.append(execution)
+    return [Append(execution), Answer(job.reply, execution)]
+
+
+def _load(state: DeskState) -> LoadAnswer:
+    used = state.running / state.settings.max_running
+    return LoadAnswer(state.running, len(state.waiting), 0, used, 0.0)
+
+
+def _application(inbox: Inbox[ToDesk]) -> web.Application:
+    app = web.Application(client_max_size=_MAX_BODY_BYTES)
+    app.router.add_get("/load", _question_handler(inbox, ReadLoad))
+    app.router.add_get("/executions", _question_handler(inbox, ReadExecutions))
+    app.router.add_post("/fault", fault_handler(inbox.put))
+    app.router.add_get("/{path:.*}", _request_handler(inbox))
+    app.router.add_post("/{path:.*}", _request_handler(inbox))
+    return app
+
+
+def _question_handler(inbox: Inbox[ToDesk], question: Callable[[ReplyTo], ToDesk]) -> Handler:
+    async def handle(request: web.Request) -> web.Response:
+        replies: Inbox[Reply] = Inbox(1)
+        await inbox.put(question(replies.offer))
+        return json_response(await replies.get())
+
+    return handle
+
+
+def _request_handler(inbox: Inbox[ToDesk]) -> Handler:
+    async def handle(request: web.Request) -> web.Response:
+        replies: Inbox[Reply] = Inbox(1)
+        job = Arrive(
+            request.path_qs,
+            IdempotencyKey(request.headers.get("Idempotency-Key", "")),
+            await request.read(),
+            request.method == "POST",
+            replies.offer,
+        )
+        await inbox.put(job)
+        answer = await replies.get()
+        return json_response(answer, 500 if isinstance(answer, Failure) else 200)
+
+    return handle
+
+
+def main() -> None:
+    """Run a service with the settings of the command line."""
+    settings = defopt.run(ServiceSettings, parsers={Address: Address})
+    uvloop.run(run_service(settings, print_ready))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/lycheefall/_fakes/serving.py
@@ -0,0 +1,114 @@
+"""Parts that the fake engine and the fake service share."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from enum import Enum
+
+import msgspec
+from aiohttp import web
+from msgspec import Struct
+
+from lycheefall._core.ids import Address
+
+OnReady = Callable[[Address], None]
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+# A fake stops at once; draining is the agent's part.
+_SHUTDOWN_TIMEOUT_S = 0.1
+
+
+class Fault(Enum):
+    """Way in which a fake misbehaves."""
+
+    NONE = "none"
+    # Accepts requests and answers none of them.
+    STALL = "stall"
+    # Carries a request out and does not answer it.
+    STALL_AFTER_RUN = "stall-after-run"
+    # Answers each request at once with status 500.
+    ERROR_FAST = "error-fast"
+    SLOW = "slow"
+
+
+class SetFault(Struct, frozen=True):
+    """Body of POST /fault."""
+
+    fault: Fault
+
+
+class LoadAnswer(Struct, frozen=True):
+    """Answer of GET /load."""
+
+    running: int
+    waiting: int
+    queue_tokens: int
+    kv_used_ratio: float
+    age_s: float
+
+
+class UpstreamCrashed(Exception):
+    """Report that a fake crashed because it was told to."""
+
+
+def ignore_address(address: Address) -> None:
+    """Take the listening address and do nothing."""
+
+
+def print_ready(address: Address) -> None:
+    """Print the listening address for the process that started this one."""
+    print(f"ready {address}", flush=True)
+
+
+def json_response(answer: object, status: int = 200) -> web.Response:
+    """Encode an answer as JSON."""
+    body = msgspec.json.encode(answer)
+    return web.Response(body=body, status=status, content_type="application/json")
+
+
+def fault_handler(send: Callable[[SetFault], Awaitable[None]]) -> Handler:
+    """Return the handler of POST /fault, which passes the fault on."""
+
+    async def handle(request: web.Request) -> web.Response:
+        try:
+            message = msgspec.json.decode(await request.read(), type=SetFault)
+        except msgspec.DecodeError as error:
+            return json_response({"error": str(error)}, 400)
+        await send(message)
+        return json_response(message)
+
+    return handle
+
+
+async def serve_until(
+    app: web.Application, listen: Address, on_ready: OnReady, owner: asyncio.Task[None]
+) -> None:
+    """Serve until the task that owns the state ends; when it fails, break all connections."""
+    runner = web.AppRunner(
+        app,
+        access_log=None,
+        handler_cancellation=True,
+        shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
+    )
+    await runner.setup()
+    try:
+        host, port = listen.rsplit(":", 1)
+        site = web.TCPSite(runner, host, int(port))
+        await site.start()
+        bound_host, bound_port = runner.addresses[0][:2]
+        on_ready(Address(f"{bound_host}:{bound_port}"))
+        await owner
+    except Exception:
+        _break_connections(runner)
+        raise
+    finally:
+        owner.cancel()
+        await runner.cleanup()
+
+
+def _break_connections(runner: web.AppRunner) -> None:
+    server = runner.server
+    if server is None:
+        return
+    for connection in server.connections:
+        if connection.transport is not None:
+            connection.transport.abort()
--- /dev/null
+++ b/tests/test_fakes.py
@@ -0,0 +1,206 @@
+"""Tests of the fake engine and the fake service."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from random import Random
+
+import msgspec
+import pytest
+from aiohttp import ClientError, ClientSession
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lycheefall._core.ids import Address
+from lycheefall._fakes.cache import PrefixCache, events_after, use_blocks
+from lycheefall._fakes.engine import EngineSettings, expected_tokens, run_engine
+from lycheefall._fakes.service import ServiceSettings, run_service
+from lycheefall._fakes.serving import Fault, UpstreamCrashed
+from lycheefall._fakes.tokens import BLOCK_CHARS, prefix_blocks
+
+LISTEN = Address("127.0.0.1:0")
+
+
+class Fake(msgspec.Struct):
+    """A running fake, the URL of its listener and a client."""
+
+    url: str
+    client: ClientSession
+    task: asyncio.Task[None]
+
+    async def ask(self, prompt: str, **fields: object) -> str:
+        """Return the text of a whole answer."""
+        body = {"messages": [{"role": "user", "content": prompt}], **fields}
+        async with self.client.post(f"{self.url}/v1/chat/completions", json=body) as response:
+            response.raise_for_status()
+            answer = await response.json()
+        return str(answer["choices"][0]["message"]["content"])
+
+    async def read(self, path: str) -> dict[str, int]:
+        """Return the JSON answer of a GET request."""
+        async with self.client.get(self.url + path) as response:
+            return dict(await response.json()) if path != "/executions" else await response.json()
+
+
+@asynccontextmanager
+async def running(
+    run: Callable[[Callable[[Address], None]], Awaitable[None]],
+) -> AsyncIterator[Fake]:
+    address = asyncio.get_running_loop().create_future()
+    task = asyncio.ensure_future(run(address.set_result))
+    async with ClientSession() as client:
+        try:
+            yield Fake(f"http://{await address}", client, task)
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+
+def engine(**settings: object) -> Callable[[Callable[[Address], None]], Awaitable[None]]:
+    full = EngineSettings(listen=LISTEN, **{"base_step_s": 0.001, **settings})
+    return lambda on_ready: run_engine(full, on_ready)
+
+
+def service(**settings: object) -> Callable[[Callable[[Address], None]], Awaitable[None]]:
+    full = ServiceSettings(listen=LISTEN, **settings)
+    return lambda on_ready: run_service(full, on_ready)
+
+
+class TestEngine:
+    async def test_answers_are_distinct(self) -> None:
+        """Guards against answers that don't show a mix-up of prompts in one batch."""
+        async with running(engine()) as fake:
+            texts = await asyncio.gather(*(fake.ask(f"p{n}", max_tokens=5) for n in range(20)))
+        assert texts == ["".join(expected_tokens(f"p{n}", 5)) for n in range(20)]
+
+    async def test_stream_resumes(self) -> None:
+        """Guards against a resumed stream that repeats or skips a token."""
+        tokens = expected_tokens("hello", 6)
+        body = {
+            "messages": [{"role": "user", "content": "hello"}],
+            "max_tokens": 6,
+            "stream": True,
+            "resume_tokens": tokens[:4],
+        }
+        async with running(engine()) as fake:
+            path = f"{fake.url}/v1/chat/completions"
+            async with fake.client.post(path, json=body) as response:
+                events = (await response.text()).split("\n\n")
+        chunks = [msgspec.json.decode(each[6:]) for each in events[:-2]]
+        texts = [each["choices"][0]["delta"].get("content", "") for each in chunks]
+        assert texts == [*tokens[4:], ""]
+        assert events[-2:] == ["data: [DONE]", ""]
+
+    async def test_closed_connection_stops_work(self) -> None:
+        """Guards against an engine that generates for a caller that has left."""
+        async with running(engine(base_step_s=0.005)) as fake:
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(fake.ask("x", max_tokens=10_000), 0.1)
+            await asyncio.sleep(0.05)
+            first = await fake.read("/statistics")
+            await asyncio.sleep(0.05)
+            second = await fake.read("/statistics")
+        assert first["withdrawn"] == 1
+        assert first["generated_tokens"] == second["generated_tokens"]
+
+    async def test_priority_goes_first(self) -> None:
+        """Guards against urgent work that waits behind earlier batch work."""
+        order: list[int] = []
+
+        async def ask(fake: Fake, priority: int) -> None:
+            await fake.ask("x", max_tokens=5, priority=priority)
+            order.append(priority)
+
+        settings = {"max_running": 1, "base_step_s": 0.005}
+        async with running(engine(**settings)) as fake, asyncio.TaskGroup() as group:
+            for priority in (2, 2, 2, 0):
+                group.create_task(ask(fake, priority))
+                await asyncio.sleep(0.005)
+        assert order == [2, 0, 2, 2]
+
+    async def test_load_lags(self) -> None:
+        """Guards against a load report that is fresher than the real engines' reports."""
+        settings = {"load_period_s": 0.02, "load_lag_s": 0.2, "base_step_s": 0.01}
+        async with running(engine(**settings)) as fake:
+            asking = asyncio.create_task(fake.ask("x", max_tokens=1000))
+            await asyncio.sleep(0.1)
+            early = await fake.read("/load")
+            await asyncio.sleep(0.3)
+            late = await fake.read("/load")
+            asking.cancel()
+        assert (early["running"], late["running"]) == (0, 1)
+        assert late["age_s"] >= 0.2
+
+    async def test_crash_breaks_every_connection(self) -> None:
+        """Guards against a crash that lets other requests of the batch end well."""
+        async with running(engine(crash_marker="boom", base_step_s=0.005)) as fake:
+            other = asyncio.create_task(fake.ask("x", max_tokens=1000))
+            await asyncio.sleep(0.05)
+            with pytest.raises(ClientError):
+                await fake.ask("boom")
+            with pytest.raises(ClientError):
+                await other
+            with pytest.raises(UpstreamCrashed):
+                await fake.task
+
+    async def test_fast_error_and_stall(self) -> None:
+        """Guards against faults that can't be switched on while the engine runs."""
+        async with running(engine()) as fake:
+            await fake.client.post(f"{fake.url}/fault", json={"fault": "error-fast"})
+            with pytest.raises(ClientError):
+                await fake.ask("x")
+            await fake.client.post(f"{fake.url}/fault", json={"fault": "stall"})
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(fake.ask("x"), 0.1)
+
+
+class TestPrefixCache:
+    @given(st.lists(st.text("ab", min_size=4, max_size=4), max_size=30), st.floats(0, 1))
+    def test_events_replay_to_the_blocks(self, words: list[str], loss_ratio: float) -> None:
+        """Guards against events that contradict the cache when none of them is lost."""
+        cache = PrefixCache(capacity_blocks=6, loss_ratio=loss_ratio, random=Random(1))
+        for word in words:
+            use_blocks(cache, prefix_blocks("".join(c * BLOCK_CHARS for c in word)), 0.0)
+        published = events_after(cache, 0, 0.0).events
+        replayed: set[str] = set()
+        for each in published:
+            (replayed.add if each.change.value == "stored" else replayed.discard)(each.block)
+        if len(published) == cache.sequence:
+            assert replayed == set(cache.blocks)
+        assert len(cache.blocks) <= 6
+
+    def test_events_are_late(self) -> None:
+        """Guards against events that are published before their delay has passed."""
+        cache = PrefixCache(capacity_blocks=6, loss_ratio=0.0, random=Random(1))
+        use_blocks(cache, ("a",), 10.0)
+        assert events_after(cache, 0, 9.9).events == ()
+        assert events_after(cache, 0, 10.0).last == 1
+
+
+class TestService:
+    async def test_each_execution_is_recorded(self, tmp_path: Path) -> None:
+        """Guards against a duplicate booking that the record doesn't show."""
+        file = tmp_path / "executions"
+        async with running(service(executions_file=str(file))) as fake:
+            for _ in range(2):
+                headers = {"Idempotency-Key": "k"}
+                await fake.client.post(f"{fake.url}/book", data=b"1", headers=headers)
+            recorded = await fake.read("/executions")
+        assert [(each["key"], each["number"]) for each in recorded] == [("k", 1), ("k", 2)]
+        assert [msgspec.json.decode(line) for line in file.read_bytes().splitlines()] == recorded
+
+    async def test_stall_after_run_has_run(self) -> None:
+        """Guards against an outcome that is unknown to the caller but was not carried out."""
+        async with running(service(fault=Fault.STALL_AFTER_RUN)) as fake:
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(fake.client.post(f"{fake.url}/book"), 0.1)
+            assert len(await fake.read("/executions")) == 1
+
+    async def test_crash_happens_after_the_run(self, tmp_path: Path) -> None:
+        """Guards against a crash whose booking is missing in the file."""
+        file = tmp_path / "executions"
+        async with running(service(executions_file=str(file), crash_marker="boom")) as fake:
+            with pytest.raises(ClientError):
+                await fake.client.post(f"{fake.url}/book", data=b"boom")
+        assert len(file.read_bytes().splitlines()) == 1
