Parse configuration files, with the line and field in each error

Cause: apply needs a whole file checked before it enters the log, and an operator needs to know where a file is wrong.

--- /dev/null
+++ b/src/lycheefall/_operate/configuration_checks.py
@@ -0,0 +1,179 @@
+"""Rules on the values of a configuration file and on the names that it refers to."""
+
+import math
+from collections.abc import Iterable, Iterator
+
+import msgspec
+
+from lycheefall._core.configuration import Configuration, Group, Route
+from lycheefall._core.enums import RouteKind, UpstreamKind
+from lycheefall._core.exceptions import FileFieldError, FileReferenceError
+from lycheefall._operate.file_positions import Place
+
+MAX_SHARES_RATIO = 1.0
+
+
+class Range(msgspec.Struct, frozen=True):
+    """Values that a number may have; the lowest one is excluded when it is open."""
+
+    low: float
+    high: float = math.inf
+    low_is_open: bool = False
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """One thing that is wrong in a file."""
+
+    place: Place
+    detail: str
+    error: type[FileFieldError] | type[FileReferenceError]
+
+
+_POSITIVE = Range(0, low_is_open=True)
+_RATIO = Range(0, 1)
+_AT_LEAST_ONE = Range(1)
+
+_RANGES: dict[str, dict[str, Range]] = {
+    "directory": {"ttl_s": Range(0.1, 3600), "shard_size": Range(0)},
+    "limits": {
+        "body_bytes": Range(1, 64 * 1024 * 1024),
+        "queue_s": _POSITIVE,
+        "queue_requests": _AT_LEAST_ONE,
+        "default_max_tokens": _AT_LEAST_ONE,
+        "retry_ratio": _RATIO,
+        "key_retention_s": _POSITIVE,
+        "fingerprint_refusal_s": Range(0),
+    },
+    "priorities": {"target_s": _POSITIVE, "worth": _POSITIVE, "share_ratio": _RATIO},
+    "teams": {"weight": _POSITIVE, "retry_ratio": _RATIO},
+    "routes": {"timeout_s": _POSITIVE},
+    "groups": {
+        "ranks": _AT_LEAST_ONE,
+        "experts": _AT_LEAST_ONE,
+        "slots_per_rank": _AT_LEAST_ONE,
+        "expert_bytes": _AT_LEAST_ONE,
+    },
+}
+_NAMED_ARRAYS = ("priorities", "teams", "pools", "routes", "groups")
+_POOL_KIND = {
+    RouteKind.CHAT: UpstreamKind.ENGINE,
+    RouteKind.LOOKUP: UpstreamKind.SERVICE,
+    RouteKind.BOOKING: UpstreamKind.SERVICE,
+}
+
+
+def field_faults(configuration: Configuration) -> list[Fault]:
+    """Return what is wrong with single values, and names that are used twice."""
+    faults = list(_range_faults(configuration))
+    faults += _name_faults(configuration)
+    faults += _share_faults(configuration)
+    for index, route in enumerate(configuration.routes):
+        faults += _route_faults(index, route)
+    for index, group in enumerate(configuration.groups):
+        faults += _group_faults(index, group)
+    return faults
+
+
+def reference_faults(configuration: Configuration) -> list[Fault]:
+    """Return names that the file refers to and doesn't define, and pools of a wrong kind."""
+    return [*_route_references(configuration), *_group_references(configuration)]
+
+
+def _range_faults(configuration: Configuration) -> Iterator[Fault]:
+    for table, ranges in _RANGES.items():
+        value = getattr(configuration, table)
+        rows = value if isinstance(value, tuple) else (value,)
+        for index, row in enumerate(rows):
+            for name, allowed in ranges.items():
+                number = getattr(row, name)
+                if not _is_in(allowed, number):
+                    detail = f"{name}: {number}; allowed is {_describe(allowed)}"
+                    yield Fault(Place(table, index, name), detail, FileFieldError)
+
+
+def _is_in(allowed: Range, number: float) -> bool:
+    if not math.isfinite(number) or number > allowed.high:
+        return False
+    return number > allowed.low if allowed.low_is_open else number >= allowed.low
+
+
+def _describe(allowed: Range) -> str:
+    low = f"more than {allowed.low:g}" if allowed.low_is_open else f"at least {allowed.low:g}"
+    return low if math.isinf(allowed.high) else f"{low} and at most {allowed.high:.12g}"
+
+
+def _name_faults(configuration: Configuration) -> Iterator[Fault]:
+    for table in _NAMED_ARRAYS:
+        seen: set[str] = set()
+        for index, row in enumerate(getattr(configuration, table)):
+            place = Place(table, index, "name")
+            if not row.name:
+                yield Fault(place, "name: empty", FileFieldError)
+            if row.name in seen:
+                yield Fault(place, f"name: {row.name!r} is used twice", FileFieldError)
+            seen.add(row.name)
+
+
+def _share_faults(configuration: Configuration) -> Iterator[Fault]:
+    total = sum(each.share_ratio for each in configuration.priorities)
+    if total > MAX_SHARES_RATIO:
+        last = len(configuration.priorities) - 1
+        detail = f"share_ratio: the shares add up to {total:g}; allowed is at most 1"
+        yield Fault(Place("priorities", last, "share_ratio"), detail, FileFieldError)
+
+
+def _route_faults(index: int, route: Route) -> Iterator[Fault]:
+    if not route.pools:
+        yield Fault(
+            Place("routes", index, "pools"), "pools: name at least one pool", FileFieldError
+        )
+    is_chat = route.kind is RouteKind.CHAT
+    if is_chat and not route.models:
+        detail = "models: a chat route needs at least one model"
+        yield Fault(Place("routes", index, "models"), detail, FileFieldError)
+    if not is_chat and not route.service:
+        detail = f"service: a {route.kind.value} route needs the name of a service"
+        yield Fault(Place("routes", index, "service"), detail, FileFieldError)
+    if route.kind is RouteKind.BOOKING and route.idempotent:
+        detail = "idempotent: a booking route must say idempotent = false"
+        yield Fault(Place("routes", index, "idempotent"), detail, FileFieldError)
+    if route.kind is not RouteKind.BOOKING and not route.idempotent:
+        detail = "idempotent: only a booking route may say idempotent = false"
+        yield Fault(Place("routes", index, "idempotent"), detail, FileFieldError)
+
+
+def _group_faults(index: int, group: Group) -> Iterator[Fault]:
+    slots = group.ranks * group.slots_per_rank
+    if slots < group.experts:
+        detail = f"slots_per_rank: {slots} slots in all for {group.experts} experts"
+        yield Fault(Place("groups", index, "slots_per_rank"), detail, FileFieldError)
+
+
+def _route_references(configuration: Configuration) -> Iterator[Fault]:
+    kinds = {each.name: each.kind for each in configuration.pools}
+    priorities = {each.name for each in configuration.priorities}
+    for index, route in enumerate(configuration.routes):
+        pools = Place("routes", index, "pools")
+        for pool in route.pools:
+            if pool not in kinds:
+                yield _undefined(pools, "pools", pool, kinds)
+            elif kinds[pool] is not _POOL_KIND[route.kind]:
+                detail = f"pools: {pool!r} is of kind {kinds[pool].value}; "
+                detail += f"a {route.kind.value} route needs {_POOL_KIND[route.kind].value}"
+                yield Fault(pools, detail, FileReferenceError)
+        if route.priority not in priorities:
+            place = Place("routes", index, "priority")
+            yield _undefined(place, "priority", route.priority, priorities)
+
+
+def _group_references(configuration: Configuration) -> Iterator[Fault]:
+    pools = {each.name for each in configuration.pools}
+    for index, group in enumerate(configuration.groups):
+        if group.pool not in pools:
+            yield _undefined(Place("groups", index, "pool"), "pool", group.pool, pools)
+
+
+def _undefined(place: Place, field: str, name: str, defined: Iterable[str]) -> Fault:
+    known = ", ".join(sorted(defined)) or "none"
+    detail = f"{field}: {name!r} is not defined in this file; defined are {known}"
+    return Fault(place, detail, FileReferenceError)
