Add the tables of result codes and log events, and the glossary

Cause: each answer and log line carries a number, and a caller or operator needs its meaning and what to do.

Change: docs/errors.md and docs/events.md; tests/test_tables.py compares number, name, HTTP status and run state of each row with the code. docs/glossary.md maps terms in both directions.

Measured: 4 tests pass. With a code TRIAL = 7006 and an event TRIAL = 7005 added and no rows, 2 of them fail: "Right contains one more item: ('7006', 'TRIAL', '503', 'not-run')" and "('7005', 'TRIAL')".

Conclusion: a code or event without a row stops the checks.

--- /dev/null
+++ b/tests/test_tables.py
@@ -0,0 +1,42 @@
+"""Tests that the tables in docs/ have a row for each code and each event."""
+
+from pathlib import Path
+
+from lycheefall._core.codes import ResultCode, http_status, run_state
+from lycheefall._core.events import Event
+
+DOCS = Path(__file__).parent.parent / "docs"
+LEVELS = {"info", "warning", "error"}
+
+
+def rows_of(name: str) -> list[tuple[str, ...]]:
+    """Return the cells of each table row that starts with a number."""
+    lines = (DOCS / name).read_text().splitlines()
+    rows = [tuple(cell.strip() for cell in line.split("|")[1:-1]) for line in lines]
+    return [row for row in rows if row and row[0].isdecimal()]
+
+
+class TestErrors:
+    def test_rows_match_the_codes(self) -> None:
+        """Guards against a code without a row, or a row with another status or run state."""
+        expected = [
+            (str(int(code)), code.name, str(http_status(code)), run_state(code).value)
+            for code in ResultCode
+        ]
+        assert [row[:4] for row in rows_of("errors.md")] == expected
+
+    def test_each_row_says_what_to_do(self) -> None:
+        """Guards against a row without a meaning or an advice."""
+        assert all(len(row) == 6 and row[4] and row[5] for row in rows_of("errors.md"))
+
+
+class TestEvents:
+    def test_rows_match_the_events(self) -> None:
+        """Guards against an event without a row."""
+        expected = [(str(int(event)), event.name) for event in Event]
+        assert [row[:2] for row in rows_of("events.md")] == expected
+
+    def test_each_row_says_what_to_do(self) -> None:
+        """Guards against a row without a level, a meaning or an advice."""
+        for row in rows_of("events.md"):
+            assert len(row) == 5 and row[2] in LEVELS and row[3] and row[4]
