--- /dev/null
+++ b/bench/bench_claims.py
@@ -0,0 +1,63 @@
+"""Measure the bytes and the time of a claim in the replicated state machine."""
+
+import time
+import tracemalloc
+import uuid
+
+import msgspec
+
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.configuration import Limits
+from lycheefall._core.ids import (
+    FIRST_ATTEMPT,
+    Digest,
+    IdempotencyKey,
+    Incarnation,
+    TeamId,
+    UpstreamId,
+)
+from lycheefall._core.messages.control import Claim, RecordedAnswer, RecordOutcome
+from lycheefall._rules.replicated import claims
+
+SIZES = (20_000, 40_000)
+BODY = b"x" * 100
+LIMITS = Limits()
+
+
+def fill(count: int) -> claims.ClaimsState:
+    """Return a state with answered claims whose keys spread over one hour."""
+    state = claims.initial()
+    for number in range(count):
+        stamp_ms = number * 3_600_000 // count
+        key, team = IdempotencyKey(str(uuid.UUID(int=number))), TeamId(f"team-{number % 570}")
+        holder, upstream = Incarnation("e" * 16), UpstreamId("counter-app-1")
+        digest = Digest(f"{number:032x}")
+        claim = Claim(key, team, digest, stamp_ms, holder, upstream, holder)
+        claims.apply(state, claim, stamp_ms, LIMITS)
+        answer = RecordedAnswer(
+            ResultCode.OK, 200, "application/json", bytes(BODY) + b"%d" % number
+        )
+        claims.apply(state, RecordOutcome(key, team, FIRST_ATTEMPT, answer), stamp_ms, LIMITS)
+    return state
+
+
+def main() -> None:
+    """Print bytes a claim and time a command at two sizes."""
+    for count in SIZES:
+        started_s = time.perf_counter()
+        fill(count)
+        command_us = (time.perf_counter() - started_s) / count / 2 * 1e6
+        tracemalloc.start()
+        state = fill(count)
+        memory_bytes = tracemalloc.get_traced_memory()[0] / count
+        tracemalloc.stop()
+        snapshot_bytes = len(msgspec.msgpack.encode(state)) / count
+        counted_bytes = state.total_bytes / count
+        print(
+            f"claims={count} memory_bytes={memory_bytes:.0f} snapshot_bytes={snapshot_bytes:.0f} "
+            f"counted_bytes={counted_bytes:.0f} command_us={command_us:.1f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
