--- a/src/lycheefall/_rules/replicated/__init__.py
+++ b/src/lycheefall/_rules/replicated/__init__.py
@@ -1,1 +1,1 @@
-"""The state machine of the replicated log."""
+"""State machine of the replicated log, one module for each kind of command."""
--- a/src/lycheefall/_rules/replicated/machine.py
+++ b/src/lycheefall/_rules/replicated/machine.py
@@ -19,7 +19,7 @@
     Result,
 )
 from lycheefall._rules.replicated import claims, epochs, leases, revisions, suspects
-from lycheefall._rules.replicated.claims import Claims
+from lycheefall._rules.replicated.claims import ClaimsState
 from lycheefall._rules.replicated.epochs import Epochs
 from lycheefall._rules.replicated.leases import Leases
 from lycheefall._rules.replicated.revisions import Revisions
@@ -40,7 +40,7 @@
     """All replicated state."""
 
     revisions: Revisions = field(default_factory=Revisions)
-    claims: Claims = field(default_factory=Claims)
+    claims: ClaimsState = field(default_factory=ClaimsState)
     leases: Leases = field(default_factory=Leases)
     epochs: Epochs = field(default_factory=Epochs)
     suspects: Suspects = field(default_factory=Suspects)
@@ -88,7 +88,8 @@
         case ApplyFile():
             state.revisions, result = apply_file(state.revisions, command, stamp_ms)
         case Claim() | Reassign() | RecordOutcome():
-            state.claims, result = claims.apply(state.claims, command, stamp_ms)
+            limits = state.revisions.configuration.limits
+            state.claims, result = claims.apply(state.claims, command, stamp_ms, limits)
         case AcquireLease() | RenewLease():
             state.leases, result = leases.apply(state.leases, command, stamp_ms)
         case CommitEpoch():
