Add the whole path: callers, entries, control, agents and upstreams

Cause: no request could go from a caller to an upstream.

Before: the test failed at each missing part (no command, no route models, no check of idempotency keys). After: 4 entries (three with control), 16 engines, 3 services and 19 agents as separate processes answer 200 chats, half of them streamed, each with the text derived from its prompt; every engine served some. Nine kinds of bad input get their code, "not-run", and no execution at the services. scripts/test: 90 passed in 22 s.

Conclusion: the path stands. Bookings are refused until claims are joined to it; the queue releases at once until admission is joined to it.

--- /dev/null
+++ b/src/lycheefall/_agent/service.py
@@ -0,0 +1,189 @@
+"""Join the filters of an agent: announce, check, admit, forward, report."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from lycheefall._agent.check import CheckState, check
+from lycheefall._agent.messages import (
+    AttemptEnded,
+    ConfigurationSeen,
+    Drained,
+    DrainOrdered,
+    Forward,
+    FromCheck,
+    FromEntry,
+    Present,
+    Steer,
+    Tick,
+    ToCheck,
+    ToPeer,
+)
+from lycheefall._agent.report import report_load
+from lycheefall._agent.run_attempts import Attempts
+from lycheefall._agent.settings import AgentSettings
+from lycheefall._control.client import new_client, run_client
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.enums import MemberState
+from lycheefall._core.events import Event
+from lycheefall._core.ids import Address, Incarnation
+from lycheefall._core.log import log, warn
+from lycheefall._core.messages.control import Changes
+from lycheefall._core.messages.dispatch import Dispatch, Refused, ToEntry
+from lycheefall._core.messages.membership import EntryMember, Member, UpstreamMember
+from lycheefall._core.pipeline import Inbox, run_owner, tick
+from lycheefall._core.process import new_incarnation, run_until
+from lycheefall._wire.announcer import Announcer
+from lycheefall._wire.codec import decode_to_agent, encode
+from lycheefall._wire.zmq_ends import RouterEnd
+
+CHECK_INBOX_MESSAGES = 10_000
+TICK_S = 0.05
+
+
+async def run_agent(
+    settings: AgentSettings,
+    stop: asyncio.Event,
+    on_ready: Callable[[], None] = lambda: None,
+) -> None:
+    """Run an agent until it is told to stop and its attempts have ended."""
+    incarnation = new_incarnation()
+    inbox: Inbox[ToCheck] = Inbox(CHECK_INBOX_MESSAGES)
+    drained = asyncio.Event()
+    announcer = Announcer()
+    announcer.send_to(set(settings.control))
+    router = RouterEnd(settings.listen, lambda peer, payload: _receive(peer, payload, inbox, send))
+
+    def send(peer: bytes, message: ToEntry) -> None:
+        router.send(peer, encode(message))
+
+    attempts = Attempts(settings.upstream_address, settings.kind, send, _deliver_end(inbox))
+    on_changes = _on_changes(settings, announcer, inbox)
+    state = CheckState(first_member(settings, incarnation))
+    log(Event.PROCESS_STARTED, role="agent", listen=settings.listen, incarnation=incarnation)
+    on_ready()
+    try:
+        await run_until(
+            drained,
+            run_owner(inbox, state, check, _emit(attempts, send, announcer, drained)),
+            tick(inbox, Tick(), TICK_S),
+            report_load(settings.upstream_address, inbox.offer),
+            announcer.run(),
+            run_client(new_client(), settings.control, on_changes),
+            _drain(stop, inbox, drained, settings.drain_s),
+        )
+    finally:
+        await attempts.close()
+        router.close()
+        log(Event.PROCESS_STOPPED, role="agent")
+
+
+def first_member(settings: AgentSettings, incarnation: Incarnation) -> UpstreamMember:
+    """Return how the agent announces itself before it is ready."""
+    return UpstreamMember(
+        settings.upstream,
+        settings.instance,
+        settings.data_centre,
+        settings.pool,
+        settings.kind,
+        settings.listen,
+        incarnation,
+        MemberState.STARTING,
+        settings.concurrency,
+    )
+
+
+def _receive(
+    peer: bytes, payload: bytes, inbox: Inbox[ToCheck], send: Callable[[bytes, ToEntry], None]
+) -> None:
+    try:
+        message = decode_to_agent(payload)
+    except msgspec.DecodeError as error:
+        warn(Event.FRAME_DROPPED, detail=str(error))
+        return
+    if inbox.offer(FromEntry(peer, message)):
+        return
+    if isinstance(message, Dispatch):
+        # A dispatch that is dropped here has not started, and the entry may be told so.
+        send(peer, Refused(message.request, message.attempt, ResultCode.UPSTREAM_BUSY))
+
+
+def _deliver_end(inbox: Inbox[ToCheck]) -> Callable[[AttemptEnded], None]:
+    pending: set[asyncio.Task[None]] = set()
+
+    def deliver(ended: AttemptEnded) -> None:
+        if inbox.offer(ended):
+            return
+        task = asyncio.create_task(inbox.put(ended))
+        pending.add(task)
+        task.add_done_callback(pending.discard)
+
+    return deliver
+
+
+def _emit(
+    attempts: Attempts,
+    send: Callable[[bytes, ToEntry], None],
+    announcer: Announcer,
+    drained: asyncio.Event,
+) -> Callable[[FromCheck], None]:
+    def emit(message: FromCheck) -> None:
+        match message:
+            case ToPeer():
+                _log_refusal(message.message)
+                send(message.peer, message.message)
+            case Forward():
+                attempts.start(message)
+            case Steer():
+                attempts.steer(message.message)
+            case Present():
+                announcer.present(message.member)
+            case Drained():
+                drained.set()
+
+    return emit
+
+
+def _log_refusal(message: ToEntry) -> None:
+    if isinstance(message, Refused):
+        log(
+            Event.ATTEMPT_REFUSED,
+            request=message.request,
+            attempt=message.attempt,
+            code=int(message.code),
+        )
+
+
+def _on_changes(
+    settings: AgentSettings, announcer: Announcer, inbox: Inbox[ToCheck]
+) -> Callable[[Changes], None]:
+    entries: dict[str, Address] = {}
+
+    def on_changes(changes: Changes) -> None:
+        if changes.configuration is not None:
+            inbox.offer(ConfigurationSeen(changes.configuration))
+            log(Event.CONFIGURATION_IN_FORCE, revision=changes.configuration.revision)
+        # Entries that control no longer lists are kept: control may be the part that is cut off.
+        entries.update(_announce_addresses(changes.members))
+        announcer.send_to(set(settings.control) | set(entries.values()))
+
+    return on_changes
+
+
+def _announce_addresses(members: tuple[Member, ...]) -> dict[str, Address]:
+    return {
+        member.instance: member.announce_address
+        for member in members
+        if isinstance(member, EntryMember)
+    }
+
+
+async def _drain(
+    stop: asyncio.Event, inbox: Inbox[ToCheck], drained: asyncio.Event, limit_s: float
+) -> None:
+    await stop.wait()
+    log(Event.PROCESS_STOPPING, role="agent")
+    await inbox.put(DrainOrdered())
+    await asyncio.sleep(limit_s)
+    drained.set()
--- /dev/null
+++ b/src/lycheefall/_core/messages/entry.py
@@ -0,0 +1,182 @@
+"""Messages between the filters of an entry."""
+
+from msgspec import Struct
+
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.configuration import Configuration, Route
+from lycheefall._core.ids import (
+    Fingerprint,
+    IdempotencyKey,
+    Incarnation,
+    PoolId,
+    PriorityId,
+    RequestId,
+    TeamId,
+    UpstreamId,
+)
+from lycheefall._core.messages.dispatch import ToAgent, ToEntry
+from lycheefall._core.messages.membership import UpstreamMember
+
+
+class OperationKey(Struct, frozen=True):
+    """Idempotency key of a request and the time that it carries."""
+
+    key: IdempotencyKey
+    time_ms: int
+
+
+class CallerRequest(Struct, frozen=True, kw_only=True):
+    """A request that passed the checks against the configuration in force."""
+
+    request: RequestId
+    team: TeamId
+    priority: PriorityId
+    # Order of the priority in the file, 0 being the first.
+    rank: int
+    route: Route
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+    stream: bool
+    model: str
+    arrived_s: float
+    deadline_s: float
+    # Expected prompt and answer tokens; 1 for a call to a service.
+    cost_tokens: int
+    fingerprint: Fingerprint
+    # Hash of the start of the prompt, by which requests share a prefix cache; 0 for none.
+    prefix: int = 0
+    operation: OperationKey | None = None
+
+
+class Submit(Struct, frozen=True):
+    """Queue a request."""
+
+    call: CallerRequest
+
+
+class Run(Struct, frozen=True):
+    """Run a request that the queue has released."""
+
+    call: CallerRequest
+
+
+class Abandon(Struct, frozen=True):
+    """Stop a request whose caller has left."""
+
+    request: RequestId
+
+
+class FromAgent(Struct, frozen=True):
+    """A message that came over the link to an agent."""
+
+    upstream: UpstreamId
+    message: ToEntry
+
+
+class LinkUp(Struct, frozen=True):
+    """Tell that an agent answered over its link."""
+
+    upstream: UpstreamId
+    incarnation: Incarnation
+
+
+class LinkDown(Struct, frozen=True):
+    """Tell that a link went silent, or that another process answers at its address."""
+
+    upstream: UpstreamId
+    incarnation: Incarnation
+
+
+class UpstreamsChanged(Struct, frozen=True):
+    """Tell which upstreams are new or changed and which are gone."""
+
+    upstreams: tuple[UpstreamMember, ...]
+    removed: tuple[UpstreamId, ...] = ()
+
+
+class ConfigurationChanged(Struct, frozen=True):
+    """Put a configuration in force."""
+
+    configuration: Configuration
+
+
+class FramesRead(Struct, frozen=True):
+    """Tell that the caller has taken frames, so that the agent may send more."""
+
+    request: RequestId
+    frames: int
+
+
+class FingerprintsChanged(Struct, frozen=True):
+    """Replace the fingerprints that run alone and those that are refused."""
+
+    suspects: frozenset[Fingerprint]
+    refused: frozenset[Fingerprint]
+
+
+class Tick(Struct, frozen=True):
+    """Let a filter act on time that has passed."""
+
+
+class ToLink(Struct, frozen=True):
+    """Send a message to an agent."""
+
+    upstream: UpstreamId
+    message: ToAgent
+
+
+class ReplyTokens(Struct, frozen=True):
+    """Pass tokens on to the caller."""
+
+    request: RequestId
+    tokens: tuple[str, ...]
+
+
+class ReplyEnd(Struct, frozen=True, kw_only=True):
+    """End the answer to a caller."""
+
+    request: RequestId
+    code: ResultCode
+    status: int = 200
+    content_type: str = ""
+    body: bytes = b""
+    finish_reason: str = ""
+    upstream: UpstreamId = UpstreamId("")
+    attempts: int = 0
+    detail: str = ""
+    retry_after_s: float = 0.0
+
+
+class CallEnded(Struct, frozen=True):
+    """Tell the queue that a request it released has ended."""
+
+    request: RequestId
+    pools: tuple[PoolId, ...]
+    cost_tokens: int
+
+
+class Capacity(Struct, frozen=True):
+    """Tell the queue how many requests the upstreams of a pool may run for this entry."""
+
+    pool: PoolId
+    slots: int
+
+
+ReplyPart = ReplyTokens | ReplyEnd
+ToQueue = Submit | Abandon | CallEnded | Capacity | ConfigurationChanged | Tick
+ToDispatch = (
+    Run
+    | Abandon
+    | FromAgent
+    | LinkUp
+    | LinkDown
+    | UpstreamsChanged
+    | ConfigurationChanged
+    | FingerprintsChanged
+    | FramesRead
+    | Tick
+)
+FromQueue = Run | Abandon | ReplyEnd
+FromDispatch = ToLink | ReplyTokens | ReplyEnd | CallEnded | Capacity
--- a/src/lycheefall/_core/pipeline.py
+++ b/src/lycheefall/_core/pipeline.py
@@ -78,6 +78,19 @@
         return self._queue.qsize()
 
 
+class Latest(Generic[T]):
+    """Value that its owner publishes and others only read; an older value is replaced."""
+
+    __slots__ = ("value",)
+
+    def __init__(self, value: T) -> None:
+        self.value = value
+
+    def publish(self, value: T) -> None:
+        """Replace the value."""
+        self.value = value
+
+
 async def run_owner(
     inbox: Inbox[T],
     state: S,
--- /dev/null
+++ b/src/lycheefall/_entry/accept.py
@@ -0,0 +1,198 @@
+"""Take requests from callers by HTTP."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from aiohttp import web
+
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.exceptions import RequestRefused
+from lycheefall._core.ids import Incarnation, InstanceId, RequestId, TeamId
+from lycheefall._core.messages.entry import (
+    Abandon,
+    CallerRequest,
+    FramesRead,
+    ReplyPart,
+    Submit,
+)
+from lycheefall._core.messages.membership import EntryMember
+from lycheefall._core.pipeline import Inbox, Latest
+from lycheefall._entry.answer import answer, refusal
+from lycheefall._entry.catalogue import Catalogue
+from lycheefall._entry.identify import CHAT_PATH, TEAM_HEADER, RawRequest, identify
+
+# One frame a message: the first credit of an attempt and the end of the answer fit.
+REPLY_PARTS = 320
+# A caller's own id is kept in the log up to this length.
+REQUEST_ID_CHARACTERS = 64
+
+Offer = Callable[[Submit | Abandon | FramesRead], bool]
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class Acceptor:
+    """What the HTTP handlers share: the requests in flight and the configuration in force."""
+
+    __slots__ = (
+        "_count",
+        "_offer",
+        "_start",
+        "catalogue",
+        "draining",
+        "idle",
+        "replies",
+    )
+
+    def __init__(self, instance: InstanceId, incarnation: Incarnation, offer: Offer) -> None:
+        self._start = f"{instance}-{incarnation[:6]}"
+        self._count = 0
+        self._offer = offer
+        self.catalogue: Latest[Catalogue | None] = Latest(None)
+        self.replies: dict[RequestId, Inbox[ReplyPart]] = {}
+        self.draining = False
+        self.idle = asyncio.Event()
+        self.idle.set()
+
+    def next_request(self) -> RequestId:
+        """Return an id that no other request has."""
+        self._count += 1
+        return RequestId(f"{self._start}-{self._count}")
+
+    def reply(self, part: ReplyPart) -> None:
+        """Pass a part on to the handler of its request, if the caller is still there."""
+        inbox = self.replies.get(part.request)
+        if inbox is not None:
+            inbox.offer(part)
+
+    async def handle(self, http: web.Request, service: str, path: str) -> web.StreamResponse:
+        """Answer one request."""
+        request = self.next_request()
+        try:
+            call = await self._identified(http, request, service, path)
+        except RequestRefused as error:
+            return refusal(error.code, error.detail, request)
+        return await self._answered(http, call)
+
+    async def _identified(
+        self, http: web.Request, request: RequestId, service: str, path: str
+    ) -> CallerRequest:
+        catalogue = self.catalogue.value
+        if catalogue is None:
+            raise RequestRefused(ResultCode.NOT_READY, "no committed configuration is known yet")
+        body = await _read_body(http, catalogue.configuration.limits.body_bytes)
+        raw = RawRequest(
+            request=request,
+            method=http.method,
+            service=service,
+            path=path,
+            query=http.query_string,
+            headers=http.headers,
+            body=body,
+            now_s=asyncio.get_running_loop().time(),
+        )
+        return identify(catalogue)(raw)
+
+    async def _answered(self, http: web.Request, call: CallerRequest) -> web.StreamResponse:
+        inbox: Inbox[ReplyPart] = Inbox(REPLY_PARTS)
+        self.replies[call.request] = inbox
+        self.idle.clear()
+        if not self._offer(Submit(call)):
+            self._forget(call.request)
+            return refusal(ResultCode.OVERLOADED, "the entry is overloaded", call.request, 1.0)
+        whole = False
+
+        def taken(frames: int) -> None:
+            self._offer(FramesRead(call.request, frames))
+
+        try:
+            response = await answer(http, call, inbox, taken)
+            whole = True
+            return response
+        finally:
+            self._forget(call.request)
+            if not whole:
+                self._offer(Abandon(call.request))
+
+    def _forget(self, request: RequestId) -> None:
+        del self.replies[request]
+        if not self.replies:
+            self.idle.set()
+
+
+async def _read_body(http: web.Request, limit_bytes: int) -> bytes:
+    if (http.content_length or 0) > limit_bytes:
+        raise _too_large(limit_bytes)
+    if not http.can_read_body:
+        return b""
+    body = bytearray()
+    async for chunk in http.content.iter_any():
+        body += chunk
+        if len(body) > limit_bytes:
+            raise _too_large(limit_bytes)
+    return bytes(body)
+
+
+def _too_large(limit_bytes: int) -> RequestRefused:
+    return RequestRefused(
+        ResultCode.BODY_TOO_LARGE, f"the body is larger than limits.body_bytes = {limit_bytes}"
+    )
+
+
+# Entries that a team may use, first choice first.
+ChooseEntries = Callable[[TeamId], list[EntryMember]]
+
+
+def build_application(acceptor: Acceptor, choose: ChooseEntries) -> web.Application:
+    """Return the application with the handlers of an entry."""
+    application = web.Application()
+    application.router.add_post(CHAT_PATH, _chat(acceptor))
+    application.router.add_route("*", "/v1/services/{service}/{path:.*}", _service(acceptor))
+    application.router.add_get("/v1/entries", _entries(acceptor, choose))
+    application.router.add_get("/healthz", _health)
+    application.router.add_get("/readyz", _ready(acceptor))
+    return application
+
+
+def _chat(acceptor: Acceptor) -> Handler:
+    async def chat(http: web.Request) -> web.StreamResponse:
+        return await acceptor.handle(http, "", CHAT_PATH)
+
+    return chat
+
+
+def _service(acceptor: Acceptor) -> Handler:
+    async def service(http: web.Request) -> web.StreamResponse:
+        return await acceptor.handle(http, http.match_info["service"], http.match_info["path"])
+
+    return service
+
+
+def _entries(acceptor: Acceptor, choose: ChooseEntries) -> Handler:
+    async def entries(http: web.Request) -> web.StreamResponse:
+        catalogue = acceptor.catalogue.value
+        if catalogue is None:
+            return refusal(ResultCode.NOT_READY, "no committed configuration is known yet", "")
+        team = TeamId(http.headers.get(TEAM_HEADER) or http.query.get("team", ""))
+        body = {
+            "entries": [member.address for member in choose(team)],
+            "ttl_s": catalogue.configuration.directory.ttl_s,
+        }
+        return web.Response(body=msgspec.json.encode(body), content_type="application/json")
+
+    return entries
+
+
+async def _health(http: web.Request) -> web.StreamResponse:
+    return web.Response(text="ok\n")
+
+
+def _ready(acceptor: Acceptor) -> Handler:
+    async def ready(http: web.Request) -> web.StreamResponse:
+        if acceptor.draining:
+            return refusal(ResultCode.SHUTTING_DOWN, "the entry is shutting down", "")
+        if acceptor.catalogue.value is None:
+            return refusal(ResultCode.NOT_READY, "no committed configuration is known yet", "")
+        return web.Response(text="ready\n")
+
+    return ready
--- /dev/null
+++ b/src/lycheefall/_entry/service.py
@@ -0,0 +1,252 @@
+"""Join the filters of an entry, from the caller's request to the answer."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from aiohttp import web
+
+from lycheefall._control.client import new_client, run_client
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.configuration import Configuration
+from lycheefall._core.enums import MemberState
+from lycheefall._core.events import Event
+from lycheefall._core.exceptions import PortInUse
+from lycheefall._core.ids import Address, InstanceId, TeamId
+from lycheefall._core.log import log, warn
+from lycheefall._core.messages.control import Changes
+from lycheefall._core.messages.entry import (
+    Abandon,
+    CallEnded,
+    CallerRequest,
+    Capacity,
+    ConfigurationChanged,
+    FramesRead,
+    FromDispatch,
+    FromQueue,
+    ReplyEnd,
+    ReplyTokens,
+    Run,
+    Submit,
+    Tick,
+    ToDispatch,
+    ToLink,
+    ToQueue,
+    UpstreamsChanged,
+)
+from lycheefall._core.messages.membership import Announce, EntryMember
+from lycheefall._core.pipeline import Inbox, run_owner, tick
+from lycheefall._core.process import new_incarnation, run_until
+from lycheefall._entry.accept import Acceptor, build_application
+from lycheefall._entry.catalogue import build_catalogue
+from lycheefall._entry.links import Links
+from lycheefall._entry.queue import QueueState, step_queue
+from lycheefall._entry.settings import EntrySettings
+from lycheefall._entry.upstreams import UpstreamTable, receive_announce, step_upstreams
+from lycheefall._rules.calls import CallsState, Pick, Upstream, step_calls
+from lycheefall._wire.announcer import Announcer
+from lycheefall._wire.zmq_ends import RouterEnd
+
+INBOX_MESSAGES = 50_000
+TICK_S = 0.05
+
+
+class Parts:
+    """The filters of one entry and the inboxes between them."""
+
+    __slots__ = (
+        "acceptor",
+        "announcer",
+        "dispatch",
+        "incarnation",
+        "links",
+        "members",
+        "queue",
+        "settings",
+        "upstreams",
+    )
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self.settings = settings
+        self.incarnation = new_incarnation()
+        self.queue: Inbox[ToQueue] = Inbox(INBOX_MESSAGES)
+        self.dispatch: Inbox[ToDispatch] = Inbox(INBOX_MESSAGES)
+        self.upstreams: Inbox[Announce | Tick] = Inbox(INBOX_MESSAGES)
+        self.links = Links(self.dispatch.offer, asyncio.get_running_loop().time)
+        self.acceptor = Acceptor(settings.instance, self.incarnation, self._from_accept)
+        self.announcer = Announcer()
+        self.members: dict[InstanceId, EntryMember] = {}
+
+    def _from_accept(self, message: Submit | Abandon | FramesRead) -> bool:
+        if isinstance(message, FramesRead):
+            return self.dispatch.offer(message)
+        return self.queue.offer(message)
+
+    def from_queue(self, message: FromQueue) -> None:
+        """Pass on what the queue filter emits."""
+        if isinstance(message, Run | Abandon):
+            self.dispatch.offer(message)
+        else:
+            self._reply_end(message)
+
+    def from_dispatch(self, message: FromDispatch) -> None:
+        """Pass on what the dispatch filter emits."""
+        match message:
+            case ToLink():
+                self.links.send(message.upstream, message.message)
+            case ReplyTokens():
+                self.acceptor.reply(message)
+            case ReplyEnd():
+                self._reply_end(message)
+            case CallEnded() | Capacity():
+                self.queue.offer(message)
+
+    def from_upstreams(self, changed: UpstreamsChanged) -> None:
+        """Open and close links, then tell the dispatch filter."""
+        for member in changed.upstreams:
+            self.links.connect(member.upstream, member.address)
+        for upstream in changed.removed:
+            self.links.disconnect(upstream)
+        self.dispatch.offer(changed)
+
+    def on_changes(self, changes: Changes) -> None:
+        """Take what control says has changed."""
+        if changes.configuration is not None:
+            self._configure(changes.configuration)
+        self._learn_entries(changes)
+
+    def present(self, state: MemberState) -> None:
+        """Announce this entry with a state."""
+        settings = self.settings
+        self.announcer.present(
+            EntryMember(
+                settings.instance,
+                settings.data_centre,
+                settings.listen,
+                settings.announce_listen,
+                self.incarnation,
+                state,
+            )
+        )
+
+    def choose_entries(self, team: TeamId) -> list[EntryMember]:
+        """Return the entries that a team may use."""
+        return [each for each in self.members.values() if each.state is MemberState.READY]
+
+    def _configure(self, configuration: Configuration) -> None:
+        self.acceptor.catalogue.publish(build_catalogue(configuration))
+        self.queue.offer(ConfigurationChanged(configuration))
+        self.dispatch.offer(ConfigurationChanged(configuration))
+        if not self.acceptor.draining:
+            self.present(MemberState.READY)
+        log(Event.CONFIGURATION_IN_FORCE, revision=configuration.revision)
+
+    def _learn_entries(self, changes: Changes) -> None:
+        if changes.full:
+            self.members.clear()
+        for member in changes.members:
+            if isinstance(member, EntryMember):
+                self.members[member.instance] = member
+        for removed in changes.removed_entries:
+            self.members.pop(removed, None)
+
+    def _reply_end(self, end: ReplyEnd) -> None:
+        self.acceptor.reply(end)
+        event = Event.REQUEST_REFUSED if end.code >= ResultCode.BAD_JSON else Event.REQUEST_ANSWERED
+        log(
+            event,
+            request=end.request,
+            code=int(end.code),
+            upstream=end.upstream,
+            attempts=end.attempts,
+        )
+
+
+async def run_entry(
+    settings: EntrySettings,
+    stop: asyncio.Event,
+    on_ready: Callable[[], None] = lambda: None,
+) -> None:
+    """Run an entry until it is told to stop and its requests have ended."""
+    parts = Parts(settings)
+    parts.present(MemberState.STARTING)
+    parts.announcer.send_to(set(settings.control))
+    announcements = RouterEnd(settings.announce_listen, receive_announce(parts.upstreams.offer))
+    client = new_client()
+    drained = asyncio.Event()
+    runner = await _listen(settings.listen, build_application(parts.acceptor, parts.choose_entries))
+    log(Event.PROCESS_STARTED, role="entry", listen=settings.listen, incarnation=parts.incarnation)
+    on_ready()
+    try:
+        await run_until(
+            drained,
+            run_owner(parts.queue, QueueState(), step_queue, parts.from_queue),
+            run_owner(parts.dispatch, CallsState(pick_any()), step_calls, parts.from_dispatch),
+            run_owner(parts.upstreams, UpstreamTable(), step_upstreams, parts.from_upstreams),
+            tick(parts.queue, Tick(), TICK_S),
+            tick(parts.dispatch, Tick(), TICK_S),
+            tick(parts.upstreams, Tick(), TICK_S),
+            _beat(parts.links),
+            parts.announcer.run(),
+            run_client(client, settings.control, parts.on_changes),
+            _drain(stop, parts, runner, drained),
+        )
+    finally:
+        await runner.cleanup()
+        parts.links.close()
+        announcements.close()
+        log(Event.PROCESS_STOPPED, role="entry")
+
+
+async def _listen(address: Address, application: web.Application) -> web.AppRunner:
+    host, _, port = address.rpartition(":")
+    runner = web.AppRunner(application, access_log=None, handler_cancellation=True)
+    await runner.setup()
+    try:
+        await web.TCPSite(runner, host, int(port), backlog=4096).start()
+    except OSError as error:
+        await runner.cleanup()
+        raise PortInUse(f"can't listen on {address}: {error.strerror}") from error
+    return runner
+
+
+async def _beat(links: Links) -> None:
+    while True:
+        links.beat()
+        await asyncio.sleep(TICK_S)
+
+
+async def _drain(
+    stop: asyncio.Event, parts: Parts, runner: web.AppRunner, drained: asyncio.Event
+) -> None:
+    """Leave the directory, go on while callers may hold the address, then finish what runs."""
+    await stop.wait()
+    log(Event.PROCESS_STOPPING, role="entry")
+    parts.acceptor.draining = True
+    parts.present(MemberState.DRAINING)
+    try:
+        async with asyncio.timeout(parts.settings.drain_s):
+            await asyncio.sleep(_ttl_s(parts))
+            for site in list(runner.sites):
+                await site.stop()
+            await parts.acceptor.idle.wait()
+    except TimeoutError:
+        cut = len(parts.acceptor.replies)
+        warn(Event.PROCESS_STOPPING, role="entry", detail=f"{cut} requests are still in flight")
+    drained.set()
+
+
+def _ttl_s(parts: Parts) -> float:
+    catalogue = parts.acceptor.catalogue.value
+    return catalogue.configuration.directory.ttl_s if catalogue else 0.0
+
+
+def pick_any(seed: int = 0) -> Pick:
+    """Return a picker that takes the less busy one of two upstreams chosen at random."""
+    generator = random.Random(seed)
+
+    def pick(call: CallerRequest, upstreams: list[Upstream], now_s: float) -> Upstream:
+        pair = generator.sample(upstreams, min(2, len(upstreams)))
+        return min(pair, key=lambda upstream: upstream.running)
+
+    return pick
--- /dev/null
+++ b/src/lycheefall/_operate/cli.py
@@ -0,0 +1,50 @@
+"""The command line: one command, `lycheefall`, with a subcommand for each program."""
+
+import inspect
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import defopt
+
+from lycheefall._core.exceptions import LycheefallError
+from lycheefall._operate import commands
+from lycheefall._operate.settings import environment_flags
+
+COMMANDS: tuple[Callable[..., None], ...] = (
+    commands.entry,
+    commands.control,
+    commands.agent,
+    commands.check,
+    commands.apply,
+    commands.status,
+)
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Run a subcommand; an error with a code ends the process with exit status 1."""
+    given = sys.argv[1:] if arguments is None else arguments
+    try:
+        defopt.run(
+            {command.__name__: command for command in COMMANDS},
+            argv=with_environment(given),
+            no_negated_flags=True,
+        )
+    except LycheefallError as error:
+        print(f"lycheefall: {error}", file=sys.stderr)
+        raise SystemExit(1) from error
+
+
+def with_environment(arguments: list[str]) -> list[str]:
+    """Add the settings that environment variables give to the arguments of a subcommand."""
+    name = next((each for each in arguments if not each.startswith("-")), "")
+    command = next((each for each in COMMANDS if each.__name__ == name), None)
+    if command is None:
+        return arguments
+    names = [each.name for each in _settings(command)]
+    return [*arguments, *environment_flags(names, arguments)]
+
+
+def _settings(command: Callable[..., Any]) -> list[inspect.Parameter]:
+    parameters = inspect.signature(command).parameters.values()
+    return [each for each in parameters if each.kind is inspect.Parameter.KEYWORD_ONLY]
--- /dev/null
+++ b/src/lycheefall/_operate/commands.py
@@ -0,0 +1,288 @@
+"""The subcommands. Each setting may also be given as LYCHEEFALL_<NAME> in the environment."""
+
+import asyncio
+import sys
+from collections.abc import Callable, Coroutine
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import aiomisc
+
+from lycheefall._agent.service import run_agent
+from lycheefall._agent.settings import AgentSettings
+from lycheefall._control.client import new_client, run_client
+from lycheefall._control.service import run_control
+from lycheefall._control.settings import ControlSettings, Voter
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.enums import UpstreamKind
+from lycheefall._core.ids import (
+    NO_REVISION,
+    Address,
+    DataCentreId,
+    InstanceId,
+    PoolId,
+    Revision,
+    UpstreamId,
+)
+from lycheefall._core.messages.control import ApplyFile, FileResult, StatusReport
+from lycheefall._core.process import run_until
+from lycheefall._entry.service import run_entry
+from lycheefall._entry.settings import EntrySettings
+from lycheefall._operate import settings as checks
+from lycheefall._operate.configuration_file import digest_of, parse_configuration, replaces_of
+from lycheefall._operate.daemon import run_daemon
+from lycheefall._operate.logging import LogForm, LogLevel, configure_logging
+from lycheefall._operate.status import describe
+
+COMMAND_TIMEOUT_S = 10.0
+LONGEST_DRAIN_S = 3_600.0
+HIGHEST_CONCURRENCY = 100_000
+
+
+def entry(
+    *,
+    instance: str,
+    data_centre: str,
+    listen: str,
+    announce_listen: str,
+    control: str,
+    drain_s: str = "60",
+    with_control: bool = False,
+    control_listen: str = "",
+    peer_listen: str = "",
+    voters: str = "",
+    data_folder: str = "",
+    statsd: str = "",
+    log_form: str = "json",
+    log_level: str = "info",
+) -> None:
+    """Run an entry: callers connect to it.
+
+    :param instance: name of this instance
+    :param data_centre: name of the data centre of this instance
+    :param listen: IP:PORT where callers connect
+    :param announce_listen: IP:PORT where agents announce themselves
+    :param control: client addresses of the control replicas, IP:PORT with commas between
+    :param drain_s: longest wait of a shutdown for requests in flight, in seconds
+    :param with_control: run a control replica in the same process
+    :param control_listen: with --with-control: as --listen of `lycheefall control`
+    :param peer_listen: with --with-control: as of `lycheefall control`
+    :param voters: with --with-control: as of `lycheefall control`
+    :param data_folder: with --with-control: as of `lycheefall control`
+    :param statsd: IP:PORT of a statsd server; empty for none
+    :param log_form: json or console
+    :param log_level: debug, info, warning or error
+    """
+    _logging(log_form, log_level, instance, "entry")
+    settings = EntrySettings(
+        instance=InstanceId(checks.checked_name("instance", instance)),
+        data_centre=DataCentreId(checks.checked_name("data_centre", data_centre)),
+        listen=checks.checked_address("listen", listen),
+        announce_listen=checks.checked_address("announce_listen", announce_listen),
+        control=checks.checked_addresses("control", control),
+        drain_s=_drain_s(drain_s),
+        statsd=checks.checked_address("statsd", statsd) if statsd else None,
+    )
+    if not with_control:
+        run_daemon(partial(run_entry, settings))
+        return
+    replica = _control_settings(
+        instance, data_centre, control_listen, peer_listen, voters, data_folder
+    )
+    run_daemon(partial(_entry_with_control, settings, replica))
+
+
+def control(
+    *,
+    instance: str,
+    data_centre: str,
+    listen: str,
+    peer_listen: str,
+    voters: str,
+    data_folder: str,
+    log_form: str = "json",
+    log_level: str = "info",
+) -> None:
+    """Run a control replica: it keeps the accepted file, claims, leases and expert maps.
+
+    :param instance: name of this instance
+    :param data_centre: name of the data centre of this instance
+    :param listen: IP:PORT where entries, agents and operators connect
+    :param peer_listen: IP:PORT where the other replicas connect
+    :param voters: initial voters, NAME=PEER_IP:PORT/CLIENT_IP:PORT with commas between
+    :param data_folder: folder for the log; it must last as long as the instance
+    :param log_form: json or console
+    :param log_level: debug, info, warning or error
+    """
+    _logging(log_form, log_level, instance, "control")
+    replica = _control_settings(instance, data_centre, listen, peer_listen, voters, data_folder)
+    run_daemon(partial(_control_until, replica))
+
+
+def agent(
+    *,
+    instance: str,
+    data_centre: str,
+    upstream: str,
+    pool: str,
+    kind: str,
+    upstream_address: str,
+    listen: str,
+    control: str,
+    concurrency: str = "16",
+    drain_s: str = "60",
+    log_form: str = "json",
+    log_level: str = "info",
+) -> None:
+    """Run the agent beside an upstream.
+
+    :param instance: name of this instance
+    :param data_centre: name of the data centre of this instance
+    :param upstream: name of the upstream
+    :param pool: pool that the upstream belongs to
+    :param kind: engine or service
+    :param upstream_address: IP:PORT where the upstream serves HTTP
+    :param listen: IP:PORT where entries connect
+    :param control: client addresses of the control replicas, IP:PORT with commas between
+    :param concurrency: requests that the upstream runs at one time
+    :param drain_s: longest wait of a shutdown for attempts that run, in seconds
+    :param log_form: json or console
+    :param log_level: debug, info, warning or error
+    """
+    _logging(log_form, log_level, instance, "agent")
+    number = checks.checked_number("concurrency", concurrency, int, 1, HIGHEST_CONCURRENCY)
+    settings = AgentSettings(
+        instance=InstanceId(checks.checked_name("instance", instance)),
+        data_centre=DataCentreId(checks.checked_name("data_centre", data_centre)),
+        upstream=UpstreamId(checks.checked_name("upstream", upstream)),
+        pool=PoolId(checks.checked_name("pool", pool)),
+        kind=checks.checked_choice("kind", kind, UpstreamKind),
+        upstream_address=checks.checked_address("upstream_address", upstream_address),
+        listen=checks.checked_address("listen", listen),
+        control=checks.checked_addresses("control", control),
+        concurrency=int(number),
+        drain_s=_drain_s(drain_s),
+    )
+    run_daemon(partial(run_agent, settings))
+
+
+def check(file: str) -> None:
+    """Check a configuration file without applying it.
+
+    :param file: path of the file
+    """
+    text = _read(file)
+    configuration = parse_configuration(text, Revision(replaces_of(text) + 1))
+    print(
+        f"{file}: ok, replaces revision {replaces_of(text)}, digest {digest_of(text)}, "
+        f"{len(configuration.teams)} teams, {len(configuration.routes)} routes"
+    )
+
+
+def apply(file: str, *, control: str) -> None:
+    """Apply a configuration file as a whole.
+
+    :param file: path of the file
+    :param control: client addresses of the control replicas, IP:PORT with commas between
+    """
+    text = _read(file)
+    parse_configuration(text, NO_REVISION)
+    command = ApplyFile(Revision(replaces_of(text)), digest_of(text), text)
+    addresses = checks.checked_addresses("control", control)
+    result = _ask(addresses, lambda client: client.propose(command, COMMAND_TIMEOUT_S))
+    assert isinstance(result, FileResult)
+    print(
+        f"{result.code.name} ({int(result.code)}): revision {result.revision}, "
+        f"digest {result.digest} {result.detail}".rstrip()
+    )
+    if result.code is not ResultCode.OK:
+        sys.exit(1)
+
+
+def status(*, control: str) -> None:
+    """Print how a control replica sees the system.
+
+    :param control: client addresses of the control replicas, IP:PORT with commas between
+    """
+    addresses = checks.checked_addresses("control", control)
+    report = _ask(addresses, lambda client: client.status(COMMAND_TIMEOUT_S))
+    assert isinstance(report, StatusReport)
+    print(describe(report))
+
+
+def _logging(form: str, level: str, instance: str, role: str) -> None:
+    configure_logging(
+        checks.checked_choice("log_form", form, LogForm),
+        checks.checked_choice("log_level", level, LogLevel),
+        instance=instance,
+        role=role,
+    )
+
+
+def _drain_s(text: str) -> float:
+    return checks.checked_number("drain_s", text, float, 0.0, LONGEST_DRAIN_S)
+
+
+def _control_settings(
+    instance: str,
+    data_centre: str,
+    listen: str,
+    peer_listen: str,
+    voters: str,
+    data_folder: str,
+) -> ControlSettings:
+    return ControlSettings(
+        instance=InstanceId(checks.checked_name("instance", instance)),
+        data_centre=DataCentreId(checks.checked_name("data_centre", data_centre)),
+        client_listen=checks.checked_address("listen", listen),
+        peer_listen=checks.checked_address("peer_listen", peer_listen),
+        voters=tuple(_voter(part.strip()) for part in voters.split(",")),
+        data_folder=Path(checks.checked_name("data_folder", data_folder)),
+    )
+
+
+def _voter(text: str) -> Voter:
+    name, _, addresses = text.partition("=")
+    peer, _, client = addresses.partition("/")
+    if not name or not peer or not client:
+        raise checks.invalid("voters", text, "NAME=PEER_IP:PORT/CLIENT_IP:PORT")
+    return Voter(
+        InstanceId(name),
+        checks.checked_address("voters", peer),
+        checks.checked_address("voters", client),
+    )
+
+
+async def _control_until(replica: ControlSettings, stop: asyncio.Event) -> None:
+    await run_until(stop, run_control(replica, parse_configuration))
+
+
+async def _entry_with_control(
+    settings: EntrySettings, replica: ControlSettings, stop: asyncio.Event
+) -> None:
+    """Run both roles; the replica goes on until the entry has ended its requests."""
+    ended = asyncio.Event()
+    entry_task = asyncio.create_task(run_entry(settings, stop))
+    entry_task.add_done_callback(lambda task: ended.set())
+    await run_until(ended, run_control(replica, parse_configuration))
+    await entry_task
+
+
+def _read(file: str) -> str:
+    return checks.checked_file("file", file).read_text(encoding="utf-8")
+
+
+def _ask(
+    addresses: tuple[Address, ...], question: Callable[[Any], Coroutine[Any, Any, Any]]
+) -> Any:
+    async def ask() -> Any:
+        client = new_client()
+        owner = asyncio.create_task(run_client(client, addresses))
+        try:
+            return await question(client)
+        finally:
+            owner.cancel()
+            await asyncio.gather(owner, return_exceptions=True)
+
+    return aiomisc.run(ask(), log_config=False)
--- /dev/null
+++ b/src/lycheefall/_operate/logging.py
@@ -0,0 +1,60 @@
+"""Set up log lines for a process."""
+
+import logging
+import sys
+from enum import Enum
+from typing import Any
+
+import msgspec
+import structlog
+
+
+class LogForm(Enum):
+    """Form of a log line."""
+
+    JSON = "json"
+    CONSOLE = "console"
+
+
+class LogLevel(Enum):
+    """Least level that is written."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+def configure_logging(form: LogForm, level: LogLevel, **fields: Any) -> None:
+    """Write log lines to standard error, each with the given fields of the process."""
+
+    def add_process(_: Any, __: str, line: Any) -> Any:
+        line.update(fields)
+        return line
+
+    stamp = structlog.processors.TimeStamper(fmt="iso", utc=True)
+    before: list[Any] = [structlog.processors.add_log_level, stamp, add_process]
+    structlog.configure(
+        processors=[*before, _renderer(form)],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            logging.getLevelNamesMapping()[level.name]
+        ),
+        logger_factory=_logger_factory(form),
+        cache_logger_on_first_use=True,
+    )
+
+
+def _renderer(form: LogForm) -> Any:
+    if form is LogForm.CONSOLE:
+        return structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
+    return structlog.processors.JSONRenderer(serializer=_encode_line)
+
+
+def _logger_factory(form: LogForm) -> Any:
+    if form is LogForm.CONSOLE:
+        return structlog.PrintLoggerFactory(sys.stderr)
+    return structlog.BytesLoggerFactory(sys.stderr.buffer)
+
+
+def _encode_line(line: Any, default: Any = None, **_: Any) -> bytes:
+    return msgspec.json.encode(line, enc_hook=str)
--- /dev/null
+++ b/src/lycheefall/_operate/settings.py
@@ -0,0 +1,102 @@
+"""Read settings from flags and environment variables and check them."""
+
+import ipaddress
+import os
+from collections.abc import Callable, Mapping
+from enum import Enum
+from pathlib import Path
+from typing import TypeVar
+
+from lycheefall._core.exceptions import SettingInvalid
+from lycheefall._core.ids import Address
+
+E = TypeVar("E", bound=Enum)
+
+ENVIRONMENT_PREFIX = "LYCHEEFALL_"
+HIGHEST_PORT = 65_535
+
+
+def environment_flags(
+    names: list[str], given: list[str], environment: Mapping[str, str] = os.environ
+) -> list[str]:
+    """Return flags for the settings that only the environment gives; a flag goes first."""
+    flags = {argument.partition("=")[0] for argument in given}
+    result: list[str] = []
+    for name in names:
+        value = environment.get(environment_name(name))
+        if value is not None and flag_name(name) not in flags:
+            result.append(f"{flag_name(name)}={value}")
+    return result
+
+
+def flag_name(name: str) -> str:
+    """Return the flag of a setting."""
+    return "--" + name.replace("_", "-")
+
+
+def environment_name(name: str) -> str:
+    """Return the environment variable of a setting."""
+    return ENVIRONMENT_PREFIX + name.upper()
+
+
+def invalid(name: str, value: object, allowed: str) -> SettingInvalid:
+    """Return the error for a setting with a value that isn't allowed."""
+    return SettingInvalid(
+        f"{flag_name(name)} ({environment_name(name)}) is {value!r}; allowed: {allowed}"
+    )
+
+
+def checked_name(name: str, value: str) -> str:
+    """Return a name that isn't empty and has no white space."""
+    if not value or value != "".join(value.split()):
+        raise invalid(name, value, "a name without white space")
+    return value
+
+
+def checked_address(name: str, value: str) -> Address:
+    """Return an address made of an IP number and a port."""
+    host, _, port = value.rpartition(":")
+    allowed = "IP:PORT, such as 127.0.0.1:8000"
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError as error:
+        raise invalid(name, value, allowed) from error
+    if not port.isdigit() or not 0 < int(port) <= HIGHEST_PORT:
+        raise invalid(name, value, allowed)
+    return Address(value)
+
+
+def checked_addresses(name: str, value: str) -> tuple[Address, ...]:
+    """Return the addresses of a list with commas; at least one."""
+    return tuple(checked_address(name, part.strip()) for part in value.split(","))
+
+
+def checked_number(
+    name: str, value: str, convert: Callable[[str], float], low: float, high: float
+) -> float:
+    """Return a number within bounds."""
+    allowed = f"a number from {low:g} to {high:g}"
+    try:
+        number = convert(value)
+    except ValueError as error:
+        raise invalid(name, value, allowed) from error
+    if not low <= number <= high:
+        raise invalid(name, value, allowed)
+    return number
+
+
+def checked_choice(name: str, value: str, choices: type[E]) -> E:
+    """Return the member of an Enum that has this value."""
+    try:
+        return choices(value)
+    except ValueError as error:
+        allowed = ", ".join(str(choice.value) for choice in choices)
+        raise invalid(name, value, allowed) from error
+
+
+def checked_file(name: str, value: str) -> Path:
+    """Return the path of a file that exists."""
+    path = Path(value)
+    if not path.is_file():
+        raise invalid(name, value, "the path of a file")
+    return path
--- /dev/null
+++ b/tests/processes/fleet.py
@@ -0,0 +1,271 @@
+"""Starts the whole system as processes: entries with control, fake upstreams and agents."""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+
+from lycheefall._core.ids import Address
+from processes.scaffold import free_addresses
+
+SOURCE = Path(__file__).resolve().parents[2] / "src"
+START_TIMEOUT_S = 30.0
+POLL_S = 0.05
+
+CONFIGURATION = """
+replaces = {replaces}
+
+[directory]
+ttl_s = 1.0
+
+[[priorities]]
+name = "urgent"
+target_s = 0.62
+worth = 100
+share_ratio = 0.2
+
+[[priorities]]
+name = "notes"
+target_s = 5.0
+worth = 10
+share_ratio = 0.1
+
+[[priorities]]
+name = "overnight"
+target_s = 60.0
+worth = 1
+share_ratio = 0.05
+
+{teams}
+
+[[pools]]
+name = "assistant-pool"
+kind = "engine"
+drain = {engine_drain}
+
+[[pools]]
+name = "counter-app"
+kind = "service"
+drain = {service_drain}
+
+[[routes]]
+name = "chat"
+kind = "chat"
+models = ["m"]
+pools = ["assistant-pool"]
+priority = "notes"
+timeout_s = 20.0
+
+[[routes]]
+name = "balances"
+kind = "lookup"
+service = "counter"
+path = "balances"
+pools = ["counter-app"]
+priority = "urgent"
+timeout_s = 5.0
+
+[[routes]]
+name = "bookings"
+kind = "booking"
+service = "counter"
+path = "bookings"
+idempotent = false
+pools = ["counter-app"]
+priority = "urgent"
+timeout_s = 5.0
+"""
+
+
+def configuration_text(
+    replaces: int = 0,
+    teams: int = 10,
+    engine_drain: tuple[str, ...] = (),
+    service_drain: tuple[str, ...] = (),
+) -> str:
+    """Return a configuration file for the pools of a fleet."""
+    names = [f'[[teams]]\nname = "team-{number}"\n' for number in range(teams)]
+    return CONFIGURATION.format(
+        replaces=replaces,
+        teams="\n".join(names),
+        engine_drain=list(engine_drain),
+        service_drain=list(service_drain),
+    )
+
+
+@dataclass
+class Fleet:
+    """Processes of one system and where they listen."""
+
+    folder: Path
+    engines: int = 2
+    services: int = 1
+    entries: int = 4
+    replicas: int = 3
+    # Extra flags of the fakes, by process name.
+    fake_flags: dict[str, list[str]] = field(default_factory=dict)
+    addresses: dict[str, Address] = field(default_factory=dict)
+    # Other processes reach these instead of the real address, by process name.
+    detours: dict[str, Address] = field(default_factory=dict)
+    processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+    commands: dict[str, list[str]] = field(default_factory=dict)
+
+    def plan(self) -> None:
+        """Choose a port for each listener."""
+        names = [f"{kind}-{n}" for kind, n in self._listeners()]
+        self.addresses = dict(zip(names, free_addresses(len(names)), strict=True))
+
+    def _listeners(self) -> list[tuple[str, int]]:
+        kinds = {"entry": self.entries, "announce": self.entries}
+        kinds |= {"client": self.replicas, "peer": self.replicas}
+        kinds |= {"engine": self.engines, "engine-agent": self.engines}
+        kinds |= {"service": self.services, "service-agent": self.services}
+        return [(kind, number) for kind, count in kinds.items() for number in range(count)]
+
+    @property
+    def control(self) -> str:
+        """Return the client addresses of the replicas as a flag's value."""
+        return ",".join(self._reach(f"client-{n}") for n in range(self.replicas))
+
+    @property
+    def upstream_names(self) -> list[str]:
+        """Return the names of all upstreams."""
+        return [f"engine-{n}" for n in range(self.engines)] + [
+            f"service-{n}" for n in range(self.services)
+        ]
+
+    def _reach(self, name: str) -> Address:
+        return self.detours.get(name, self.addresses[name])
+
+    def start_all(self) -> None:
+        """Start every process."""
+        for number in range(self.entries):
+            self.start(f"entry-{number}")
+        for name in self.upstream_names:
+            self.start(name)
+            self.start(f"{name}-agent")
+
+    def start(self, name: str) -> None:
+        """Start one process, with the command it had before if it is a restart."""
+        command = self.commands.setdefault(name, self._command(name))
+        environment = os.environ | {"PYTHONPATH": str(SOURCE)}
+        with (self.folder / f"{name}.log").open("ab") as output:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", *command], env=environment, stdout=output, stderr=output
+            )
+
+    def _command(self, name: str) -> list[str]:
+        kind, _, number = name.rpartition("-")
+        if name.endswith("-agent"):
+            return self._agent(name.removesuffix("-agent"))
+        if kind == "entry":
+            return self._entry(int(number))
+        fake = f"lycheefall._fakes.{kind}"
+        flags = ["--listen", self.addresses[name], *self.fake_flags.get(name, [])]
+        if kind == "service":
+            flags += ["--executions-file", str(self.folder / f"{name}.executions")]
+        return [fake, *flags]
+
+    def _entry(self, number: int) -> list[str]:
+        flags = ["lycheefall", "entry", "--instance", f"entry-{number}"]
+        flags += ["--data-centre", f"dc-{number % 3}", "--control", self.control]
+        flags += ["--listen", self.addresses[f"entry-{number}"]]
+        flags += ["--announce-listen", self.addresses[f"announce-{number}"], "--drain-s", "20"]
+        if number >= self.replicas:
+            return flags
+        flags += ["--with-control", "--control-listen", self.addresses[f"client-{number}"]]
+        flags += ["--peer-listen", self.addresses[f"peer-{number}"], "--voters", self.voters]
+        return [*flags, "--data-folder", str(self.folder / f"data-{number}")]
+
+    @property
+    def voters(self) -> str:
+        """Return the initial voters as a flag's value."""
+        return ",".join(
+            f"entry-{n}={self.addresses[f'peer-{n}']}/{self.addresses[f'client-{n}']}"
+            for n in range(self.replicas)
+        )
+
+    def _agent(self, upstream: str) -> list[str]:
+        kind, _, number = upstream.rpartition("-")
+        pool = {"engine": "assistant-pool", "service": "counter-app"}[kind]
+        flags = ["lycheefall", "agent", "--instance", f"host-{upstream}"]
+        flags += ["--data-centre", f"dc-{int(number) % 3}", "--upstream", upstream]
+        flags += ["--pool", pool, "--kind", kind, "--control", self.control]
+        flags += ["--upstream-address", self.addresses[upstream]]
+        return [*flags, "--listen", self.addresses[f"{kind}-agent-{number}"]]
+
+    def apply(self, text: str) -> subprocess.CompletedProcess[str]:
+        """Apply a configuration file with the command line."""
+        file = self.folder / "configuration.toml"
+        file.write_text(text)
+        return self.command("apply", str(file), "--control", self.control)
+
+    def command(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run a subcommand to its end."""
+        return subprocess.run(
+            [sys.executable, "-m", "lycheefall", *arguments],
+            env=os.environ | {"PYTHONPATH": str(SOURCE)},
+            capture_output=True,
+            text=True,
+            timeout=START_TIMEOUT_S,
+            check=False,
+        )
+
+    def url(self, entry: int, path: str) -> str:
+        """Return the URL of a path at an entry."""
+        return f"http://{self.addresses[f'entry-{entry}']}{path}"
+
+    def executions(self) -> list[str]:
+        """Return the lines that the fake services wrote, one for each execution."""
+        files = [self.folder / f"service-{n}.executions" for n in range(self.services)]
+        return [line for file in files if file.exists() for line in file.read_text().splitlines()]
+
+    def kill(self, name: str) -> None:
+        """End a process with SIGKILL."""
+        process = self.processes.pop(name)
+        process.kill()
+        process.wait()
+
+    def terminate(self, name: str) -> subprocess.Popen[bytes]:
+        """Ask a process to shut down and return it."""
+        process = self.processes.pop(name)
+        process.send_signal(signal.SIGTERM)
+        return process
+
+    def pause(self, name: str) -> None:
+        """Stop a process without ending it."""
+        self.processes[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let a stopped process continue."""
+        self.processes[name].send_signal(signal.SIGCONT)
+
+    def close(self) -> None:
+        """End all processes."""
+        for name in list(self.processes):
+            self.kill(name)
+
+    async def ready(self, session: aiohttp.ClientSession) -> None:
+        """Wait until every entry answers and routes to every pool."""
+        async with asyncio.timeout(START_TIMEOUT_S):
+            for number in range(self.entries):
+                while not await self._serves(session, number):
+                    await asyncio.sleep(POLL_S)
+
+    async def _serves(self, session: aiohttp.ClientSession, number: int) -> bool:
+        headers = {"X-Lycheefall-Team": "team-0"}
+        body = {"model": "m", "messages": [{"role": "user", "content": "ready?"}], "max_tokens": 1}
+        try:
+            chat = self.url(number, "/v1/chat/completions")
+            async with session.post(chat, json=body, headers=headers) as response:
+                served = response.status == 200
+            lookup = self.url(number, "/v1/services/counter/balances/0")
+            async with session.get(lookup, headers=headers) as response:
+                return served and response.status == 200
+        except aiohttp.ClientError:
+            return False
--- a/tests/processes/scaffold.py
+++ b/tests/processes/scaffold.py
@@ -303,5 +303,5 @@
 async def eventually(check: Callable[[], bool], timeout_s: float) -> None:
     """Wait until a condition holds."""
     async with asyncio.timeout(timeout_s):
-        while not check():  # noqa: ASYNC110 - the condition is about other processes
+        while not check():
             await asyncio.sleep(POLL_S)
