Add the booking flow of an entry and the agent's check of attempts

Cause: a claim alone doesn't keep a booking from running twice; the entry may move it only on a proof, and the agent has to give that proof and keep to it.

Resolve gets the incarnation that the attempt was meant for: without it a restarted agent answers RELEASED for an attempt that the process before it may have run; now it answers UNSEEN, and the outcome is unknown. A refusal that repeats a started attempt is no proof. A not-run answer after a claim is given only once control has committed that the claim was given up.

A copy of a Dispatch that outlives the agent's process isn't modelled, because a connection delivers each message at most once.

--- a/src/lycheefall/_core/messages/dispatch.py
+++ b/src/lycheefall/_core/messages/dispatch.py
@@ -68,6 +68,8 @@
     request: RequestId
     attempt: AttemptNumber
     claim: ClaimToken | None = None
+    # The agent that the attempt was meant for; another one answers UNSEEN and releases nothing.
+    incarnation: Incarnation = Incarnation("")
 
 
 class Ping(Struct, frozen=True, array_like=True, tag=5):
--- /dev/null
+++ b/src/lycheefall/_rules/attempts.py
@@ -0,0 +1,189 @@
+"""An agent's check: which attempts may start in this incarnation.
+
+A claim token runs at most once within its key's retention. The agent keeps the highest attempt
+that it saw under each key for the retention, the allowance for keys that are ahead of control's
+clock and a margin, counted from the last change; lower attempts count as released, because
+control numbers an attempt only after the one before it was released. Once the record is dropped,
+control refuses the key, so no new attempt exists, and a Dispatch of an old one would have to be
+delayed for longer than the retention on a connection that is closed after a second of silence.
+Attempts of an earlier incarnation are refused by the incarnation alone.
+"""
+
+from typing import TypeVar
+
+from msgspec import Struct, field
+
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.enums import AttemptState
+from lycheefall._core.ids import AttemptNumber, IdempotencyKey, Incarnation, RequestId
+from lycheefall._core.messages.dispatch import Dispatch, Finished, Refused, Resolve, Resolved
+
+K = TypeVar("K")
+
+FUTURE_ALLOWANCE_S = 60.0
+CLOCK_MARGIN_S = 3_600.0
+# A request without a claim may run again, so its record only has to outlive late messages.
+PLAIN_RETENTION_S = 120.0
+
+
+class SetDraining(Struct, frozen=True):
+    """Begin or end the refusal of new work."""
+
+    draining: bool
+
+
+class SetKeyRetention(Struct, frozen=True):
+    """Set how long control keeps a key."""
+
+    key_retention_s: float
+
+
+class Run(Struct, frozen=True):
+    """Start an attempt and end it at the deadline."""
+
+    dispatch: Dispatch
+    deadline_s: float
+
+
+Message = Dispatch | Resolve | Finished | SetDraining | SetKeyRetention
+Effect = Run | Refused | Resolved
+
+
+class Seen(Struct):
+    """The highest attempt seen under a key, or one attempt of a request."""
+
+    attempt: AttemptNumber
+    state: AttemptState
+    changed_s: float
+
+
+class AttemptsState(Struct):
+    """Attempts of this incarnation; plain and claimed are in order of the last change."""
+
+    incarnation: Incarnation
+    key_retention_s: float = 86_400.0
+    draining: bool = False
+    plain: dict[tuple[RequestId, AttemptNumber], Seen] = field(default_factory=dict)
+    claimed: dict[IdempotencyKey, Seen] = field(default_factory=dict)
+    # Key of each running attempt of a claim.
+    running: dict[tuple[RequestId, AttemptNumber], IdempotencyKey] = field(default_factory=dict)
+
+
+def initial(incarnation: Incarnation, key_retention_s: float) -> AttemptsState:
+    """Return the state of a new incarnation."""
+    return AttemptsState(incarnation, key_retention_s)
+
+
+def step(
+    state: AttemptsState, message: Message, now_s: float
+) -> tuple[AttemptsState, list[Effect]]:
+    """Decide on one message."""
+    _expire(state, now_s)
+    match message:
+        case Dispatch():
+            return state, [_dispatch(state, message, now_s)]
+        case Resolve():
+            return state, [_resolve(state, message, now_s)]
+        case Finished():
+            _finish(state, message, now_s)
+        case SetDraining():
+            state.draining = message.draining
+        case SetKeyRetention():
+            state.key_retention_s = message.key_retention_s
+    return state, []
+
+
+def _dispatch(state: AttemptsState, dispatch: Dispatch, now_s: float) -> Run | Refused:
+    if dispatch.incarnation != state.incarnation:
+        return Refused(dispatch.request, dispatch.attempt, ResultCode.WRONG_INCARNATION)
+    known = _known(state, dispatch)
+    if known is not AttemptState.UNSEEN:
+        return Refused(dispatch.request, dispatch.attempt, _REPEATED[known])
+    code = _refused_code(state, dispatch)
+    if code is not None:
+        # The refusal is a proof that the attempt won't start, so a second copy must not start.
+        _note(state, dispatch, AttemptState.RELEASED, now_s)
+        return Refused(dispatch.request, dispatch.attempt, code)
+    _note(state, dispatch, AttemptState.STARTED, now_s)
+    if dispatch.claim is not None:
+        state.running[dispatch.request, dispatch.attempt] = dispatch.claim.key
+    return Run(dispatch, now_s + dispatch.remaining_s)
+
+
+_REPEATED = {
+    AttemptState.RELEASED: ResultCode.ATTEMPT_RELEASED,
+    AttemptState.STARTED: ResultCode.DUPLICATE_ATTEMPT,
+    AttemptState.FINISHED: ResultCode.DUPLICATE_ATTEMPT,
+}
+
+
+def _refused_code(state: AttemptsState, dispatch: Dispatch) -> ResultCode | None:
+    if dispatch.remaining_s <= 0:
+        return ResultCode.EXPIRED_BEFORE_START
+    if state.draining:
+        return ResultCode.UPSTREAM_DRAINING
+    return None
+
+
+def _resolve(state: AttemptsState, resolve: Resolve, now_s: float) -> Resolved:
+    if resolve.incarnation != state.incarnation:
+        return Resolved(resolve.request, resolve.attempt, AttemptState.UNSEEN)
+    known = _known(state, resolve)
+    if known is AttemptState.UNSEEN:
+        known = AttemptState.RELEASED
+        _note(state, resolve, known, now_s)
+    return Resolved(resolve.request, resolve.attempt, known)
+
+
+def _known(state: AttemptsState, message: Dispatch | Resolve) -> AttemptState:
+    if message.claim is None:
+        seen = state.plain.get((message.request, message.attempt))
+        return seen.state if seen else AttemptState.UNSEEN
+    seen = state.claimed.get(message.claim.key)
+    if seen is None or seen.attempt < message.claim.attempt:
+        return AttemptState.UNSEEN
+    if seen.attempt > message.claim.attempt:
+        return AttemptState.RELEASED
+    return seen.state
+
+
+def _note(
+    state: AttemptsState, message: Dispatch | Resolve, known: AttemptState, now_s: float
+) -> None:
+    if message.claim is None:
+        request = (message.request, message.attempt)
+        state.plain.pop(request, None)
+        state.plain[request] = Seen(message.attempt, known, now_s)
+    else:
+        state.claimed.pop(message.claim.key, None)
+        state.claimed[message.claim.key] = Seen(message.claim.attempt, known, now_s)
+
+
+def _finish(state: AttemptsState, finished: Finished, now_s: float) -> None:
+    request = (finished.request, finished.attempt)
+    key = state.running.pop(request, None)
+    if key is not None:
+        seen = state.claimed.pop(key)
+        state.claimed[key] = Seen(seen.attempt, AttemptState.FINISHED, now_s)
+    elif request in state.plain:
+        del state.plain[request]
+        state.plain[request] = Seen(finished.attempt, AttemptState.FINISHED, now_s)
+
+
+def _expire(state: AttemptsState, now_s: float) -> None:
+    retention_s = state.key_retention_s + FUTURE_ALLOWANCE_S + CLOCK_MARGIN_S
+    _drop_before(state.claimed, now_s - retention_s, now_s)
+    _drop_before(state.plain, now_s - PLAIN_RETENTION_S, now_s)
+
+
+def _drop_before(seen: dict[K, Seen], limit_s: float, now_s: float) -> None:
+    while seen:
+        key = next(iter(seen))
+        oldest = seen[key]
+        if oldest.changed_s >= limit_s:
+            return
+        del seen[key]
+        if oldest.state is AttemptState.STARTED:
+            # A running attempt is kept until it has finished.
+            oldest.changed_s = now_s
+            seen[key] = oldest
--- /dev/null
+++ b/src/lycheefall/_rules/claim_flow.py
@@ -0,0 +1,371 @@
+"""What an entry does with a booking, from its claim to its answer.
+
+An attempt is dispatched only after its claim is committed, and the claim moves to another
+upstream only after the agent proved that the attempt did not start. A "not run" answer after a
+claim is given only once control has committed that the claim was given up at an attempt that is
+proved not to have run, so that it also holds against other entries under the same key.
+"""
+
+from enum import Enum
+
+from msgspec import Struct
+
+from lycheefall._core.codes import ResultCode, run_state
+from lycheefall._core.enums import AttemptState, ClaimState, RunState
+from lycheefall._core.ids import AttemptNumber, IdempotencyKey, TeamId, UpstreamId
+from lycheefall._core.messages.control import (
+    Claim,
+    ClaimResult,
+    Reassign,
+    RecordedAnswer,
+    RecordOutcome,
+)
+from lycheefall._core.messages.dispatch import ClaimToken, Finished, Refused, Resolve, Resolved
+from lycheefall._rules.booking_messages import (
+    Answer,
+    Booking,
+    CommandReplied,
+    Effect,
+    Ended,
+    LinkLost,
+    Message,
+    Picked,
+    PickUpstream,
+    SendCommand,
+    SendDispatch,
+    SendResolve,
+    Target,
+    Wake,
+)
+from lycheefall._rules.replicated.claims import NO_ATTEMPT, NO_HOLDER, NO_UPSTREAM
+
+POLL_PERIOD_S = 0.1
+# A holder that is alive may have ended its flow, so the agent is asked after this time.
+TAKEOVER_AFTER_S = 0.5
+# After its answer a flow waits this long for an outcome to record.
+RECORD_GRACE_S = 30.0
+
+
+class Stage(Enum):
+    """What a flow waits for."""
+
+    CLAIMING = "claiming"
+    RUNNING = "running"
+    JOINED = "joined"
+    PICKING = "picking"
+    REASSIGNING = "reassigning"
+    GIVING_UP = "giving-up"
+    RECORDING = "recording"
+    ENDED = "ended"
+
+
+class Flow(Struct):
+    """State of one booking at one entry."""
+
+    booking: Booking
+    first: Target
+    stage: Stage = Stage.CLAIMING
+    held: ClaimResult | None = None
+    sequence: int = 0
+    awaits_reply: bool = False
+    dispatched: AttemptNumber = NO_ATTEMPT
+    tried: tuple[UpstreamId, ...] = ()
+    link_lost: bool = False
+    poll_at_s: float = 0.0
+    resolve_at_s: float = 0.0
+    outcome: RecordedAnswer | None = None
+    final: Answer = Answer(ResultCode.OUTCOME_UNKNOWN)
+    answered: bool = False
+
+
+def claim_token(team: TeamId, key: IdempotencyKey, attempt: AttemptNumber) -> ClaimToken:
+    """Return the token of an attempt; its key includes the team, whose keys are its own."""
+    return ClaimToken(IdempotencyKey(f"{len(team)}:{team}:{key}"), attempt)
+
+
+def start(booking: Booking, target: Target) -> tuple[Flow, list[Effect]]:
+    """Begin with a claim for the chosen upstream."""
+    flow = Flow(booking, target)
+    return flow, [_send_claim(flow)]
+
+
+def step(flow: Flow, message: Message, now_s: float) -> tuple[Flow, list[Effect]]:
+    """Advance a booking by one message."""
+    if flow.stage is Stage.ENDED:
+        return flow, []
+    match message:
+        case CommandReplied():
+            return flow, _on_reply(flow, message, now_s)
+        case Picked():
+            return flow, _on_picked(flow, message, now_s)
+        case Refused():
+            return flow, _on_refused(flow, message, now_s)
+        case Finished():
+            return flow, _on_finished(flow, message)
+        case Resolved():
+            return flow, _on_resolved(flow, message, now_s)
+        case LinkLost():
+            return flow, _on_link_lost(flow, message)
+        case Wake():
+            return flow, _on_wake(flow, message, now_s)
+    return flow, []
+
+
+def _on_reply(flow: Flow, reply: CommandReplied, now_s: float) -> list[Effect]:
+    if reply.sequence != flow.sequence or not flow.awaits_reply:
+        return []
+    flow.awaits_reply = False
+    result = reply.result if isinstance(reply.result, ClaimResult) else None
+    match flow.stage:
+        case Stage.RECORDING:
+            return _recorded(flow, result, now_s)
+        case Stage.GIVING_UP if result is not None and result.code is ResultCode.OK:
+            return _conclude(flow, flow.final)
+        case Stage.CLAIMING if result is None:
+            # Even a refusal by control says nothing about an earlier try under the same key.
+            return _conclude(flow, Answer(ResultCode.CLAIM_UNCONFIRMED))
+    if result is None:
+        return _join(flow, now_s)
+    if result.code is ResultCode.OK:
+        return _granted(flow, result, now_s)
+    return _follow(flow, result, now_s)
+
+
+def _granted(flow: Flow, result: ClaimResult, now_s: float) -> list[Effect]:
+    flow.held = result
+    if flow.answered or now_s >= flow.booking.deadline_s:
+        return _give_up(flow, ResultCode.EXPIRED_BEFORE_START)
+    flow.stage = Stage.RUNNING
+    flow.dispatched = result.attempt
+    flow.link_lost = False
+    flow.tried = (*flow.tried, result.upstream)
+    target = Target(result.upstream, result.upstream_incarnation)
+    return [SendDispatch(target, result.attempt, _token(flow, result.attempt))]
+
+
+def _follow(flow: Flow, result: ClaimResult, now_s: float) -> list[Effect]:
+    """Act on the state of a claim that wasn't granted to this flow."""
+    if result.attempt == NO_ATTEMPT:
+        # A claim that was seen before and is gone has expired, and may have run.
+        refused = flow.held is None
+        return _conclude(flow, Answer(result.code if refused else ResultCode.OUTCOME_UNKNOWN))
+    if result.state is ClaimState.ANSWERED:
+        return _conclude(flow, Answer(ResultCode.REPLAYED, result.answer))
+    if result.state is ClaimState.UNKNOWN_OUTCOME:
+        return _conclude(flow, Answer(ResultCode.OUTCOME_UNKNOWN))
+    is_new = flow.held is None or flow.held.attempt != result.attempt
+    flow.held = result
+    if result.upstream == NO_UPSTREAM:
+        return _released(flow, now_s)
+    if is_new:
+        flow.resolve_at_s = now_s + TAKEOVER_AFTER_S
+    return _join(flow, now_s)
+
+
+def _join(flow: Flow, now_s: float) -> list[Effect]:
+    if flow.stage is not Stage.JOINED:
+        flow.resolve_at_s = now_s + TAKEOVER_AFTER_S
+    flow.stage = Stage.JOINED
+    flow.poll_at_s = now_s + POLL_PERIOD_S
+    return _end(flow) if flow.answered else []
+
+
+def _on_picked(flow: Flow, picked: Picked, now_s: float) -> list[Effect]:
+    if flow.stage is not Stage.PICKING or flow.held is None:
+        return []
+    if picked.target is None:
+        return _give_up(flow, picked.code)
+    if flow.answered or now_s >= flow.booking.deadline_s:
+        return _give_up(flow, ResultCode.EXPIRED_BEFORE_START)
+    flow.stage = Stage.REASSIGNING
+    return [_send_reassign(flow, flow.held, picked.target)]
+
+
+def _on_refused(flow: Flow, refused: Refused, now_s: float) -> list[Effect]:
+    if not _is_own_attempt(flow, refused) or flow.stage is not Stage.RUNNING:
+        return []
+    if refused.code is ResultCode.DUPLICATE_ATTEMPT:
+        # The refused copy is the second one; the first one started.
+        return []
+    return _released(flow, now_s)
+
+
+def _released(flow: Flow, now_s: float) -> list[Effect]:
+    """Look for another upstream after a proof that the held attempt won't run."""
+    if flow.answered or now_s >= flow.booking.deadline_s:
+        return _give_up(flow, ResultCode.EXPIRED_BEFORE_START)
+    flow.stage = Stage.PICKING
+    return [PickUpstream(flow.tried)]
+
+
+def _give_up(flow: Flow, code: ResultCode) -> list[Effect]:
+    if flow.held is None:
+        return _conclude(flow, Answer(ResultCode.OUTCOME_UNKNOWN))
+    if run_state(code) is not RunState.NOT_RUN:
+        code = ResultCode.NO_UPSTREAM
+    flow.stage = Stage.GIVING_UP
+    flow.final = Answer(code)
+    return [_send_reassign(flow, flow.held, Target(NO_UPSTREAM, NO_HOLDER))]
+
+
+def _on_finished(flow: Flow, finished: Finished) -> list[Effect]:
+    if not _is_own_attempt(flow, finished):
+        return []
+    records_unknown = flow.stage is Stage.RECORDING and flow.outcome is None
+    if flow.stage is not Stage.RUNNING and not records_unknown:
+        return []
+    state = run_state(finished.code)
+    if state is RunState.RAN:
+        answer = RecordedAnswer(
+            finished.code, finished.status, finished.content_type, finished.body
+        )
+        return _record(flow, answer, Answer(finished.code, answer))
+    code = finished.code if state is RunState.UNKNOWN else ResultCode.OUTCOME_UNKNOWN
+    return _record(flow, None, Answer(code))
+
+
+def _record(flow: Flow, outcome: RecordedAnswer | None, final: Answer) -> list[Effect]:
+    flow.stage = Stage.RECORDING
+    flow.outcome = outcome
+    flow.final = final
+    return _send_outcome(flow)
+
+
+def _send_outcome(flow: Flow) -> list[Effect]:
+    if flow.held is None:
+        return []
+    booking = flow.booking
+    return [_send(flow, RecordOutcome(booking.key, booking.team, flow.held.attempt, flow.outcome))]
+
+
+def _recorded(flow: Flow, result: ClaimResult | None, now_s: float) -> list[Effect]:
+    if result is None and flow.outcome is not None:
+        # The outcome is known, so the caller gets it; the record is tried again at a later Wake.
+        return _answer(flow, flow.final)
+    if result is None or result.code is ResultCode.OK or flow.outcome is not None:
+        return _conclude(flow, flow.final)
+    return _follow(flow, result, now_s)
+
+
+def _on_resolved(flow: Flow, resolved: Resolved, now_s: float) -> list[Effect]:
+    held = flow.held
+    if held is None or flow.stage not in (Stage.RUNNING, Stage.JOINED):
+        return []
+    if resolved.request != flow.booking.request or resolved.attempt != held.attempt:
+        return []
+    if resolved.state is AttemptState.RELEASED:
+        flow.awaits_reply = False
+        return _released(flow, now_s)
+    if resolved.state is AttemptState.UNSEEN:
+        # The agent has a new incarnation, and the earlier one may have started the attempt.
+        return _record(flow, None, Answer(ResultCode.OUTCOME_UNKNOWN))
+    flow.link_lost = False
+    flow.resolve_at_s = now_s + TAKEOVER_AFTER_S
+    return []
+
+
+def _on_link_lost(flow: Flow, lost: LinkLost) -> list[Effect]:
+    if flow.stage is not Stage.RUNNING or flow.held is None or flow.held.upstream != lost.upstream:
+        return []
+    flow.link_lost = True
+    return [_send_resolve(flow, flow.held)]
+
+
+def _on_wake(flow: Flow, wake: Wake, now_s: float) -> list[Effect]:
+    if now_s >= flow.booking.deadline_s + RECORD_GRACE_S:
+        return _conclude(flow, Answer(ResultCode.OUTCOME_UNKNOWN))
+    effects: list[Effect] = []
+    if now_s >= flow.booking.deadline_s and not flow.answered:
+        effects = _answer(flow, _answer_at_deadline(flow))
+    match flow.stage:
+        case Stage.JOINED:
+            return effects + (_end(flow) if flow.answered else _wait(flow, wake, now_s))
+        case Stage.RUNNING if flow.link_lost and flow.held is not None:
+            return [*effects, _send_resolve(flow, flow.held)]
+        case Stage.RECORDING if not flow.awaits_reply:
+            return effects + _send_outcome(flow)
+    return effects
+
+
+def _answer_at_deadline(flow: Flow) -> Answer:
+    if flow.stage is Stage.CLAIMING:
+        return Answer(ResultCode.CLAIM_UNCONFIRMED)
+    if flow.stage is Stage.RECORDING:
+        return flow.final
+    return Answer(ResultCode.OUTCOME_UNKNOWN)
+
+
+def _wait(flow: Flow, wake: Wake, now_s: float) -> list[Effect]:
+    """Poll a claim that is held elsewhere, and ask its agent once the holder seems gone."""
+    effects: list[Effect] = []
+    if now_s >= flow.poll_at_s and not flow.awaits_reply:
+        effects.append(_send_claim(flow))
+    if flow.held is not None and flow.held.upstream != NO_UPSTREAM:
+        is_due = now_s >= flow.resolve_at_s or flow.held.holder not in wake.entries
+        if is_due:
+            effects.append(_send_resolve(flow, flow.held))
+    return effects
+
+
+def _is_own_attempt(flow: Flow, message: Refused | Finished) -> bool:
+    return message.request == flow.booking.request and message.attempt == flow.dispatched
+
+
+def _conclude(flow: Flow, answer: Answer) -> list[Effect]:
+    return _answer(flow, answer) + _end(flow)
+
+
+def _answer(flow: Flow, answer: Answer) -> list[Effect]:
+    if flow.answered:
+        return []
+    flow.answered = True
+    return [answer]
+
+
+def _end(flow: Flow) -> list[Effect]:
+    flow.stage = Stage.ENDED
+    return [Ended()]
+
+
+def _send(flow: Flow, command: Claim | Reassign | RecordOutcome) -> SendCommand:
+    flow.sequence += 1
+    flow.awaits_reply = True
+    return SendCommand(flow.sequence, command)
+
+
+def _send_claim(flow: Flow) -> SendCommand:
+    booking = flow.booking
+    claim = Claim(
+        key=booking.key,
+        team=booking.team,
+        request_digest=booking.request_digest,
+        key_time_ms=booking.key_time_ms,
+        holder=booking.holder,
+        upstream=flow.first.upstream,
+        upstream_incarnation=flow.first.incarnation,
+    )
+    return _send(flow, claim)
+
+
+def _send_reassign(flow: Flow, held: ClaimResult, target: Target) -> SendCommand:
+    booking = flow.booking
+    is_given_up = target.upstream == NO_UPSTREAM
+    reassign = Reassign(
+        key=booking.key,
+        team=booking.team,
+        attempt=held.attempt,
+        holder=NO_HOLDER if is_given_up else booking.holder,
+        upstream=target.upstream,
+        upstream_incarnation=target.incarnation,
+    )
+    return _send(flow, reassign)
+
+
+def _send_resolve(flow: Flow, held: ClaimResult) -> SendResolve:
+    token = _token(flow, held.attempt)
+    resolve = Resolve(flow.booking.request, held.attempt, token, held.upstream_incarnation)
+    return SendResolve(held.upstream, resolve)
+
+
+def _token(flow: Flow, attempt: AttemptNumber) -> ClaimToken:
+    return claim_token(flow.booking.team, flow.booking.key, attempt)
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,99 @@
+"""Tests of the agent's check; test_claim_flow.py has its state machine, with the entries."""
+
+from typing import Any
+
+import pytest
+
+from lycheefall._core.codes import ResultCode as Code
+from lycheefall._core.enums import AttemptState, RouteKind
+from lycheefall._core.messages.dispatch import ClaimToken, Dispatch, Finished, Resolve
+from lycheefall._rules import attempts
+
+DAY_S = 86_400.0
+
+
+def dispatch(attempt: int = 1, key: str | None = "k", **changes: Any) -> Any:
+    fields: dict[str, Any] = {
+        "request": "r",
+        "attempt": attempt,
+        "incarnation": "i",
+        "remaining_s": 5.0,
+        "kind": RouteKind.BOOKING,
+        "method": "POST",
+        "path": "/",
+        "content_type": "",
+        "body": b"",
+        "priority": "p",
+        "rank": 0,
+        "fingerprint": "f",
+        "claim": ClaimToken(key, attempt) if key else None,  # type: ignore[arg-type]
+    }
+    return Dispatch(**fields | changes)
+
+
+def outcome(state: Any, message: Any, now_s: float = 0.0) -> Any:
+    effect = attempts.step(state, message, now_s)[1][0]
+    return "run" if isinstance(effect, attempts.Run) else getattr(effect, "code", None)
+
+
+class TestDispatch:
+    @pytest.mark.parametrize(
+        ("changes", "draining", "code"),
+        [
+            ({"incarnation": "old"}, False, Code.WRONG_INCARNATION),
+            ({"remaining_s": 0.0}, False, Code.EXPIRED_BEFORE_START),
+            ({}, True, Code.UPSTREAM_DRAINING),
+            ({}, False, "run"),
+        ],
+    )
+    def test_first(self, changes: Any, draining: bool, code: Any) -> None:
+        """Guards against work that starts late, on the wrong process or while draining."""
+        state = attempts.initial("i", DAY_S)  # type: ignore[arg-type]
+        state.draining = draining
+        assert outcome(state, dispatch(**changes)) == code
+
+    @pytest.mark.parametrize("key", ["k", None])
+    def test_repeated(self, key: str | None) -> None:
+        """Guards against a second copy that starts, or that reads as a proof of not running."""
+        state = attempts.initial("i", DAY_S)  # type: ignore[arg-type]
+        assert outcome(state, dispatch(key=key)) == "run"
+        assert outcome(state, dispatch(key=key)) is Code.DUPLICATE_ATTEMPT
+        attempts.step(state, Finished("r", 1, Code.OK), 0.0)  # type: ignore[arg-type]
+        state.draining = True
+        assert outcome(state, dispatch(key=key)) is Code.DUPLICATE_ATTEMPT
+
+    def test_refused_copy_stays_refused(self) -> None:
+        """Guards against a copy that starts after the drain ended, once the entry moved on."""
+        state = attempts.initial("i", DAY_S)  # type: ignore[arg-type]
+        state.draining = True
+        outcome(state, dispatch())
+        state.draining = False
+        assert outcome(state, dispatch()) is Code.ATTEMPT_RELEASED
+
+    def test_lower_attempt(self) -> None:
+        """Guards against a late attempt that starts after its claim moved on and came back."""
+        state = attempts.initial("i", DAY_S)  # type: ignore[arg-type]
+        assert outcome(state, dispatch(3)) == "run"
+        assert outcome(state, dispatch(1, request="other")) is Code.ATTEMPT_RELEASED
+
+
+class TestResolve:
+    def test_other_incarnation(self) -> None:
+        """Guards against a new process that vouches for attempts of the one before it."""
+        state = attempts.initial("i", DAY_S)  # type: ignore[arg-type]
+        resolve = Resolve("r", 1, None, "old")  # type: ignore[arg-type]
+        assert attempts.step(state, resolve, 0.0)[1][0].state is AttemptState.UNSEEN  # type: ignore[union-attr]
+
+
+class TestRetention:
+    def test_bounded(self) -> None:
+        """Guards against memory that grows for ever, and against forgetting within a retention."""
+        state = attempts.initial("i", DAY_S)  # type: ignore[arg-type]
+        resolve = Resolve("r", 1, ClaimToken("k", 1), "i")  # type: ignore[arg-type]
+        attempts.step(state, resolve, 0.0)
+        outcome(state, dispatch(key="running"))
+        outcome(state, dispatch(key=None))
+        assert outcome(state, dispatch(), DAY_S + 60.0) is Code.ATTEMPT_RELEASED
+        attempts.step(state, attempts.SetDraining(False), 2 * DAY_S)
+        assert list(state.claimed) == ["running"]
+        assert len(state.plain) == 1
