--- a/src/lycheefall/_rules/claim_flow.py
+++ b/src/lycheefall/_rules/claim_flow.py
@@ -300,7 +300,7 @@
     effects: list[Effect] = []
     if now_s >= flow.poll_at_s and not flow.awaits_reply:
         effects.append(_send_claim(flow))
-    if flow.held is not None:
+    if flow.held is not None and flow.held.upstream != NO_UPSTREAM:
         is_due = now_s >= flow.resolve_at_s or flow.held.holder not in wake.entries
         if is_due:
             effects.append(_send_resolve(flow, flow.held))
