Run bookings through claims before they are dispatched

Cause: bookings were refused, since nothing kept a retry through another entry from running an operation twice.

Change: the entry joins tries of one key (_rules/joins.py), claims the operation in the log before the dispatch (_rules/bookings.py runs the flows) and dispatches the committed attempt; the agent checks each attempt (_rules/attempts.py), keeps the results of bookings and sends one again to a flow that asks after a lost connection. A refusal by the system before the claim says "unknown" for a booking, since the entry can't tell whether an earlier try ran.

After: 20 keys, each sent five times at once through all four entries, give 20 executions at the services and one answer a key, all "ran" (tests/processes/test_whole_path.py, separate processes).

--- a/src/lycheefall/_agent/check.py
+++ b/src/lycheefall/_agent/check.py
@@ -3,7 +3,7 @@
 The agent is the authority on its own drain: it refuses new work whatever an entry believes.
 """
 
-from msgspec import Struct
+from msgspec import Struct, field, structs
 
 from lycheefall._agent.messages import (
     AttemptEnded,
@@ -25,11 +25,12 @@
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.configuration import Configuration
 from lycheefall._core.enums import AttemptState, MemberState
-from lycheefall._core.ids import NO_REVISION
+from lycheefall._core.ids import NO_REVISION, IdempotencyKey
 from lycheefall._core.messages.dispatch import (
     Cancel,
     Credit,
     Dispatch,
+    Finished,
     Ping,
     Pong,
     Refused,
@@ -38,24 +39,30 @@
     Started,
 )
 from lycheefall._core.messages.membership import Load, UpstreamMember
+from lycheefall._rules import attempts
+from lycheefall._rules.attempts import AttemptsState, SetDraining, SetKeyRetention
 
 # Attempts beyond the concurrency that may wait in the upstream, as a multiple of it.
 BACKLOG_RATIO = 1.0
 # Load queries that may fail before the upstream counts as failed.
 SILENT_LOAD_QUERIES = 2
+# Results of bookings that are kept for entries that lost their connection.
+KEPT_RESULTS = 10_000
 
 
 class CheckState(Struct):
     """What the check filter knows."""
 
     member: UpstreamMember
+    attempts: AttemptsState
     revision: int = NO_REVISION
     drained_by_file: bool = False
     stopping: bool = False
     silent_queries: int = 0
     load_read_s: float = 0.0
-    running: dict[AttemptId, Dispatch] = {}
-    seen: dict[AttemptId, AttemptState] = {}
+    running: dict[AttemptId, Dispatch] = field(default_factory=dict)
+    # Results of claimed attempts, for flows that ask after a lost connection.
+    finished: dict[IdempotencyKey, Finished] = field(default_factory=dict)
     # A suspect that waits until nothing else runs.
     waiting_alone: Forward | None = None
     alone: AttemptId | None = None
@@ -67,7 +74,7 @@
         case FromEntry():
             return state, _from_entry(state, message, now_s)
         case AttemptEnded():
-            return state, _ended(state, message)
+            return state, _ended(state, message, now_s)
         case LoadRead():
             state.silent_queries = 0
             state.load_read_s = now_s
@@ -76,10 +83,11 @@
             state.silent_queries += 1
             return state, _present(state, state.member.load)
         case ConfigurationSeen():
-            _take_configuration(state, message.configuration)
+            _take_configuration(state, message.configuration, now_s)
             return state, _present(state, state.member.load)
         case DrainOrdered():
             state.stopping = True
+            _set_draining(state, now_s)
             return state, _present(state, state.member.load) + _drained(state)
         case Tick():
             return state, _start_alone(state) + _drained(state)
@@ -89,11 +97,11 @@
     message = received.message
     match message:
         case Dispatch():
-            return _dispatch(state, received.peer, message)
+            return _dispatch(state, received.peer, message, now_s)
         case Cancel() | Credit():
             return [Steer(message)]
         case Resolve():
-            return [ToPeer(received.peer, _resolve(state, message))]
+            return _resolve(state, received.peer, message, now_s)
         case Ping():
             load = state.member.load
             aged = Load(
@@ -107,32 +115,25 @@
             return [ToPeer(received.peer, pong)]
 
 
-def _dispatch(state: CheckState, peer: bytes, dispatch: Dispatch) -> list[FromCheck]:
-    attempt = AttemptId(dispatch.request, dispatch.attempt)
-    code = _refusal(state, attempt, dispatch)
+def _dispatch(state: CheckState, peer: bytes, dispatch: Dispatch, now_s: float) -> list[FromCheck]:
+    code = _refusal(state)
     if code is not ResultCode.OK:
-        return [ToPeer(peer, Refused(dispatch.request, dispatch.attempt, code))]
+        return [ToPeer(peer, _refuse(state, dispatch, code, now_s))]
+    state.attempts, (effect,) = attempts.step(state.attempts, dispatch, now_s)
+    if isinstance(effect, Refused | Resolved):
+        return [ToPeer(peer, effect)]
     forward = Forward(peer, dispatch)
     if dispatch.alone and state.running:
         state.waiting_alone = forward
         return []
-    return _start(state, attempt, forward)
+    return _start(state, forward)
 
 
-def _refusal(state: CheckState, attempt: AttemptId, dispatch: Dispatch) -> ResultCode:
-    if dispatch.incarnation != state.member.incarnation:
-        return ResultCode.WRONG_INCARNATION
-    seen = state.seen.get(attempt)
-    if seen is AttemptState.RELEASED:
-        return ResultCode.ATTEMPT_RELEASED
-    if seen is not None:
-        return ResultCode.DUPLICATE_ATTEMPT
+def _refusal(state: CheckState) -> ResultCode:
     if state.member.state is MemberState.DRAINING:
         return ResultCode.UPSTREAM_DRAINING
     if state.member.state is not MemberState.READY:
         return ResultCode.NOT_READY
-    if dispatch.remaining_s <= 0:
-        return ResultCode.EXPIRED_BEFORE_START
     if state.alone is not None or state.waiting_alone is not None:
         return ResultCode.UPSTREAM_BUSY
     if len(state.running) >= state.member.concurrency * (1 + BACKLOG_RATIO):
@@ -140,12 +141,25 @@
     return ResultCode.OK
 
 
-def _start(state: CheckState, attempt: AttemptId, forward: Forward) -> list[FromCheck]:
-    state.running[attempt] = forward.dispatch
-    state.seen[attempt] = AttemptState.STARTED
-    if forward.dispatch.alone:
+def _refuse(state: CheckState, dispatch: Dispatch, code: ResultCode, now_s: float) -> Refused:
+    """Release the attempt, so that the refusal also holds for a copy that comes later."""
+    release = Resolve(dispatch.request, dispatch.attempt, dispatch.claim, dispatch.incarnation)
+    state.attempts, (effect,) = attempts.step(state.attempts, release, now_s)
+    assert isinstance(effect, Resolved)
+    if effect.state is AttemptState.UNSEEN:
+        code = ResultCode.WRONG_INCARNATION
+    elif effect.state is not AttemptState.RELEASED:
+        code = ResultCode.DUPLICATE_ATTEMPT
+    return Refused(dispatch.request, dispatch.attempt, code)
+
+
+def _start(state: CheckState, forward: Forward) -> list[FromCheck]:
+    dispatch = forward.dispatch
+    attempt = AttemptId(dispatch.request, dispatch.attempt)
+    state.running[attempt] = dispatch
+    if dispatch.alone:
         state.alone = attempt
-    if forward.dispatch.claim is None:
+    if dispatch.claim is None:
         return [forward]
     return [ToPeer(forward.peer, Started(attempt.request, attempt.attempt)), forward]
 
@@ -155,49 +169,65 @@
     if forward is None or state.running:
         return []
     state.waiting_alone = None
-    dispatch = forward.dispatch
-    return _start(state, AttemptId(dispatch.request, dispatch.attempt), forward)
+    return _start(state, forward)
 
 
-def _ended(state: CheckState, ended: AttemptEnded) -> list[FromCheck]:
+def _ended(state: CheckState, ended: AttemptEnded, now_s: float) -> list[FromCheck]:
     result = ended.result
-    assert not isinstance(result, Pong)
+    assert isinstance(result, Finished | Refused)
     attempt = AttemptId(result.request, result.attempt)
-    state.running.pop(attempt, None)
-    state.seen[attempt] = AttemptState.FINISHED
+    dispatch = state.running.pop(attempt, None)
     if state.alone == attempt:
         state.alone = None
+    finished = _as_finished(result)
+    state.attempts, _ = attempts.step(state.attempts, finished, now_s)
+    if dispatch is not None and dispatch.claim is not None:
+        _keep(state, dispatch.claim.key, finished)
     return [ToPeer(ended.peer, result), *_start_alone(state), *_drained(state)]
 
 
-def _resolve(state: CheckState, resolve: Resolve) -> Resolved:
-    attempt = AttemptId(resolve.request, resolve.attempt)
-    known = state.seen.setdefault(attempt, AttemptState.RELEASED)
-    return Resolved(resolve.request, resolve.attempt, known)
+def _as_finished(result: Finished | Refused) -> Finished:
+    if isinstance(result, Finished):
+        return result
+    return Finished(result.request, result.attempt, result.code)
+
 
+def _keep(state: CheckState, key: IdempotencyKey, finished: Finished) -> None:
+    state.finished.pop(key, None)
+    state.finished[key] = finished
+    if len(state.finished) > KEPT_RESULTS:
+        del state.finished[next(iter(state.finished))]
 
-def _take_configuration(state: CheckState, configuration: Configuration) -> None:
+
+def _resolve(state: CheckState, peer: bytes, resolve: Resolve, now_s: float) -> list[FromCheck]:
+    state.attempts, (effect,) = attempts.step(state.attempts, resolve, now_s)
+    assert isinstance(effect, Resolved)
+    results: list[FromCheck] = [ToPeer(peer, effect)]
+    kept = state.finished.get(resolve.claim.key) if resolve.claim is not None else None
+    if effect.state is AttemptState.FINISHED and kept is not None:
+        again = structs.replace(kept, request=resolve.request, attempt=resolve.attempt)
+        results.append(ToPeer(peer, again))
+    return results
+
+
+def _take_configuration(state: CheckState, configuration: Configuration, now_s: float) -> None:
     state.revision = configuration.revision
     state.drained_by_file = any(
         pool.name == state.member.pool and state.member.upstream in pool.drain
         for pool in configuration.pools
     )
+    retention = SetKeyRetention(configuration.limits.key_retention_s)
+    state.attempts, _ = attempts.step(state.attempts, retention, now_s)
+    _set_draining(state, now_s)
+
+
+def _set_draining(state: CheckState, now_s: float) -> None:
+    draining = SetDraining(state.stopping or state.drained_by_file)
+    state.attempts, _ = attempts.step(state.attempts, draining, now_s)
 
 
 def _present(state: CheckState, load: Load) -> list[FromCheck]:
-    old = state.member
-    state.member = UpstreamMember(
-        old.upstream,
-        old.instance,
-        old.data_centre,
-        old.pool,
-        old.kind,
-        old.address,
-        old.incarnation,
-        _state_now(state),
-        old.concurrency,
-        load,
-    )
+    state.member = structs.replace(state.member, state=_state_now(state), load=load)
     return [Present(state.member)]
 
 
--- a/src/lycheefall/_agent/service.py
+++ b/src/lycheefall/_agent/service.py
@@ -25,6 +25,7 @@
 from lycheefall._agent.settings import AgentSettings
 from lycheefall._control.client import new_client, run_client
 from lycheefall._core.codes import ResultCode
+from lycheefall._core.configuration import Limits
 from lycheefall._core.enums import MemberState
 from lycheefall._core.events import Event
 from lycheefall._core.ids import Address, Incarnation
@@ -34,6 +35,7 @@
 from lycheefall._core.messages.membership import EntryMember, Member, UpstreamMember
 from lycheefall._core.pipeline import Inbox, run_owner, tick
 from lycheefall._core.process import new_incarnation, run_until
+from lycheefall._rules import attempts as attempts_rule
 from lycheefall._wire.announcer import Announcer
 from lycheefall._wire.codec import decode_to_agent, encode
 from lycheefall._wire.zmq_ends import RouterEnd
@@ -60,7 +62,10 @@
 
     attempts = Attempts(settings.upstream_address, settings.kind, send, _deliver_end(inbox))
     on_changes = _on_changes(settings, announcer, inbox)
-    state = CheckState(first_member(settings, incarnation))
+    retention_s = Limits().key_retention_s
+    state = CheckState(
+        first_member(settings, incarnation), attempts_rule.initial(incarnation, retention_s)
+    )
     log(Event.PROCESS_STARTED, role="agent", listen=settings.listen, incarnation=incarnation)
     on_ready()
     try:
--- a/src/lycheefall/_core/messages/entry.py
+++ b/src/lycheefall/_core/messages/entry.py
@@ -5,6 +5,7 @@
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.configuration import Configuration, Route
 from lycheefall._core.ids import (
+    AttemptNumber,
     Fingerprint,
     IdempotencyKey,
     Incarnation,
@@ -14,7 +15,22 @@
     TeamId,
     UpstreamId,
 )
-from lycheefall._core.messages.dispatch import ToAgent, ToEntry
+from lycheefall._core.messages.control import (
+    Claim,
+    ClaimResult,
+    Failed,
+    Reassign,
+    RecordOutcome,
+)
+from lycheefall._core.messages.dispatch import (
+    ClaimToken,
+    Finished,
+    Refused,
+    Resolved,
+    Started,
+    ToAgent,
+    ToEntry,
+)
 from lycheefall._core.messages.membership import UpstreamMember
 
 
@@ -116,10 +132,78 @@
     refused: frozenset[Fingerprint]
 
 
+class DispatchClaimed(Struct, frozen=True):
+    """Dispatch the attempt of a booking whose claim is committed."""
+
+    request: RequestId
+    upstream: UpstreamId
+    incarnation: Incarnation
+    attempt: AttemptNumber
+    token: ClaimToken
+
+
+class Repick(Struct, frozen=True):
+    """Choose another upstream for a booking."""
+
+    request: RequestId
+    tried: tuple[UpstreamId, ...]
+
+
+class BookingStarted(Struct, frozen=True):
+    """Begin the flow of a booking with the upstream that was chosen for it."""
+
+    call: CallerRequest
+    upstream: UpstreamId
+    incarnation: Incarnation
+
+
+class BookingPicked(Struct, frozen=True):
+    """Answer Repick; without an upstream, the code says why."""
+
+    request: RequestId
+    upstream: UpstreamId | None
+    incarnation: Incarnation
+    code: ResultCode
+
+
+class BookingReply(Struct, frozen=True):
+    """Pass what an agent said about a booking on to its flow."""
+
+    message: Started | Refused | Finished | Resolved
+
+
+class BookingLinkLost(Struct, frozen=True):
+    """Tell the flow of a booking that the link to an agent was lost."""
+
+    upstream: UpstreamId
+
+
+class EntriesSeen(Struct, frozen=True):
+    """Incarnations of the entries that control lists."""
+
+    incarnations: frozenset[Incarnation]
+
+
+class Proposed(Struct, frozen=True):
+    """Result of a command of a booking; None when control did not confirm it in time."""
+
+    request: RequestId
+    sequence: int
+    result: ClaimResult | Failed | None
+
+
 class Tick(Struct, frozen=True):
     """Let a filter act on time that has passed."""
 
 
+class ProposeFor(Struct, frozen=True):
+    """Propose a command of a booking to control."""
+
+    request: RequestId
+    sequence: int
+    command: Claim | Reassign | RecordOutcome
+
+
 class ToLink(Struct, frozen=True):
     """Send a message to an agent."""
 
@@ -149,6 +233,12 @@
     retry_after_s: float = 0.0
 
 
+class BookingAnswered(Struct, frozen=True):
+    """End the call of a booking; its flow may go on to record the outcome."""
+
+    end: ReplyEnd
+
+
 class CallEnded(Struct, frozen=True):
     """Tell the queue that a request it released has ended."""
 
@@ -176,7 +266,25 @@
     | ConfigurationChanged
     | FingerprintsChanged
     | FramesRead
+    | DispatchClaimed
+    | Repick
+    | ToLink
+    | BookingAnswered
     | Tick
 )
 FromQueue = Run | Abandon | ReplyEnd
-FromDispatch = ToLink | ReplyTokens | ReplyEnd | CallEnded | Capacity
+ToBooking = (
+    BookingStarted | BookingPicked | BookingReply | BookingLinkLost | EntriesSeen | Proposed | Tick
+)
+FromBooking = DispatchClaimed | Repick | ToLink | BookingAnswered | ProposeFor
+FromDispatch = (
+    ToLink
+    | ReplyTokens
+    | ReplyEnd
+    | CallEnded
+    | Capacity
+    | BookingStarted
+    | BookingPicked
+    | BookingReply
+    | BookingLinkLost
+)
--- a/src/lycheefall/_entry/accept.py
+++ b/src/lycheefall/_entry/accept.py
@@ -20,7 +20,8 @@
 from lycheefall._core.pipeline import Inbox, Latest
 from lycheefall._entry.answer import answer, refusal
 from lycheefall._entry.catalogue import Catalogue
-from lycheefall._entry.identify import CHAT_PATH, TEAM_HEADER, RawRequest, identify
+from lycheefall._entry.identify import CHAT_PATH, KEY_HEADER, TEAM_HEADER, RawRequest, identify
+from lycheefall._rules.refusals import early_code
 
 # One frame a message: the first credit of an attempt and the end of the answer fit.
 REPLY_PARTS = 320
@@ -71,7 +72,8 @@
         try:
             call = await self._identified(http, request, service, path)
         except RequestRefused as error:
-            return refusal(error.code, error.detail, request)
+            code = early_code(error.code, KEY_HEADER in http.headers)
+            return refusal(code, error.detail, request)
         return await self._answered(http, call)
 
     async def _identified(
@@ -99,7 +101,8 @@
         self.idle.clear()
         if not self._offer(Submit(call)):
             self._forget(call.request)
-            return refusal(ResultCode.OVERLOADED, "the entry is overloaded", call.request, 1.0)
+            code = early_code(ResultCode.OVERLOADED, call.operation is not None)
+            return refusal(code, "the entry is overloaded", call.request, 1.0)
         whole = False
 
         def taken(frames: int) -> None:
--- a/src/lycheefall/_entry/service.py
+++ b/src/lycheefall/_entry/service.py
@@ -11,24 +11,32 @@
 from lycheefall._core.configuration import Configuration
 from lycheefall._core.enums import MemberState
 from lycheefall._core.events import Event
-from lycheefall._core.exceptions import PortInUse
+from lycheefall._core.exceptions import ControlUnavailable, PortInUse
 from lycheefall._core.ids import Address, InstanceId, TeamId
 from lycheefall._core.log import log, warn
-from lycheefall._core.messages.control import Changes
+from lycheefall._core.messages.control import Changes, ClaimResult, Failed
 from lycheefall._core.messages.entry import (
     Abandon,
+    BookingLinkLost,
+    BookingPicked,
+    BookingReply,
+    BookingStarted,
     CallEnded,
     CallerRequest,
     Capacity,
     ConfigurationChanged,
+    EntriesSeen,
     FramesRead,
+    FromBooking,
     FromDispatch,
     FromQueue,
+    Proposed,
+    ProposeFor,
     ReplyEnd,
     ReplyTokens,
-    Run,
     Submit,
     Tick,
+    ToBooking,
     ToDispatch,
     ToLink,
     ToQueue,
@@ -43,12 +51,18 @@
 from lycheefall._entry.queue import QueueState, step_queue
 from lycheefall._entry.settings import EntrySettings
 from lycheefall._entry.upstreams import UpstreamTable, receive_announce, step_upstreams
-from lycheefall._rules.calls import CallsState, Pick, Upstream, step_calls
+from lycheefall._rules.bookings import BookingsState, step_bookings
+from lycheefall._rules.call_state import CallsState, Pick, Upstream
+from lycheefall._rules.calls import step_calls
+from lycheefall._rules.joins import JoinsState, step_joins
+from lycheefall._rules.refusals import refuse
 from lycheefall._wire.announcer import Announcer
 from lycheefall._wire.zmq_ends import RouterEnd
 
 INBOX_MESSAGES = 50_000
 TICK_S = 0.05
+# Control has a new leader within 2 s of losing one; a proposal is repeated until then.
+PROPOSAL_TIMEOUT_S = 4.0
 
 
 class Parts:
@@ -57,10 +71,14 @@
     __slots__ = (
         "acceptor",
         "announcer",
+        "bookings",
+        "client",
         "dispatch",
         "incarnation",
+        "joins",
         "links",
         "members",
+        "proposals",
         "queue",
         "settings",
         "upstreams",
@@ -69,25 +87,41 @@
     def __init__(self, settings: EntrySettings) -> None:
         self.settings = settings
         self.incarnation = new_incarnation()
+        self.joins: Inbox[Submit | ReplyEnd] = Inbox(INBOX_MESSAGES)
         self.queue: Inbox[ToQueue] = Inbox(INBOX_MESSAGES)
         self.dispatch: Inbox[ToDispatch] = Inbox(INBOX_MESSAGES)
+        self.bookings: Inbox[ToBooking] = Inbox(INBOX_MESSAGES)
         self.upstreams: Inbox[Announce | Tick] = Inbox(INBOX_MESSAGES)
         self.links = Links(self.dispatch.offer, asyncio.get_running_loop().time)
         self.acceptor = Acceptor(settings.instance, self.incarnation, self._from_accept)
         self.announcer = Announcer()
+        self.client = new_client()
+        self.proposals: set[asyncio.Task[None]] = set()
         self.members: dict[InstanceId, EntryMember] = {}
 
     def _from_accept(self, message: Submit | Abandon | FramesRead) -> bool:
-        if isinstance(message, FramesRead):
-            return self.dispatch.offer(message)
-        return self.queue.offer(message)
+        match message:
+            case FramesRead():
+                return self.dispatch.offer(message)
+            case Abandon():
+                return self.queue.offer(message)
+            case Submit():
+                return self.joins.offer(message)
+
+    def from_joins(self, message: Submit | ReplyEnd) -> None:
+        """Pass on the first try of a booking, and the answer of each try."""
+        if isinstance(message, ReplyEnd):
+            self._answer(message)
+        elif not self.queue.offer(message):
+            refusal = refuse(message.call, ResultCode.OVERLOADED, "the queue is full", 1.0)
+            self.joins.offer(refusal)
 
     def from_queue(self, message: FromQueue) -> None:
         """Pass on what the queue filter emits."""
-        if isinstance(message, Run | Abandon):
-            self.dispatch.offer(message)
+        if isinstance(message, ReplyEnd):
+            self.joins.offer(message)
         else:
-            self._reply_end(message)
+            self.dispatch.offer(message)
 
     def from_dispatch(self, message: FromDispatch) -> None:
         """Pass on what the dispatch filter emits."""
@@ -97,10 +131,29 @@
             case ReplyTokens():
                 self.acceptor.reply(message)
             case ReplyEnd():
-                self._reply_end(message)
+                self.joins.offer(message)
+            case BookingStarted() | BookingPicked() | BookingReply() | BookingLinkLost():
+                self.bookings.offer(message)
             case CallEnded() | Capacity():
                 self.queue.offer(message)
 
+    def from_bookings(self, message: FromBooking) -> None:
+        """Pass on what the flows of bookings emit."""
+        if isinstance(message, ProposeFor):
+            task = asyncio.create_task(self._propose(message))
+            self.proposals.add(task)
+            task.add_done_callback(self.proposals.discard)
+        else:
+            self.dispatch.offer(message)
+
+    async def _propose(self, proposal: ProposeFor) -> None:
+        try:
+            result = await self.client.propose(proposal.command, PROPOSAL_TIMEOUT_S)
+        except ControlUnavailable:
+            result = None
+        assert result is None or isinstance(result, ClaimResult | Failed)
+        await self.bookings.put(Proposed(proposal.request, proposal.sequence, result))
+
     def from_upstreams(self, changed: UpstreamsChanged) -> None:
         """Open and close links, then tell the dispatch filter."""
         for member in changed.upstreams:
@@ -149,8 +202,11 @@
                 self.members[member.instance] = member
         for removed in changes.removed_entries:
             self.members.pop(removed, None)
+        self.bookings.offer(
+            EntriesSeen(frozenset(member.incarnation for member in self.members.values()))
+        )
 
-    def _reply_end(self, end: ReplyEnd) -> None:
+    def _answer(self, end: ReplyEnd) -> None:
         self.acceptor.reply(end)
         event = Event.REQUEST_REFUSED if end.code >= ResultCode.BAD_JSON else Event.REQUEST_ANSWERED
         log(
@@ -172,7 +228,6 @@
     parts.present(MemberState.STARTING)
     parts.announcer.send_to(set(settings.control))
     announcements = RouterEnd(settings.announce_listen, receive_announce(parts.upstreams.offer))
-    client = new_client()
     drained = asyncio.Event()
     runner = await _listen(settings.listen, build_application(parts.acceptor, parts.choose_entries))
     log(Event.PROCESS_STARTED, role="entry", listen=settings.listen, incarnation=parts.incarnation)
@@ -180,15 +235,23 @@
     try:
         await run_until(
             drained,
+            run_owner(parts.joins, JoinsState(), step_joins, parts.from_joins),
             run_owner(parts.queue, QueueState(), step_queue, parts.from_queue),
             run_owner(parts.dispatch, CallsState(pick_any()), step_calls, parts.from_dispatch),
+            run_owner(
+                parts.bookings,
+                BookingsState(parts.incarnation),
+                step_bookings,
+                parts.from_bookings,
+            ),
             run_owner(parts.upstreams, UpstreamTable(), step_upstreams, parts.from_upstreams),
             tick(parts.queue, Tick(), TICK_S),
             tick(parts.dispatch, Tick(), TICK_S),
+            tick(parts.bookings, Tick(), TICK_S),
             tick(parts.upstreams, Tick(), TICK_S),
             _beat(parts.links),
             parts.announcer.run(),
-            run_client(client, settings.control, parts.on_changes),
+            run_client(parts.client, settings.control, parts.on_changes),
             _drain(stop, parts, runner, drained),
         )
     finally:
--- /dev/null
+++ b/src/lycheefall/_rules/booking_calls.py
@@ -0,0 +1,89 @@
+"""Join the calls of an entry with the flows of bookings, which decide when one may run."""
+
+from msgspec import structs
+
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.ids import Incarnation
+from lycheefall._core.messages.dispatch import Refused
+from lycheefall._core.messages.entry import (
+    BookingAnswered,
+    BookingPicked,
+    BookingReply,
+    BookingStarted,
+    DispatchClaimed,
+    FromDispatch,
+    Repick,
+    ToLink,
+)
+from lycheefall._rules.call_state import (
+    NO_INCARNATION,
+    NO_UPSTREAM,
+    Call,
+    CallsState,
+    choose,
+    close,
+    leave,
+    make_dispatch,
+    occupy,
+)
+
+
+def is_booking(call: Call) -> bool:
+    """Tell whether a flow decides about the call."""
+    return call.call.operation is not None
+
+
+def start_booking(state: CallsState, call: Call, now_s: float) -> list[FromDispatch]:
+    """Choose an upstream and begin the flow; it claims the operation even without one.
+
+    An earlier try of the key may have run, so only control can tell that nothing did.
+    """
+    upstream = choose(state, call.call, (), now_s)
+    if upstream is None:
+        return [BookingStarted(call.call, NO_UPSTREAM, NO_INCARNATION)]
+    occupy(call, upstream)
+    return [BookingStarted(call.call, call.upstream, call.incarnation)]
+
+
+def dispatch_claimed(
+    state: CallsState, claimed: DispatchClaimed, now_s: float
+) -> list[FromDispatch]:
+    """Dispatch an attempt whose claim is committed."""
+    call = state.calls.get(claimed.request)
+    if call is None:
+        return [_refused(claimed)]
+    call.attempt = claimed.attempt
+    call.incarnation = claimed.incarnation
+    dispatch = structs.replace(make_dispatch(state, call, now_s), claim=claimed.token)
+    return [ToLink(claimed.upstream, dispatch)]
+
+
+def _refused(claimed: DispatchClaimed) -> BookingReply:
+    code = ResultCode.CANCELLED_BEFORE_START
+    return BookingReply(Refused(claimed.request, claimed.attempt, code))
+
+
+def repick(state: CallsState, request: Repick, now_s: float) -> BookingPicked:
+    """Choose another upstream that the flow has not tried."""
+    call = state.calls.get(request.request)
+    if call is None:
+        return _no_pick(request)
+    leave(state, call)
+    upstream = choose(state, call.call, request.tried, now_s)
+    if upstream is None or upstream.member.upstream in request.tried:
+        return _no_pick(request)
+    occupy(call, upstream)
+    return BookingPicked(request.request, call.upstream, call.incarnation, ResultCode.OK)
+
+
+def _no_pick(request: Repick) -> BookingPicked:
+    return BookingPicked(request.request, None, Incarnation(""), ResultCode.NO_UPSTREAM)
+
+
+def booking_answered(state: CallsState, answered: BookingAnswered) -> list[FromDispatch]:
+    """Answer the caller and give the slot back."""
+    call = state.calls.get(answered.end.request)
+    if call is None:
+        return [answered.end]
+    end = structs.replace(answered.end, upstream=call.upstream, attempts=call.attempt)
+    return [end, close(state, call)]
--- /dev/null
+++ b/src/lycheefall/_rules/bookings.py
@@ -0,0 +1,162 @@
+"""Run the flows of all bookings of an entry."""
+
+from msgspec import Struct, field
+
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.ids import Digest, Incarnation, RequestId
+from lycheefall._core.messages.entry import (
+    BookingAnswered,
+    BookingLinkLost,
+    BookingPicked,
+    BookingReply,
+    BookingStarted,
+    DispatchClaimed,
+    EntriesSeen,
+    FromBooking,
+    Proposed,
+    ProposeFor,
+    Repick,
+    ReplyEnd,
+    Tick,
+    ToBooking,
+    ToLink,
+)
+from lycheefall._rules import claim_flow
+from lycheefall._rules.booking_messages import (
+    Answer,
+    Booking,
+    CommandReplied,
+    Effect,
+    Ended,
+    LinkLost,
+    Message,
+    Picked,
+    PickUpstream,
+    SendCommand,
+    SendDispatch,
+    SendResolve,
+    Target,
+    Wake,
+)
+from lycheefall._rules.claim_flow import Flow
+
+_DETAILS = {
+    ResultCode.CLAIM_UNCONFIRMED: "control did not confirm the claim; an earlier try may have run",
+    ResultCode.OUTCOME_UNKNOWN: "the operation may have run and is not run again",
+    ResultCode.KEY_EXPIRED: "the key is past its retention; this try was not run, "
+    "but an earlier one may have been",
+    ResultCode.KEY_REUSED: "the key was used for another request",
+}
+
+
+class BookingsState(Struct):
+    """Flows by request, and the entries that may hold claims."""
+
+    holder: Incarnation
+    flows: dict[RequestId, Flow] = field(default_factory=dict)
+    entries: frozenset[Incarnation] = frozenset()
+
+
+def step_bookings(
+    state: BookingsState, message: ToBooking, now_s: float
+) -> tuple[BookingsState, list[FromBooking]]:
+    """Apply one message to the flow that it concerns, or to all."""
+    match message:
+        case BookingStarted():
+            return state, _start(state, message)
+        case BookingReply():
+            reply = message.message
+            return state, _step(state, reply.request, reply, now_s)
+        case BookingPicked():
+            return state, _step(state, message.request, _picked(message), now_s)
+        case Proposed():
+            replied = CommandReplied(message.sequence, message.result)
+            return state, _step(state, message.request, replied, now_s)
+        case EntriesSeen():
+            # This entry is there for itself, whatever control has heard so far.
+            state.entries = message.incarnations | {state.holder}
+            return state, []
+        case BookingLinkLost():
+            return state, _step_all(state, LinkLost(message.upstream), now_s)
+        case Tick():
+            return state, _step_all(state, Wake(state.entries), now_s)
+
+
+def _start(state: BookingsState, started: BookingStarted) -> list[FromBooking]:
+    call = started.call
+    assert call.operation is not None
+    booking = Booking(
+        call.request,
+        call.team,
+        call.operation.key,
+        call.operation.time_ms,
+        Digest(call.fingerprint),
+        state.holder,
+        call.deadline_s,
+    )
+    target = Target(started.upstream, started.incarnation)
+    flow, effects = claim_flow.start(booking, target)
+    state.flows[call.request] = flow
+    return _messages(state, flow, effects)
+
+
+def _picked(picked: BookingPicked) -> Picked:
+    if picked.upstream is None:
+        return Picked(None, picked.code)
+    return Picked(Target(picked.upstream, picked.incarnation))
+
+
+def _step(
+    state: BookingsState, request: RequestId, message: Message, now_s: float
+) -> list[FromBooking]:
+    flow = state.flows.get(request)
+    if flow is None:
+        return []
+    flow, effects = claim_flow.step(flow, message, now_s)
+    return _messages(state, flow, effects)
+
+
+def _step_all(state: BookingsState, message: Message, now_s: float) -> list[FromBooking]:
+    return [
+        result for request in list(state.flows) for result in _step(state, request, message, now_s)
+    ]
+
+
+def _messages(state: BookingsState, flow: Flow, effects: list[Effect]) -> list[FromBooking]:
+    request = flow.booking.request
+    results: list[FromBooking] = []
+    for effect in effects:
+        match effect:
+            case SendCommand():
+                results.append(ProposeFor(request, effect.sequence, effect.command))
+            case SendDispatch():
+                results.append(_dispatch(request, effect))
+            case SendResolve():
+                results.append(ToLink(effect.upstream, effect.resolve))
+            case PickUpstream():
+                results.append(Repick(request, effect.tried))
+            case Answer():
+                results.append(BookingAnswered(_reply(request, effect)))
+            case Ended():
+                state.flows.pop(request, None)
+    return results
+
+
+def _dispatch(request: RequestId, effect: SendDispatch) -> DispatchClaimed:
+    target = effect.target
+    return DispatchClaimed(
+        request, target.upstream, target.incarnation, effect.attempt, effect.token
+    )
+
+
+def _reply(request: RequestId, answer: Answer) -> ReplyEnd:
+    recorded = answer.answer
+    if recorded is None:
+        return ReplyEnd(request=request, code=answer.code, detail=_DETAILS.get(answer.code, ""))
+    return ReplyEnd(
+        request=request,
+        code=answer.code,
+        status=recorded.status,
+        content_type=recorded.content_type,
+        body=recorded.body,
+    )
--- a/src/lycheefall/_rules/calls.py
+++ b/src/lycheefall/_rules/calls.py
@@ -1,25 +1,13 @@
 """Decide what an entry does with each released request: pick, dispatch, retry, resume, end."""
 
-from collections.abc import Callable, Iterable
-
-from msgspec import Struct
+from msgspec import structs
 
 from lycheefall._core.codes import ResultCode
-from lycheefall._core.configuration import Configuration
-from lycheefall._core.enums import MemberState, RouteKind
-from lycheefall._core.ids import (
-    FIRST_ATTEMPT,
-    AttemptNumber,
-    Fingerprint,
-    Incarnation,
-    PoolId,
-    RequestId,
-    UpstreamId,
-)
+from lycheefall._core.enums import MemberState
+from lycheefall._core.ids import AttemptNumber, PoolId, RequestId, UpstreamId
 from lycheefall._core.messages.dispatch import (
     Cancel,
     Credit,
-    Dispatch,
     Finished,
     Frame,
     Pong,
@@ -30,16 +18,20 @@
 )
 from lycheefall._core.messages.entry import (
     Abandon,
-    CallEnded,
+    BookingAnswered,
+    BookingLinkLost,
+    BookingReply,
     CallerRequest,
     Capacity,
     ConfigurationChanged,
+    DispatchClaimed,
     FingerprintsChanged,
     FramesRead,
     FromAgent,
     FromDispatch,
     LinkDown,
     LinkUp,
+    Repick,
     ReplyEnd,
     ReplyTokens,
     Run,
@@ -48,50 +40,30 @@
     ToLink,
     UpstreamsChanged,
 )
-from lycheefall._core.messages.membership import Load, UpstreamMember
+from lycheefall._core.messages.membership import Load
+from lycheefall._rules.booking_calls import (
+    booking_answered,
+    dispatch_claimed,
+    is_booking,
+    repick,
+    start_booking,
+)
+from lycheefall._rules.call_state import (
+    Call,
+    CallsState,
+    Upstream,
+    choose,
+    close,
+    end,
+    leave,
+    make_dispatch,
+    occupy,
+)
+from lycheefall._rules.refusals import refuse
 
-# Frames that may wait for one caller to read them.
-WINDOW_FRAMES = 256
 MAX_ATTEMPTS = 4
 
 
-class Upstream(Struct):
-    """What the entry knows about an upstream and has running there."""
-
-    member: UpstreamMember
-    incarnation: Incarnation
-    connected: bool = False
-    running: int = 0
-    running_tokens: int = 0
-
-
-class Call(Struct):
-    """A request that was released, and its attempt that counts now."""
-
-    call: CallerRequest
-    attempt: AttemptNumber = AttemptNumber(0)
-    upstream: UpstreamId = UpstreamId("")
-    incarnation: Incarnation = Incarnation("")
-    tokens: list[str] = []
-    unread_frames: int = 0
-    tried: set[UpstreamId] = set()
-
-
-# Chooses one of the upstreams for a request.
-Pick = Callable[[CallerRequest, list[Upstream], float], Upstream]
-
-
-class CallsState(Struct):
-    """Requests and upstreams of one entry."""
-
-    pick: Pick
-    upstreams: dict[UpstreamId, Upstream] = {}
-    calls: dict[RequestId, Call] = {}
-    configuration: Configuration = Configuration()
-    suspects: frozenset[Fingerprint] = frozenset()
-    refused: frozenset[Fingerprint] = frozenset()
-
-
 def step_calls(
     state: CallsState, message: ToDispatch, now_s: float
 ) -> tuple[CallsState, list[FromDispatch]]:
@@ -118,6 +90,14 @@
             state.suspects = message.suspects
             state.refused = message.refused
             return state, []
+        case DispatchClaimed():
+            return state, dispatch_claimed(state, message, now_s)
+        case Repick():
+            return state, [repick(state, message, now_s)]
+        case ToLink():
+            return state, [message]
+        case BookingAnswered():
+            return state, booking_answered(state, message)
         case Tick():
             return state, _expire(state, now_s) + _capacities(state)
 
@@ -127,9 +107,10 @@
     state.calls[request.request] = call
     if request.fingerprint in state.refused:
         detail = "this request has crashed upstreams and is refused for now"
-        return _end(state, call, ResultCode.FINGERPRINT_REFUSED, detail)
+        refusal = refuse(request, ResultCode.FINGERPRINT_REFUSED, detail)
+        return [refusal, close(state, call)]
     if request.operation is not None:
-        return _end(state, call, ResultCode.NOT_READY, "bookings are not served yet")
+        return start_booking(state, call, now_s)
     return _attempt(state, call, ResultCode.NO_UPSTREAM, now_s)
 
 
@@ -137,55 +118,24 @@
     state: CallsState, call: Call, otherwise: ResultCode, now_s: float
 ) -> list[FromDispatch]:
     """Start the next attempt, or end the call with a code if no upstream may take it."""
-    request = call.call
-    usable = _usable(state, request.route.pools)
-    untried = [each for each in usable if each.member.upstream not in call.tried] or usable
-    if not untried or call.attempt >= MAX_ATTEMPTS:
-        return _end(state, call, otherwise, "no upstream of the route can take the request")
-    upstream = state.pick(request, untried, now_s)
+    upstream = choose(state, call.call, call.tried, now_s)
+    if upstream is None or call.attempt >= MAX_ATTEMPTS:
+        return end(state, call, otherwise, "no upstream of the route can take the request")
     call.attempt = AttemptNumber(call.attempt + 1)
-    call.upstream = upstream.member.upstream
-    call.incarnation = upstream.incarnation
-    call.tried.add(call.upstream)
-    upstream.running += 1
-    upstream.running_tokens += request.cost_tokens
-    return [ToLink(call.upstream, _dispatch(state, call, now_s))]
-
-
-def _usable(state: CallsState, pools: Iterable[PoolId]) -> list[Upstream]:
-    return [
-        upstream
-        for upstream in state.upstreams.values()
-        if upstream.connected
-        and upstream.member.state is MemberState.READY
-        and upstream.member.pool in pools
-    ]
-
-
-def _dispatch(state: CallsState, call: Call, now_s: float) -> Dispatch:
-    request = call.call
-    return Dispatch(
-        request.request,
-        call.attempt,
-        call.incarnation,
-        request.deadline_s - now_s,
-        request.route.kind,
-        request.method,
-        request.path,
-        request.content_type,
-        request.body,
-        request.priority,
-        request.rank,
-        request.fingerprint,
-        resume_tokens=tuple(call.tokens),
-        credit=max(1, WINDOW_FRAMES - call.unread_frames),
-        alone=request.fingerprint in state.suspects,
-    )
+    occupy(call, upstream)
+    return [ToLink(call.upstream, make_dispatch(state, call, now_s))]
 
 
 def _from_agent(
     state: CallsState, source: UpstreamId, message: ToEntry, now_s: float
 ) -> list[FromDispatch]:
+    if isinstance(message, Pong):
+        _load(state, source, message.load, message.state)
+        return []
+    call = state.calls.get(message.request)
+    # The flow of a booking may go on after its call has ended.
+    if not isinstance(message, Frame) and (call is None or is_booking(call)):
+        return [BookingReply(message)]
     match message:
         case Frame():
             return _frame(state, message, now_s)
@@ -193,9 +143,6 @@
             return _finished(state, message, now_s)
         case Refused():
             return _refused(state, message, now_s)
-        case Pong():
-            _load(state, source, message.load, message.state)
-            return []
         case Started() | Resolved():
             return []
 
@@ -227,7 +174,7 @@
         return _lost(state, call, finished.code, now_s)
     if finished.code is ResultCode.OK and finished.token_count != len(call.tokens):
         return _lost(state, call, ResultCode.UPSTREAM_LOST, now_s)
-    end = ReplyEnd(
+    reply = ReplyEnd(
         request=finished.request,
         code=finished.code,
         status=finished.status,
@@ -237,45 +184,27 @@
         upstream=call.upstream,
         attempts=call.attempt,
     )
-    return [end, _close(state, call)]
+    return [reply, close(state, call)]
 
 
 def _refused(state: CallsState, refused: Refused, now_s: float) -> list[FromDispatch]:
     call = _current(state, refused.request, refused.attempt)
     if call is None:
         return []
-    _leave(state, call)
+    leave(state, call)
     return _attempt(state, call, refused.code, now_s)
 
 
 def _lost(state: CallsState, call: Call, code: ResultCode, now_s: float) -> list[FromDispatch]:
     """Try elsewhere after an attempt that may have run."""
-    _leave(state, call)
-    if not call.call.route.idempotent:
-        return _end(state, call, code, "the upstream was lost while it ran the request")
+    leave(state, call)
     return _attempt(state, call, code, now_s)
 
 
 def _load(state: CallsState, source: UpstreamId, load: Load, announced: MemberState) -> None:
     upstream = state.upstreams.get(source)
     if upstream is not None:
-        upstream.member = replace_load(upstream.member, load, announced)
-
-
-def replace_load(member: UpstreamMember, load: Load, state: MemberState) -> UpstreamMember:
-    """Return the member with another load and state."""
-    return UpstreamMember(
-        member.upstream,
-        member.instance,
-        member.data_centre,
-        member.pool,
-        member.kind,
-        member.address,
-        member.incarnation,
-        state,
-        member.concurrency,
-        load,
-    )
+        upstream.member = structs.replace(upstream.member, load=load, state=announced)
 
 
 def _credit(state: CallsState, read: FramesRead) -> list[FromDispatch]:
@@ -288,16 +217,14 @@
 
 def _abandon(state: CallsState, request: RequestId) -> list[FromDispatch]:
     call = state.calls.get(request)
-    if call is None:
+    # A booking goes on: its outcome is recorded for the next try of its key.
+    if call is None or is_booking(call):
         return []
-    return [*_cancel(call), _close(state, call)]
+    return [_cancel(call), close(state, call)]
 
 
-def _cancel(call: Call) -> list[FromDispatch]:
-    # A booking goes on: its outcome is recorded for the next try of its key.
-    if call.call.route.kind is RouteKind.BOOKING:
-        return []
-    return [ToLink(call.upstream, Cancel(call.call.request, call.attempt))]
+def _cancel(call: Call) -> ToLink:
+    return ToLink(call.upstream, Cancel(call.call.request, call.attempt))
 
 
 def _link_up(state: CallsState, up: LinkUp) -> list[FromDispatch]:
@@ -315,9 +242,11 @@
     lost = [
         call
         for call in state.calls.values()
-        if call.upstream == down.upstream and call.incarnation == down.incarnation
+        if call.upstream == down.upstream
+        and call.incarnation == down.incarnation
+        and not is_booking(call)
     ]
-    results: list[FromDispatch] = []
+    results: list[FromDispatch] = [BookingLinkLost(down.upstream)]
     for call in lost:
         results += _lost(state, call, ResultCode.UPSTREAM_LOST, now_s)
     return results
@@ -336,11 +265,15 @@
 
 
 def _expire(state: CallsState, now_s: float) -> list[FromDispatch]:
-    expired = [call for call in state.calls.values() if call.call.deadline_s <= now_s]
+    expired = [
+        call
+        for call in state.calls.values()
+        if call.call.deadline_s <= now_s and not is_booking(call)
+    ]
     results: list[FromDispatch] = []
     for call in expired:
-        results += _cancel(call)
-        results += _end(
+        results.append(_cancel(call))
+        results += end(
             state, call, ResultCode.TIMEOUT_AFTER_START, "the request ran into its timeout"
         )
     return results
@@ -353,29 +286,3 @@
             pool = upstream.member.pool
             slots[pool] = slots.get(pool, 0) + upstream.member.concurrency
     return [Capacity(pool, number) for pool, number in slots.items()]
-
-
-def _end(state: CallsState, call: Call, code: ResultCode, detail: str) -> list[FromDispatch]:
-    end = ReplyEnd(
-        request=call.call.request,
-        code=code,
-        upstream=call.upstream,
-        attempts=call.attempt,
-        detail=detail,
-    )
-    return [end, _close(state, call)]
-
-
-def _close(state: CallsState, call: Call) -> CallEnded:
-    _leave(state, call)
-    del state.calls[call.call.request]
-    return CallEnded(call.call.request, call.call.route.pools, call.call.cost_tokens)
-
-
-def _leave(state: CallsState, call: Call) -> None:
-    """Take the call off its upstream."""
-    upstream = state.upstreams.get(call.upstream)
-    if upstream is not None and call.attempt >= FIRST_ATTEMPT:
-        upstream.running -= 1
-        upstream.running_tokens -= call.call.cost_tokens
-    call.upstream = UpstreamId("")
--- a/src/lycheefall/_rules/claim_flow.py
+++ b/src/lycheefall/_rules/claim_flow.py
@@ -209,10 +209,10 @@
 
 
 def _on_finished(flow: Flow, finished: Finished) -> list[Effect]:
-    if not _is_own_attempt(flow, finished):
+    if not _is_own_attempt(flow, finished) and not _is_taken_over(flow, finished):
         return []
     records_unknown = flow.stage is Stage.RECORDING and flow.outcome is None
-    if flow.stage is not Stage.RUNNING and not records_unknown:
+    if flow.stage not in (Stage.RUNNING, Stage.JOINED) and not records_unknown:
         return []
     state = run_state(finished.code)
     if state is RunState.RAN:
@@ -311,6 +311,16 @@
     return message.request == flow.booking.request and message.attempt == flow.dispatched
 
 
+def _is_taken_over(flow: Flow, finished: Finished) -> bool:
+    """Tell whether the agent answered a resolve with the result it had kept."""
+    return (
+        flow.stage is Stage.JOINED
+        and flow.held is not None
+        and finished.request == flow.booking.request
+        and finished.attempt == flow.held.attempt
+    )
+
+
 def _conclude(flow: Flow, answer: Answer) -> list[Effect]:
     return _answer(flow, answer) + _end(flow)
 
--- a/tests/processes/test_whole_path.py
+++ b/tests/processes/test_whole_path.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -37,6 +38,11 @@
     }
 
 
+def time_ms() -> int:
+    """Return the Unix time for an idempotency key."""
+    return time.time_ns() // 1_000_000
+
+
 async def streamed(response: aiohttp.ClientResponse) -> tuple[str, dict[str, object]]:
     """Return the text and the outcome of a streamed answer."""
     text, outcome = "", {}
@@ -59,6 +65,7 @@
             await self.check_chats(fleet, session)
             await self.check_directory(fleet, session)
             await self.check_refusals(fleet, session)
+            await self.check_bookings(fleet, session)
 
     async def check_chats(self, fleet: Fleet, session: aiohttp.ClientSession) -> None:
         async def ask(number: int) -> object:
@@ -107,3 +114,20 @@
                 answer = await response.json()
                 assert (answer["code"], answer["run"]) == (code, "not-run")
         assert fleet.executions() == []
+
+    async def check_bookings(self, fleet: Fleet, session: aiohttp.ClientSession) -> None:
+        async def book(key: str, entry: int) -> tuple[str, str]:
+            url = fleet.url(entry, "/v1/services/counter/bookings")
+            headers = TEAM | {"Idempotency-Key": key}
+            async with session.post(url, json={"item": key}, headers=headers) as response:
+                return response.headers["X-Lycheefall-Run"], await response.text()
+
+        keys = [f"{time_ms()}-{number}" for number in range(20)]
+        tries = [(key, entry) for key in keys for entry in (0, 1, 2, 3, 0)]
+        answers = await asyncio.gather(*(book(key, entry) for key, entry in tries))
+        by_key: dict[str, set[tuple[str, str]]] = {}
+        for (key, _), result in zip(tries, answers, strict=True):
+            by_key.setdefault(key, set()).add(result)
+        assert all(len(results) == 1 for results in by_key.values()), by_key
+        assert all(run == "ran" for (run, _), in by_key.values())
+        assert len(fleet.executions()) == len(keys)
