Add the load generator, its report and the bare pass-through

Cause: the targets for floods, fairness and throughput need open-loop load, answers that are checked, and a baseline in the same run.

Change: _load/ as a pipeline: arrivals | call | record | summarise. Arrivals are seeded Poisson streams; a flood adds arrivals and leaves the others as they are, so runs with and without it compare. Callers ask GET /v1/entries, keep the answer for its ttl_s, retry at once when an answer is slow, and compare each answer with the tokens or digest expected. Times count from when a request was due. HDR histograms by priority, team, route and flood; JSON and SVG. _load/baseline.py forwards to one upstream. scenarios/ has four files.

Before, callers closed the stream at its last event, and the pass-through logged "Cannot write to closing transport"; they now read to the end.

--- /dev/null
+++ b/src/lycheefall/_load/caller.py
@@ -0,0 +1,119 @@
+"""One caller: asks the directory, connects, checks the answer, and retries at once."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+from aiohttp import ClientError, ClientResponse, ClientSession, ClientTimeout
+from msgspec import Struct
+
+from lycheefall._core.enums import RouteKind
+from lycheefall._core.ids import Address
+from lycheefall._core.pipeline import Inbox
+from lycheefall._load.arrivals import Arrival
+from lycheefall._load.directory import Ask, ask_directory
+from lycheefall._load.outcome import NO_CODE, Answer, Ending, Outcome
+from lycheefall._load.requests import HttpRequest, check_service
+from lycheefall._load.scenario import Caller
+from lycheefall._load.streams import check_whole, read_stream
+
+_NO_TIMEOUT = ClientTimeout(total=None)
+_OK = 200
+_RETRIED = (Ending.CONNECT_FAILED, Ending.TIMED_OUT)
+
+
+class Call(Struct, frozen=True):
+    """What a caller needs for one request; the due time is of the loop's clock."""
+
+    arrival: Arrival
+    request: HttpRequest
+    due_at: float
+    is_flooded: bool
+
+
+async def make_call(
+    client: ClientSession, directory: Inbox[Ask], behaviour: Caller, call: Call
+) -> Outcome:
+    """Send a request until it is answered or the caller gives up."""
+    loop = asyncio.get_running_loop()
+    give_up_at = loop.time() + call.arrival.flow.timeout_s + behaviour.grace_s
+    answer = Answer(ending=Ending.CONNECT_FAILED)
+    tries = 0
+    while tries <= behaviour.max_retries and loop.time() < give_up_at:
+        addresses = await ask_directory(directory)
+        if not addresses:
+            tries += 1
+            continue
+        # Callers of one team spread over its addresses, and a retry takes the next one.
+        address = addresses[(call.arrival.index + tries) % len(addresses)]
+        is_last = tries == behaviour.max_retries
+        slow_at = give_up_at if is_last else loop.time() + behaviour.slow_after_s
+        answer = await _try(client, address, call, min(slow_at, give_up_at), give_up_at)
+        tries += 1
+        if answer.ending not in _RETRIED or answer.first_token_at is not None:
+            break
+    return outcome_of(call, answer, tries, loop.time())
+
+
+def outcome_of(call: Call, answer: Answer, tries: int, now_s: float) -> Outcome:
+    """Measure a request from when it was due."""
+    flow = call.arrival.flow
+    first = answer.first_token_at
+    return Outcome(
+        due_s=call.arrival.at_s,
+        team=call.arrival.team,
+        route=flow.route,
+        priority=flow.priority,
+        is_flooded=call.is_flooded,
+        target_s=flow.target_s,
+        answer=answer,
+        tries=tries,
+        first_token_s=None if first is None else first - call.due_at,
+        whole_s=now_s - call.due_at,
+    )
+
+
+async def _try(
+    client: ClientSession, address: Address, call: Call, slow_at: float, give_up_at: float
+) -> Answer:
+    request = call.request
+    try:
+        async with (
+            asyncio.timeout_at(slow_at) as limit,
+            client.request(
+                request.method,
+                f"http://{address}{request.path}",
+                headers=request.headers,
+                data=request.body or None,
+                timeout=_NO_TIMEOUT,
+            ) as response,
+        ):
+            return await _read(response, call, lambda: limit.reschedule(give_up_at))
+    except TimeoutError:
+        return Answer(ending=Ending.TIMED_OUT)
+    except (ClientError, OSError):
+        return Answer(ending=Ending.CONNECT_FAILED)
+
+
+async def _read(response: ClientResponse, call: Call, begun: Callable[[], None]) -> Answer:
+    answer = _base_answer(response)
+    if response.status != _OK:
+        await response.read()
+        return answer
+    if call.arrival.flow.kind is not RouteKind.CHAT:
+        ending = check_service(call.request, await response.read())
+        return msgspec.structs.replace(answer, ending=ending)
+    if response.content_type == "text/event-stream":
+        return await read_stream(response, call.request, begun, answer)
+    ending = check_whole(call.request, await response.read())
+    return msgspec.structs.replace(answer, ending=ending)
+
+
+def _base_answer(response: ClientResponse) -> Answer:
+    code = response.headers.get("X-Lycheefall-Code", "")
+    return Answer(
+        ending=Ending.REFUSED,
+        code=int(code) if code.isdecimal() else NO_CODE,
+        run=response.headers.get("X-Lycheefall-Run", ""),
+        status=response.status,
+    )
--- /dev/null
+++ b/src/lycheefall/_load/requests.py
@@ -0,0 +1,103 @@
+"""Builds the HTTP request of an arrival, and checks that an answer belongs to it."""
+
+from collections.abc import Mapping
+
+import msgspec
+from msgspec import Struct
+
+from lycheefall._core.enums import RouteKind
+from lycheefall._fakes.engine import expected_tokens
+from lycheefall._fakes.service import digest_of_body, value_of
+from lycheefall._load.arrivals import Arrival
+from lycheefall._load.outcome import Ending
+
+_FILLER = "stock and refill notes of the day "
+
+
+class HttpRequest(Struct, frozen=True):
+    """One request; retries send it again unchanged."""
+
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+    # Text of the answer to a chat request; empty for the others.
+    expected: str
+
+
+class ServiceAnswer(Struct, frozen=True):
+    """Answer of the fake service: a lookup has a value, a booking a digest and a key."""
+
+    path: str = ""
+    value: str = ""
+    key: str = ""
+    digest: str = ""
+
+
+def request_of(arrival: Arrival, started_ms: int, run_id: str) -> HttpRequest:
+    """Build the request of an arrival in a run."""
+    flow = arrival.flow
+    name = f"{run_id}-{arrival.stream}-{arrival.index}"
+    headers = {
+        "X-Lycheefall-Team": arrival.team,
+        "X-Lycheefall-Priority": flow.priority,
+        "X-Lycheefall-Timeout-S": str(flow.timeout_s),
+        "Content-Type": "application/json",
+    }
+    if flow.kind is RouteKind.CHAT:
+        return _chat(arrival, headers)
+    path = f"/v1/services/{flow.service}/{flow.path}/{name}"
+    if flow.kind is RouteKind.LOOKUP:
+        return HttpRequest("GET", path, headers, b"", "")
+    key = f"{started_ms + int(arrival.at_s * 1000)}-{name}"
+    body = msgspec.json.encode({"team": arrival.team, "item": name})
+    return HttpRequest("POST", path, {**headers, "Idempotency-Key": key}, body, "")
+
+
+def check_text(request: HttpRequest, text: str) -> Ending:
+    """Compare the text of a chat answer with the expected one."""
+    if text == request.expected:
+        return Ending.ANSWERED
+    return Ending.CUT_OFF if request.expected.startswith(text) else Ending.WRONG_CONTENT
+
+
+def check_service(request: HttpRequest, body: bytes) -> Ending:
+    """Compare the answer of a service with its request."""
+    try:
+        answer = msgspec.json.decode(body, type=ServiceAnswer)
+    except msgspec.DecodeError:
+        return Ending.WRONG_CONTENT
+    if request.method == "GET":
+        # The entry may strip the prefix of the service, so only the end must be the same.
+        name = request.path.rsplit("/", 1)[1]
+        right = answer.path.endswith(name) and answer.value == value_of(answer.path)
+    else:
+        right = answer.digest == digest_of_body(request.body)
+        right = right and answer.key == request.headers["Idempotency-Key"]
+    return Ending.ANSWERED if right else Ending.WRONG_CONTENT
+
+
+def _chat(arrival: Arrival, headers: Mapping[str, str]) -> HttpRequest:
+    flow = arrival.flow
+    prompt = _prompt(arrival)
+    body = msgspec.json.encode(
+        {
+            "model": flow.model,
+            "messages": [{"role": "user", "content": prompt}],
+            "max_tokens": flow.max_tokens,
+            "stream": flow.stream,
+        }
+    )
+    expected = "".join(expected_tokens(prompt, flow.max_tokens))
+    return HttpRequest("POST", "/v1/chat/completions", headers, body, expected)
+
+
+def _prompt(arrival: Arrival) -> str:
+    flow = arrival.flow
+    beginning = f"{flow.route} {arrival.prefix} "
+    repeats = flow.prefix_chars // len(_FILLER) + 1
+    prefix = (beginning + _FILLER * repeats)[: flow.prefix_chars]
+    if flow.marker:
+        # A request that crashes an engine is sent again with the same content.
+        return f"{prefix} {flow.marker}"
+    return f"{prefix} {arrival.team} {arrival.stream} {arrival.index}"
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,200 @@
+"""Tests of the load generator, its report and the pass-through."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from xml.etree import ElementTree
+
+import msgspec
+import pytest
+from aiohttp import web
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lycheefall._core.exceptions import FileFieldError, FileSyntaxError
+from lycheefall._core.ids import Address
+from lycheefall._fakes.engine import EngineSettings, run_engine
+from lycheefall._fakes.service import ServiceSettings, run_service
+from lycheefall._fakes.serving import Fault
+from lycheefall._load.arrivals import Arrival, arrivals_of
+from lycheefall._load.baseline import BaselineSettings, run_baseline
+from lycheefall._load.outcome import Ending
+from lycheefall._load.plot import plot_svg
+from lycheefall._load.report import LoadReport, report_json, slice_of
+from lycheefall._load.requests import check_text, request_of
+from lycheefall._load.run import run_load
+from lycheefall._load.scenario import Scenario, parse_scenario
+
+SCENARIOS = Path(__file__).parent.parent / "scenarios"
+LISTEN = Address("127.0.0.1:0")
+Start = Callable[[Callable[[Address], None]], Awaitable[None]]
+
+TEXT = """
+seed = 1
+duration_s = 0.5
+[caller]
+slow_after_s = 0.2
+max_retries = 1
+[[flows]]
+route = "{route}"
+kind = "{kind}"
+priority = "urgent"
+teams = ["a", "b"]
+rate = 30.0
+target_s = 0.5
+timeout_s = 1.0
+path = "p"
+service = "s"
+max_tokens = 4
+"""
+FLOOD = """
+[[floods]]
+start_s = 0.2
+end_s = 0.4
+factor = 10.0
+team = "a"
+"""
+
+
+def scenario_of(kind: str, more: str = "") -> Scenario:
+    return parse_scenario(TEXT.format(route=f"{kind}-route", kind=kind) + more)
+
+
+async def started(run: Start) -> tuple[Address, asyncio.Task[None]]:
+    address = asyncio.get_running_loop().create_future()
+    task = asyncio.ensure_future(run(address.set_result))
+    return await address, task
+
+
+async def load_through_baseline(scenario: Scenario, upstream: Start) -> LoadReport:
+    upstream_address, upstream_task = await started(upstream)
+    settings = BaselineSettings(listen=LISTEN, upstream=upstream_address)
+    address, task = await started(lambda ready: run_baseline(settings, ready))
+    try:
+        return await run_load(scenario, [address])
+    finally:
+        task.cancel()
+        upstream_task.cancel()
+        await asyncio.gather(task, upstream_task, return_exceptions=True)
+
+
+def engine(**settings: object) -> Start:
+    full = EngineSettings(listen=LISTEN, **{"base_step_s": 0.002, **settings})
+    return lambda ready: run_engine(full, ready)
+
+
+def service(**settings: object) -> Start:
+    return lambda ready: run_service(ServiceSettings(listen=LISTEN, **settings), ready)
+
+
+def identity(arrival: Arrival) -> tuple[float, str, int]:
+    return arrival.at_s, arrival.team, arrival.prefix
+
+
+class TestScenario:
+    @pytest.mark.parametrize("path", sorted(SCENARIOS.glob("*.toml")), ids=lambda p: p.stem)
+    def test_files(self, path: Path) -> None:
+        """Guards against a scenario file that can't be run."""
+        assert parse_scenario(path.read_text()).flows
+
+    @pytest.mark.parametrize(
+        ("more", "error"),
+        [("rate_s = 1", FileFieldError), ("marker = 3", FileFieldError), ("= 1", FileSyntaxError)],
+    )
+    def test_errors(self, more: str, error: type[Exception]) -> None:
+        """Guards against a misspelt field that silently changes a run."""
+        with pytest.raises(error):
+            scenario_of("chat", more)
+
+
+class TestArrivals:
+    def test_flood_adds_only(self) -> None:
+        """Guards against a run with a flood that can't be compared with one without."""
+        base = [identity(each) for each in arrivals_of(scenario_of("chat"))]
+        flooded = [identity(each) for each in arrivals_of(scenario_of("chat", FLOOD))]
+        added = set(flooded) - set(base)
+        assert set(base) <= set(flooded)
+        assert added
+        assert all(0.2 <= at_s < 0.4 and team == "a" for at_s, team, _ in added)
+
+    @given(st.integers())
+    def test_seeded_and_in_order(self, seed: int) -> None:
+        """Guards against arrivals that differ between runs or are sent out of order."""
+        scenario = msgspec.structs.replace(scenario_of("chat", FLOOD), seed=seed)
+        first = [identity(each) for each in arrivals_of(scenario)]
+        assert first == [identity(each) for each in arrivals_of(scenario)]
+        assert [each[0] for each in first] == sorted(each[0] for each in first)
+
+    def test_rate(self) -> None:
+        """Guards against a generator that sends more or less than its rate."""
+        scenario = msgspec.structs.replace(scenario_of("chat"), duration_s=100.0)
+        assert 5_600 < sum(1 for _ in arrivals_of(scenario)) < 6_400
+
+
+class TestCheck:
+    def test_mixed_up_answer_shows(self) -> None:
+        """Guards against an answer to another request that passes as right."""
+        first, second = list(arrivals_of(scenario_of("chat")))[:2]
+        mine, other = request_of(first, 0, "r"), request_of(second, 0, "r")
+        assert check_text(mine, mine.expected) is Ending.ANSWERED
+        assert check_text(mine, other.expected) is Ending.WRONG_CONTENT
+        assert check_text(mine, mine.expected[:9]) is Ending.CUT_OFF
+
+
+class TestRun:
+    async def test_chat(self) -> None:
+        """Guards against streams that are lost or misread, and slices that are missing."""
+        report = await load_through_baseline(scenario_of("chat"), engine())
+        assert report.endings == {"answered": report.requests}
+        assert report.requests == len(list(arrivals_of(scenario_of("chat"))))
+        by_priority = slice_of(report, "priority:urgent").distributions
+        assert by_priority["first-token"].count == report.requests
+        assert by_priority["gap"].count == report.requests * 3
+        assert sum(sum(each.offered.values()) for each in report.seconds) == report.requests
+        assert msgspec.json.decode(report_json(report), type=LoadReport) == report
+        ElementTree.fromstring(plot_svg(report))
+
+    @pytest.mark.parametrize("kind", ["lookup", "booking"])
+    async def test_services(self, kind: str) -> None:
+        """Guards against lookups and bookings that are not recognised as right."""
+        report = await load_through_baseline(scenario_of(kind), service())
+        assert report.endings == {"answered": report.requests}
+
+    async def test_stall_is_retried_at_once(self) -> None:
+        """Guards against callers that wait where partner software retries."""
+        report = await load_through_baseline(scenario_of("chat"), engine(fault=Fault.STALL))
+        assert report.endings == {"timed-out": report.requests}
+        assert report.retries == report.requests
+        assert report.good == 0
+
+    async def test_fast_errors_are_not_good(self) -> None:
+        """Guards against refusals that make a failing system look fast."""
+        report = await load_through_baseline(scenario_of("chat"), engine(fault=Fault.ERROR_FAST))
+        assert report.codes == {"http-500": report.requests}
+        assert slice_of(report, "priority:urgent").distributions == {}
+
+    async def test_cut_stream_shows(self) -> None:
+        """Guards against a stream without its end that passes as whole."""
+
+        async def cut(request: web.Request) -> web.StreamResponse:
+            response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+            await response.prepare(request)
+            await response.write(b'data: {"choices":[{"delta":{"content":""}}]}\n\n')
+            return response
+
+        async def serve(ready: Callable[[Address], None]) -> None:
+            app = web.Application()
+            app.router.add_post("/{path:.*}", cut)
+            runner = web.AppRunner(app)
+            await runner.setup()
+            await web.TCPSite(runner, "127.0.0.1", 0).start()
+            ready(Address("{}:{}".format(*runner.addresses[0])))
+            await asyncio.Event().wait()
+
+        report = await load_through_baseline(scenario_of("chat"), serve)
+        assert report.endings == {"cut-off": report.requests}
+
+    async def test_no_entry(self) -> None:
+        """Guards against a run that hangs when no entry answers."""
+        report = await run_load(scenario_of("chat"), [Address("127.0.0.1:9")])
+        assert report.endings == {"connect-failed": report.requests}
