--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -40,3 +40,10 @@
         """Guards against a row without a level, a meaning or an advice."""
         for row in rows_of("events.md"):
             assert len(row) == 5 and row[2] in LEVELS and row[3] and row[4]
+
+    def test_each_alarm_is_explained(self) -> None:
+        """Guards against an alarm that the operators' page doesn't explain."""
+        errors = [f"{row[0]} {row[1]}" for row in rows_of("events.md") if row[2] == "error"]
+        page = (DOCS / "operating.md").read_text().splitlines()
+        alarms = [line.split("|")[1].strip() for line in page if line.startswith("| ")]
+        assert [each for each in alarms if each[0].isdecimal()] == errors
