Add the epochs part of the replicated state machine

Cause: the maps of a group must be agreed in the log, in order, and an old coordinator must not commit after a new one has read the log.

A refused commit also raises the fencing number, so a commit of epoch 0 shuts out an old coordinator without putting a map in force.

Conclusion: the log part stands; the message that answers AskEpochs is built by in_force and must be read at the leader.

--- /dev/null
+++ b/src/lycheefall/_rules/replicated/__init__.py
@@ -0,0 +1,1 @@
+"""State machine of the replicated log."""
--- /dev/null
+++ b/src/lycheefall/_rules/replicated/epochs.py
@@ -0,0 +1,75 @@
+"""Epochs part of the replicated state machine: the expert maps of each group."""
+
+from msgspec import Struct, field
+
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.ids import FencingNumber, GroupId, MapEpoch, StepNumber
+from lycheefall._core.messages.control import CommitEpoch, EpochInForce, EpochResult
+from lycheefall._core.messages.groups import EpochsInForce
+
+# Lock-step ranks need the map in use and the next one; the others answer late resends.
+COMMITS_KEPT = 8
+NO_EPOCH = MapEpoch(0)
+NO_STEP = StepNumber(-1)
+NO_FENCING = FencingNumber(0)
+
+
+class GroupEpochs(Struct):
+    """The highest fencing number seen for a group and its last commits, oldest first."""
+
+    fencing: FencingNumber = NO_FENCING
+    commits: list[CommitEpoch] = field(default_factory=list)
+
+
+class EpochsState(Struct):
+    """Epochs of all groups."""
+
+    groups: dict[GroupId, GroupEpochs] = field(default_factory=dict)
+
+
+def initial() -> EpochsState:
+    """Return the state before any commit."""
+    return EpochsState()
+
+
+def apply(
+    state: EpochsState, command: CommitEpoch, stamp_ms: int
+) -> tuple[EpochsState, EpochResult]:
+    """Commit the next epoch of a group, or refuse it.
+
+    A refused commit still raises the fencing number, so that a new coordinator can
+    shut out the old one with a commit of epoch 0, which is always refused.
+    """
+    group = state.groups.setdefault(command.group, GroupEpochs())
+    if command in group.commits:
+        return state, EpochResult(ResultCode.OK, command.epoch, command.first_step)
+    if command.fencing < group.fencing:
+        return state, _result(ResultCode.STALE_FENCING_NUMBER, group)
+    group.fencing = command.fencing
+    if not _follows(command, group):
+        return state, _result(ResultCode.EPOCH_CONFLICT, group)
+    group.commits.append(command)
+    del group.commits[:-COMMITS_KEPT]
+    return state, _result(ResultCode.OK, group)
+
+
+def in_force(state: EpochsState, group: GroupId) -> EpochsInForce:
+    """Return the committed maps of a group; answer `AskEpochs` with it, read at the leader."""
+    epochs = state.groups.get(group, GroupEpochs())
+    maps = tuple(
+        EpochInForce(each.group, each.epoch, each.first_step, each.placement)
+        for each in epochs.commits
+    )
+    return EpochsInForce(group, epochs.fencing, maps)
+
+
+def _follows(command: CommitEpoch, group: GroupEpochs) -> bool:
+    before = _result(ResultCode.OK, group)
+    return command.epoch == before.epoch + 1 and command.first_step > before.first_step
+
+
+def _result(code: ResultCode, group: GroupEpochs) -> EpochResult:
+    if not group.commits:
+        return EpochResult(code, NO_EPOCH, NO_STEP)
+    last = group.commits[-1]
+    return EpochResult(code, last.epoch, last.first_step)
