Add expert placement

Cause: all ranks of a group wait for the slowest, and the popularity of experts drifts, so the map has to follow it without moving more weights than it saves.

Change: _rules/placement.py. The first map is Graham's longest-processing-time assignment with redundant experts; later maps come from a local search that takes load off the slowest rank, and the prefix of moves with the best gain less cost is kept.

--- /dev/null
+++ b/src/lycheefall/_rules/placement.py
@@ -0,0 +1,280 @@
+"""Placement of experts on the ranks of a group."""
+
+import heapq
+from collections.abc import Sequence
+
+from msgspec import Struct
+
+from lycheefall._core.ids import ExpertId, RankId
+from lycheefall._core.messages.groups import Placement
+
+HORIZON_S = 300.0
+# Ranks that a move from the slowest rank may go to, lightest first; bounds the search.
+TARGETS = 6
+MOVES_MAX = 96
+# The search ends here: less skew than this costs more moves than it saves time.
+SKEW_REACHED = 1.01
+
+
+class Limits(Struct, frozen=True):
+    """Sizes of a group and the costs that a plan weighs."""
+
+    ranks: int
+    experts: int
+    slots_per_rank: int
+    expert_bytes: int
+    # What the weight store delivers to the whole group.
+    store_bytes_per_s: float
+    horizon_s: float = HORIZON_S
+
+
+class Plan(Struct, frozen=True):
+    """A map with its expected effect against the map in force."""
+
+    placement: Placement
+    moves: int
+    moved_bytes: int
+    # Expected step time saved over the horizon, and the time of the moves at the store's rate.
+    gain_s: float
+    cost_s: float
+    # Slowest rank / mean, before and after.
+    skew_before: float
+    skew_ratio: float
+
+
+class Layout(Struct):
+    """Working state of the search: who holds what, and the time that each rank needs."""
+
+    load: list[float]
+    slowness: list[float]
+    holders: list[set[int]]
+    held: list[set[int]]
+    time: list[float]
+
+
+class _Change(Struct, frozen=True):
+    """Put an expert on a rank in the place of another; a swap puts that one back."""
+
+    added: int
+    removed: int
+    source: int
+    target: int
+    swap: bool
+
+
+def blend(average: Sequence[float], sample: Sequence[float], weight: float) -> list[float]:
+    """Return the exponentially weighted average after a sample of that weight (0 to 1)."""
+    return [old + weight * (new - old) for old, new in zip(average, sample, strict=True)]
+
+
+def rank_times(
+    placement: Placement, load: Sequence[float], slowness: Sequence[float]
+) -> list[float]:
+    """Return the time that each rank needs, when replicas share an expert's load equally."""
+    times = [0.0] * len(slowness)
+    for expert, ranks in enumerate(placement):
+        share = load[expert] / len(ranks)
+        for rank in ranks:
+            times[rank] += share * slowness[rank]
+    return times
+
+
+def skew(times: Sequence[float]) -> float:
+    """Return the slowest time as a ratio to the mean; 1.0 when there is no load."""
+    total = sum(times)
+    return max(times) * len(times) / total if total > 0 else 1.0
+
+
+def added_experts(before: Placement | None, after: Placement, rank: RankId) -> list[ExpertId]:
+    """Return the experts that a rank has to load for a map when it holds another."""
+    return [
+        ExpertId(expert)
+        for expert, ranks in enumerate(after)
+        if rank in ranks and (before is None or rank not in before[expert])
+    ]
+
+
+def count_moves(before: Placement, after: Placement) -> int:
+    """Return how many replicas a map has on ranks that don't hold them in the map before."""
+    return sum(len(set(new) - set(old)) for old, new in zip(before, after, strict=True))
+
+
+def fresh(limits: Limits, load: Sequence[float], slowness: Sequence[float]) -> Placement:
+    """Place all experts without regard to a map in force.
+
+    Longest-processing-time-first assignment (R. L. Graham, "Bounds on Multiprocessing
+    Timing Anomalies", 1969), after giving each free slot to the expert with the highest
+    load per replica (redundant experts, "DeepSeek-V3 Technical Report", 2024, section 3.4).
+    """
+    replicas = _replica_counts(limits, load)
+    items = [(load[e] / count, e) for e, count in enumerate(replicas) for _ in range(count)]
+    items.sort(key=lambda item: (-item[0], item[1]))
+    holders: list[set[int]] = [set() for _ in range(limits.experts)]
+    free = [limits.slots_per_rank] * limits.ranks
+    times = [0.0] * limits.ranks
+    for share, expert in items:
+        options = [r for r in range(limits.ranks) if free[r] and r not in holders[expert]]
+        if not options:
+            # Only ranks that hold this expert have a free slot; one replica less is valid.
+            continue
+        rank = min(options, key=lambda r: (times[r] + share * slowness[r], r))
+        holders[expert].add(rank)
+        free[rank] -= 1
+        times[rank] += share * slowness[rank]
+    return _placement(holders)
+
+
+def plan(
+    limits: Limits,
+    load: Sequence[float],
+    slowness: Sequence[float],
+    in_force: Placement | None,
+) -> Plan:
+    """Plan the map with the best gain less cost; the map in force when no move pays.
+
+    `load` is the popularity of each expert, `slowness` the time of each rank for one unit
+    of load. Local search from the map in force: each move takes load off the slowest rank.
+    """
+    if in_force is None:
+        return _evaluate(limits, load, slowness, fresh(limits, load, slowness), None)
+    layout = _layout(load, slowness, in_force)
+    best = _evaluate(limits, load, slowness, in_force, in_force)
+    while best.moves < MOVES_MAX and skew(layout.time) > SKEW_REACHED:
+        change = _best_change(layout)
+        if change is None:
+            break
+        _carry_out(layout, change)
+        tried = _evaluate(limits, load, slowness, _placement(layout.holders), in_force)
+        if tried.moves > MOVES_MAX:
+            break
+        if tried.gain_s - tried.cost_s > best.gain_s - best.cost_s:
+            best = tried
+    return best
+
+
+def _replica_counts(limits: Limits, load: Sequence[float]) -> list[int]:
+    slots = limits.ranks * limits.slots_per_rank
+    if slots < limits.experts:
+        raise ValueError(f"{slots} slots can't hold {limits.experts} experts")
+    counts = [1] * limits.experts
+    heap = [(-load[e], e) for e in range(limits.experts)]
+    heapq.heapify(heap)
+    for _ in range(slots - limits.experts):
+        if not heap:
+            break
+        _, expert = heapq.heappop(heap)
+        counts[expert] += 1
+        if counts[expert] < limits.ranks:
+            heapq.heappush(heap, (-load[expert] / counts[expert], expert))
+    return counts
+
+
+def _layout(load: Sequence[float], slowness: Sequence[float], placement: Placement) -> Layout:
+    held: list[set[int]] = [set() for _ in slowness]
+    for expert, ranks in enumerate(placement):
+        for rank in ranks:
+            held[rank].add(expert)
+    holders: list[set[int]] = [set(ranks) for ranks in placement]
+    times = rank_times(placement, load, slowness)
+    return Layout(list(load), list(slowness), holders, held, times)
+
+
+def _placement(holders: Sequence[set[int]]) -> Placement:
+    return tuple(tuple(RankId(rank) for rank in sorted(ranks)) for ranks in holders)
+
+
+def _evaluate(
+    limits: Limits,
+    load: Sequence[float],
+    slowness: Sequence[float],
+    placement: Placement,
+    in_force: Placement | None,
+) -> Plan:
+    after = rank_times(placement, load, slowness)
+    if in_force is None:
+        moves = sum(len(ranks) for ranks in placement)
+        before = after
+    else:
+        moves = count_moves(in_force, placement)
+        before = rank_times(in_force, load, slowness)
+    moved_bytes = moves * limits.expert_bytes
+    slowest = max(before)
+    saved_ratio = 1.0 - max(after) / slowest if slowest > 0 else 0.0
+    return Plan(
+        placement=placement,
+        moves=moves,
+        moved_bytes=moved_bytes,
+        gain_s=limits.horizon_s * saved_ratio,
+        cost_s=moved_bytes / limits.store_bytes_per_s,
+        skew_before=skew(before),
+        skew_ratio=skew(after),
+    )
+
+
+def _best_change(layout: Layout) -> _Change | None:
+    """Return the change that leaves the ranks it touches fastest, if it helps the slowest."""
+    source = max(range(len(layout.time)), key=layout.time.__getitem__)
+    limit = layout.time[source]
+    best: _Change | None = None
+    for target in heapq.nsmallest(TARGETS, range(len(layout.time)), layout.time.__getitem__):
+        for added in sorted(layout.held[source] - layout.held[target]):
+            for removed in sorted(layout.held[target]):
+                for change in _changes(layout, added, removed, source, target):
+                    reached = _reached(layout, change)
+                    if reached < limit - 1e-12:
+                        limit, best = reached, change
+    return best
+
+
+def _changes(layout: Layout, added: int, removed: int, source: int, target: int) -> list[_Change]:
+    """Return the ways to bring an expert of the slowest rank to another rank."""
+    changes = []
+    if removed not in layout.held[source]:
+        changes.append(_Change(added, removed, source, target, swap=True))
+    if len(layout.holders[removed]) > 1:
+        changes.append(_Change(added, removed, source, target, swap=False))
+    return changes
+
+
+def _reached(layout: Layout, change: _Change) -> float:
+    """Return the time of the slowest rank that a change touches."""
+    deltas = _deltas(layout, change)
+    return max(layout.time[rank] + delta for rank, delta in deltas.items())
+
+
+def _deltas(layout: Layout, change: _Change) -> dict[int, float]:
+    load, slowness, holders = layout.load, layout.slowness, layout.holders
+    added, removed = change.added, change.removed
+    if change.swap:
+        moved = load[added] / len(holders[added]) - load[removed] / len(holders[removed])
+        return {
+            change.source: -moved * slowness[change.source],
+            change.target: moved * slowness[change.target],
+        }
+    deltas = {change.target: 0.0}
+    count = len(holders[added])
+    thinner = load[added] / count - load[added] / (count + 1)
+    for rank in holders[added]:
+        deltas[rank] = -thinner * slowness[rank]
+    deltas[change.target] += load[added] / (count + 1) * slowness[change.target]
+    count = len(holders[removed])
+    thicker = load[removed] / (count - 1) - load[removed] / count
+    for rank in holders[removed]:
+        share = -load[removed] / count if rank == change.target else thicker
+        deltas[rank] = deltas.get(rank, 0.0) + share * slowness[rank]
+    return deltas
+
+
+def _carry_out(layout: Layout, change: _Change) -> None:
+    for rank, delta in _deltas(layout, change).items():
+        layout.time[rank] += delta
+    _replace(layout, change.target, change.added, change.removed)
+    if change.swap:
+        _replace(layout, change.source, change.removed, change.added)
+
+
+def _replace(layout: Layout, rank: int, added: int, removed: int) -> None:
+    layout.held[rank].remove(removed)
+    layout.holders[removed].remove(rank)
+    layout.held[rank].add(added)
+    layout.holders[added].add(rank)
