Add the step protocol of groups of ranks

Cause: all ranks must use one map in every step, also while coordinators crash, overlap, and lose messages.

A coordinator raises the fencing number in the log before it reads the maps, lets ranks enter steps by permissions bound to the run of the agent, and commits a map with a first step above every permission that the ranks report when they have prepared it.

Failed tries: a held rank asked at each attempt to enter a step, and 5,000 messages stood in the queues until the lease ran out; it now asks once in 50 ms. A coordinator whose request for the lease was granted twice kept the first number and lost the group at its next renewal; it now takes the higher number.

--- a/src/lycheefall/_core/messages/groups.py
+++ b/src/lycheefall/_core/messages/groups.py
@@ -55,6 +55,8 @@
     group: GroupId
     fencing: FencingNumber
     maps: tuple[EpochInForce, ...]
+    # The run that asked; None when a coordinator sends the maps on its own.
+    asker: Incarnation | None = None
 
 
 class Prepared(Struct, frozen=True, array_like=True, tag=65):
@@ -99,6 +101,7 @@
     """Ask control for the committed maps of a group, as the leader has them."""
 
     group: GroupId
+    asker: Incarnation
 
 
 class EnterStep(Struct, frozen=True, array_like=True, tag=69):
@@ -129,6 +132,14 @@
     experts: tuple[ExpertId, ...]
 
 
+class StepDone(Struct, frozen=True, array_like=True, tag=76):
+    """Tell what a rank computed in a step."""
+
+    step: StepNumber
+    expert_tokens: tuple[float, ...]
+    busy_s: float
+
+
 class WeightsLoaded(Struct, frozen=True, array_like=True, tag=73):
     """Tell that the rank holds these experts."""
 
--- /dev/null
+++ b/src/lycheefall/_rules/group_steps.py
@@ -0,0 +1,399 @@
+"""Protocol of map epochs at the coordinator of a group.
+
+A coordinator takes the lease, raises the fencing number in the log, and reads the committed
+maps. Only then it lets ranks enter steps. A new map is prepared at every rank, then committed
+with a first step above all permissions given, by this coordinator and by those before it.
+"""
+
+from enum import Enum
+
+from msgspec import Struct, field
+
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.enums import FenceMode
+from lycheefall._core.events import Event
+from lycheefall._core.ids import (
+    FencingNumber,
+    GroupId,
+    Incarnation,
+    LeaseName,
+    MapEpoch,
+    RankId,
+    StepNumber,
+)
+from lycheefall._core.messages.control import (
+    AcquireLease,
+    Command,
+    CommitEpoch,
+    EpochInForce,
+    EpochResult,
+    LeaseResult,
+    RenewLease,
+    Result,
+)
+from lycheefall._core.messages.groups import (
+    AbortEpoch,
+    AskEpochs,
+    EpochsInForce,
+    Permit,
+    Placement,
+    Prepared,
+    PrepareEpoch,
+    PrepareRefused,
+    RankReport,
+    ToRank,
+)
+
+NO_STEP = StepNumber(-1)
+NO_EPOCH = MapEpoch(0)
+FIRST_FENCING = FencingNumber(1)
+LEASE_S = 2.0
+RENEW_AFTER_S = 0.5
+# Steps that a rank may run ahead of the group's last report: 3 s at 50 ms a step.
+PERMIT_STEPS = 64
+PREPARE_TIMEOUT_S = 60.0
+
+
+class Phase(Enum):
+    """What a coordinator is waiting for."""
+
+    LEASE = "lease"
+    OLD_LEASE = "old-lease"
+    FENCE = "fence"
+    READ = "read"
+    STEADY = "steady"
+    PREPARE = "prepare"
+    COMMIT = "commit"
+
+
+class Tick(Struct, frozen=True):
+    """Tell that time has passed; requests without an answer are sent again."""
+
+
+class Place(Struct, frozen=True):
+    """Ask for a map; ignored unless the coordinator holds the group and no change is open."""
+
+    placement: Placement
+
+
+class Answered(Struct, frozen=True):
+    """Bring the result of a command, with the time at which it was proposed."""
+
+    command: Command
+    result: Result
+    sent_s: float
+
+
+class SendToRank(Struct, frozen=True):
+    """Send a message to the agent of a rank."""
+
+    rank: RankId
+    message: ToRank
+
+
+class ProposeCommand(Struct, frozen=True):
+    """Propose a command to control."""
+
+    command: Command
+
+
+class Note(Struct, frozen=True):
+    """Write a log line."""
+
+    event: Event
+    epoch: MapEpoch
+    step: StepNumber
+    code: ResultCode = ResultCode.OK
+
+
+CoordinatorInput = Tick | Place | Answered | EpochsInForce | Prepared | PrepareRefused | RankReport
+CoordinatorOutput = SendToRank | ProposeCommand | AskEpochs | Note
+
+
+class CoordinatorState(Struct):
+    """What one coordinator of a group knows; nothing of it outlives the process."""
+
+    group: GroupId
+    holder: Incarnation
+    ranks: int
+    fence: FenceMode
+    phase: Phase = Phase.LEASE
+    fencing: FencingNumber = FencingNumber(0)
+    lease_until_s: float = 0.0
+    renew_at_s: float = 0.0
+    orders_from_s: float = 0.0
+    # Highest epoch that the log named when it took this coordinator's fencing number.
+    read_epoch: MapEpoch = NO_EPOCH
+    maps: tuple[EpochInForce, ...] = ()
+    # The highest step that a rank has reported, and the highest that one may enter.
+    reached: StepNumber = NO_STEP
+    permitted: StepNumber = NO_STEP
+    attempt: int = 0
+    wanted: PrepareEpoch | None = None
+    prepared: set[RankId] = field(default_factory=set)
+    prepare_until_s: float = 0.0
+    commit: CommitEpoch | None = None
+
+
+def initial(group: GroupId, holder: Incarnation, ranks: int, fence: FenceMode) -> CoordinatorState:
+    """Return the state of a coordinator that has just started."""
+    return CoordinatorState(group, holder, ranks, fence)
+
+
+def step(
+    state: CoordinatorState, message: CoordinatorInput, now_s: float
+) -> tuple[CoordinatorState, list[CoordinatorOutput]]:
+    """Apply one message to the state of a coordinator."""
+    if state.phase is not Phase.LEASE and now_s >= state.lease_until_s:
+        _release(state)
+    match message:
+        case Tick():
+            return state, _tick(state, now_s)
+        case Place():
+            return state, _place(state, message, now_s)
+        case Answered():
+            return state, _answered(state, message)
+        case EpochsInForce():
+            return state, _read(state, message)
+        case Prepared():
+            return state, _count_prepared(state, message)
+        case PrepareRefused():
+            return state, _refused(state, message)
+        case RankReport():
+            return state, _permit(state, message)
+
+
+def lease_name(group: GroupId) -> LeaseName:
+    """Return the name of the lease that the coordinator of a group holds."""
+    return LeaseName(f"group/{group}")
+
+
+def epoch_in_force(state: CoordinatorState) -> MapEpoch:
+    """Return the last committed epoch that this coordinator knows."""
+    return state.maps[-1].epoch if state.maps else NO_EPOCH
+
+
+def may_place(state: CoordinatorState) -> bool:
+    """Return whether the group is held, no change is open, and the last map is in use."""
+    in_use = not state.maps or state.maps[-1].first_step <= state.reached
+    return state.phase is Phase.STEADY and in_use
+
+
+def all_prepared(state: CoordinatorState) -> bool:
+    """Return whether every rank holds the weights of the wanted map."""
+    return len(state.prepared) == state.ranks
+
+
+def permit_limit(state: CoordinatorState) -> StepNumber:
+    """Return the highest step that ranks may be let into now."""
+    ahead = StepNumber(state.reached + PERMIT_STEPS)
+    if state.commit is None:
+        return ahead
+    return min(ahead, StepNumber(state.commit.first_step - 1))
+
+
+def _release(state: CoordinatorState) -> None:
+    """Give up the group; the steps already permitted stay counted."""
+    state.phase = Phase.LEASE
+    state.wanted = None
+    state.commit = None
+
+
+def _tick(state: CoordinatorState, now_s: float) -> list[CoordinatorOutput]:
+    if state.phase is Phase.LEASE:
+        return [ProposeCommand(AcquireLease(lease_name(state.group), state.holder, LEASE_S))]
+    results: list[CoordinatorOutput] = []
+    if now_s >= state.renew_at_s:
+        name = lease_name(state.group)
+        results.append(ProposeCommand(RenewLease(name, state.holder, state.fencing, LEASE_S)))
+    if state.phase is Phase.OLD_LEASE and now_s >= state.orders_from_s:
+        state.phase = Phase.FENCE
+    if state.phase is Phase.PREPARE and now_s >= state.prepare_until_s:
+        return results + _abort(state, ResultCode.EXPIRED_BEFORE_START)
+    return results + _requests(state)
+
+
+def _requests(state: CoordinatorState) -> list[CoordinatorOutput]:
+    """Return the requests that the phase is waiting for answers to."""
+    if state.phase is Phase.FENCE:
+        return [ProposeCommand(_fence_command(state))]
+    if state.phase is Phase.READ:
+        return [AskEpochs(state.group, state.holder)]
+    if state.phase is Phase.PREPARE and state.wanted is not None:
+        waiting = [r for r in map(RankId, range(state.ranks)) if r not in state.prepared]
+        return [SendToRank(rank, state.wanted) for rank in waiting]
+    if state.phase is Phase.COMMIT and state.commit is not None:
+        return [ProposeCommand(state.commit)]
+    return []
+
+
+def _fence_command(state: CoordinatorState) -> CommitEpoch:
+    """Return a commit that is always refused, and raises the fencing number in the log."""
+    return CommitEpoch(state.group, NO_EPOCH, state.fencing, StepNumber(0), ())
+
+
+def _answered(state: CoordinatorState, message: Answered) -> list[CoordinatorOutput]:
+    command, result = message.command, message.result
+    match command, result:
+        case AcquireLease(), LeaseResult():
+            return _acquired(state, result, message.sent_s)
+        case RenewLease(), LeaseResult():
+            return _renewed(state, command, result, message.sent_s)
+        case CommitEpoch(), EpochResult() if command.fencing == state.fencing:
+            return _committed(state, command, result)
+    return []
+
+
+def _acquired(
+    state: CoordinatorState, result: LeaseResult, sent_s: float
+) -> list[CoordinatorOutput]:
+    granted = result.code is ResultCode.OK and result.holder == state.holder
+    # A resent request may have been granted again, which makes the first number an old one.
+    if not granted or result.fencing <= state.fencing:
+        return []
+    _release(state)
+    state.fencing = result.fencing
+    _hold_lease(state, sent_s)
+    waits = state.fence is FenceMode.IGNORES and result.fencing > FIRST_FENCING
+    # The log dates the old lease by its own clock; one more duration covers the drift of the
+    # old holder's clock and its last orders, which such a platform would carry out.
+    state.orders_from_s = sent_s + LEASE_S if waits else sent_s
+    state.phase = Phase.OLD_LEASE if waits else Phase.FENCE
+    return _requests(state)
+
+
+def _renewed(
+    state: CoordinatorState, command: RenewLease, result: LeaseResult, sent_s: float
+) -> list[CoordinatorOutput]:
+    if state.phase is Phase.LEASE or command.fencing != state.fencing:
+        return []
+    if result.code is ResultCode.OK:
+        _hold_lease(state, sent_s)
+    else:
+        _release(state)
+    return []
+
+
+def _hold_lease(state: CoordinatorState, sent_s: float) -> None:
+    state.lease_until_s = max(state.lease_until_s, sent_s + LEASE_S)
+    state.renew_at_s = max(state.renew_at_s, sent_s + RENEW_AFTER_S)
+
+
+def _committed(
+    state: CoordinatorState, command: CommitEpoch, result: EpochResult
+) -> list[CoordinatorOutput]:
+    if result.code is ResultCode.STALE_FENCING_NUMBER:
+        _release(state)
+        return []
+    if state.phase is Phase.FENCE and command.epoch == NO_EPOCH:
+        state.read_epoch = result.epoch
+        state.phase = Phase.READ
+        return _requests(state)
+    if state.phase is not Phase.COMMIT or command != state.commit:
+        return []
+    state.commit = None
+    state.wanted = None
+    if result.code is not ResultCode.OK:
+        _release(state)
+        return [Note(Event.EPOCH_ABORTED, command.epoch, command.first_step, result.code)]
+    new = EpochInForce(command.group, command.epoch, command.first_step, command.placement)
+    state.maps = (*state.maps[-1:], new)
+    state.phase = Phase.STEADY
+    note = Note(Event.EPOCH_COMMITTED, command.epoch, command.first_step)
+    return [note, *_to_all(state, _announcement(state))]
+
+
+def _read(state: CoordinatorState, message: EpochsInForce) -> list[CoordinatorOutput]:
+    """Take the committed maps; an answer from before the fence was raised is too old."""
+    if state.phase is not Phase.READ or message.fencing < state.fencing:
+        return []
+    newest = message.maps[-1].epoch if message.maps else NO_EPOCH
+    if message.fencing > state.fencing or newest != state.read_epoch:
+        _release(state)
+        return []
+    state.maps = message.maps
+    state.phase = Phase.STEADY
+    return _to_all(state, _announcement(state))
+
+
+def _announcement(state: CoordinatorState) -> EpochsInForce:
+    return EpochsInForce(state.group, state.fencing, state.maps)
+
+
+def _to_all(state: CoordinatorState, message: ToRank) -> list[CoordinatorOutput]:
+    return [SendToRank(RankId(rank), message) for rank in range(state.ranks)]
+
+
+def _place(state: CoordinatorState, message: Place, now_s: float) -> list[CoordinatorOutput]:
+    if not may_place(state):
+        return []
+    epoch = MapEpoch(epoch_in_force(state) + 1)
+    state.attempt += 1
+    state.wanted = PrepareEpoch(state.group, state.fencing, epoch, state.attempt, message.placement)
+    state.prepared = set()
+    state.prepare_until_s = now_s + PREPARE_TIMEOUT_S
+    state.phase = Phase.PREPARE
+    return _requests(state)
+
+
+def _count_prepared(state: CoordinatorState, message: Prepared) -> list[CoordinatorOutput]:
+    wanted = state.wanted
+    if state.phase is not Phase.PREPARE or wanted is None:
+        return []
+    asked = (wanted.fencing, wanted.epoch, wanted.attempt)
+    if (message.fencing, message.epoch, message.attempt) != asked:
+        return []
+    state.prepared.add(message.rank)
+    state.permitted = max(state.permitted, message.permitted_step)
+    return _commit(state, wanted) if all_prepared(state) else []
+
+
+def _commit(state: CoordinatorState, wanted: PrepareEpoch) -> list[CoordinatorOutput]:
+    last = state.maps[-1].first_step if state.maps else NO_STEP
+    first_step = StepNumber(max(state.permitted, last) + 1)
+    state.commit = CommitEpoch(
+        wanted.group, wanted.epoch, wanted.fencing, first_step, wanted.placement
+    )
+    state.phase = Phase.COMMIT
+    note = Note(Event.EPOCH_PREPARED, wanted.epoch, first_step)
+    return [note, ProposeCommand(state.commit)]
+
+
+def _refused(state: CoordinatorState, message: PrepareRefused) -> list[CoordinatorOutput]:
+    wanted = state.wanted
+    if state.phase is not Phase.PREPARE or wanted is None:
+        return []
+    if message.fencing > state.fencing:
+        _release(state)
+        return []
+    if (message.epoch, message.attempt) != (wanted.epoch, wanted.attempt):
+        return []
+    return _abort(state, message.code)
+
+
+def _abort(state: CoordinatorState, code: ResultCode) -> list[CoordinatorOutput]:
+    wanted = state.wanted
+    if wanted is None:
+        return []
+    state.wanted = None
+    state.phase = Phase.STEADY
+    order = AbortEpoch(wanted.group, wanted.fencing, wanted.epoch, wanted.attempt)
+    note = Note(Event.EPOCH_ABORTED, wanted.epoch, state.reached, code)
+    return [note, *_to_all(state, order)]
+
+
+def _permit(state: CoordinatorState, message: RankReport) -> list[CoordinatorOutput]:
+    """Answer a report with a permission, and with the maps that the rank has missed."""
+    state.reached = max(state.reached, message.step)
+    if state.phase not in (Phase.STEADY, Phase.PREPARE, Phase.COMMIT) or not state.maps:
+        return []
+    results: list[CoordinatorOutput] = []
+    epoch = epoch_in_force(state)
+    if message.epoch < epoch:
+        results.append(SendToRank(message.rank, _announcement(state)))
+    last_step = permit_limit(state)
+    if last_step > message.permitted_step:
+        state.permitted = max(state.permitted, last_step)
+        permit = Permit(state.group, state.fencing, message.incarnation, epoch, last_step)
+        results.append(SendToRank(message.rank, permit))
+    return results
--- /dev/null
+++ b/src/lycheefall/_rules/rank_steps.py
@@ -0,0 +1,326 @@
+"""Protocol of map epochs at one rank: prepare weights, hold permissions, enter steps."""
+
+from msgspec import Struct, field
+
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.ids import (
+    ExpertId,
+    FencingNumber,
+    GroupId,
+    Incarnation,
+    MapEpoch,
+    RankId,
+    StepNumber,
+)
+from lycheefall._core.messages.control import EpochInForce
+from lycheefall._core.messages.groups import (
+    AbortEpoch,
+    AskEpochs,
+    DropWeights,
+    EnterStep,
+    EpochsInForce,
+    LoadFailed,
+    LoadWeights,
+    Permit,
+    Placement,
+    Prepared,
+    PrepareEpoch,
+    PrepareRefused,
+    RankReport,
+    StepDone,
+    StepEntered,
+    StepRefused,
+    WeightsLoaded,
+)
+from lycheefall._rules.placement import added_experts
+
+NO_STEP = StepNumber(-1)
+MAPS_KEPT = 8
+# A rank reports early when fewer steps than this are left of its permission.
+REPORT_BELOW_STEPS = 32
+# A rank that is held asks no more often than this, however often it tries to enter.
+REQUEST_GAP_S = 0.05
+
+
+class ReportDue(Struct, frozen=True):
+    """Tell that the period between two reports of a rank is over."""
+
+
+RankInput = (
+    PrepareEpoch
+    | AbortEpoch
+    | Permit
+    | EpochsInForce
+    | EnterStep
+    | StepDone
+    | WeightsLoaded
+    | LoadFailed
+    | ReportDue
+)
+RankOutput = (
+    Prepared
+    | PrepareRefused
+    | RankReport
+    | AskEpochs
+    | LoadWeights
+    | DropWeights
+    | StepEntered
+    | StepRefused
+)
+
+
+class RankState(Struct):
+    """What the agent of one rank knows about the maps of its group."""
+
+    group: GroupId
+    rank: RankId
+    incarnation: Incarnation
+    # Experts whose weights the rank holds.
+    resident: set[ExpertId] = field(default_factory=set)
+    loading: set[ExpertId] = field(default_factory=set)
+    # Highest fencing number seen; orders and permissions with a lower one are refused.
+    fencing: FencingNumber = FencingNumber(0)
+    # True after control has answered this run, so that the fencing number is up to date.
+    joined: bool = False
+    maps: list[EpochInForce] = field(default_factory=list)
+    preparing: PrepareEpoch | None = None
+    permitted: StepNumber = NO_STEP
+    entered: StepNumber = NO_STEP
+    next_request_s: float = 0.0
+    expert_tokens: list[float] = field(default_factory=list)
+    busy_s: float = 0.0
+
+
+def initial(
+    group: GroupId, rank: RankId, incarnation: Incarnation, resident: frozenset[ExpertId]
+) -> RankState:
+    """Return the state of an agent that has just started beside a rank."""
+    return RankState(group, rank, incarnation, set(resident))
+
+
+def step(state: RankState, message: RankInput, now_s: float) -> tuple[RankState, list[RankOutput]]:
+    """Apply one message to the state of a rank."""
+    match message:
+        case PrepareEpoch():
+            return state, _prepare(state, message)
+        case AbortEpoch():
+            return state, _abort(state, message)
+        case Permit():
+            return state, _permit(state, message)
+        case EpochsInForce():
+            return state, _learn(state, message)
+        case EnterStep():
+            return state, _enter(state, message, now_s)
+        case StepDone():
+            return state, _count(state, message)
+        case WeightsLoaded():
+            return state, _loaded(state, message)
+        case LoadFailed():
+            return state, _load_failed(state, message)
+        case ReportDue():
+            return state, _report(state)
+
+
+def known_epoch(state: RankState) -> MapEpoch:
+    """Return the highest epoch that the rank knows to be committed."""
+    return state.maps[-1].epoch if state.maps else MapEpoch(0)
+
+
+def is_stale(state: RankState, fencing: FencingNumber) -> bool:
+    """Return whether a fencing number is lower than the highest seen."""
+    return fencing < state.fencing
+
+
+def is_permitted(state: RankState, number: StepNumber) -> bool:
+    """Return whether no epoch that this rank doesn't know can begin up to a step."""
+    return number <= state.permitted
+
+
+def _prepare(state: RankState, message: PrepareEpoch) -> list[RankOutput]:
+    if is_stale(state, message.fencing):
+        return [_refusal(state, message, ResultCode.STALE_FENCING_NUMBER)]
+    if not state.joined:
+        return [_question(state)]
+    state.fencing = message.fencing
+    if message.epoch <= known_epoch(state):
+        return []
+    if state.preparing != message:
+        state.preparing = message
+        return _drop_unused(state) + _load_missing(state, message.placement) + _prepared(state)
+    return _prepared(state)
+
+
+def _prepared(state: RankState) -> list[RankOutput]:
+    """Answer a preparation once all weights are there."""
+    message = state.preparing
+    if message is None or _missing(state, message.placement):
+        return []
+    return [
+        Prepared(
+            state.group,
+            state.rank,
+            state.incarnation,
+            message.fencing,
+            message.epoch,
+            message.attempt,
+            state.permitted,
+        )
+    ]
+
+
+def _abort(state: RankState, message: AbortEpoch) -> list[RankOutput]:
+    pending = state.preparing
+    if pending is None or is_stale(state, message.fencing):
+        return []
+    if (pending.epoch, pending.attempt) != (message.epoch, message.attempt):
+        return []
+    state.preparing = None
+    return _drop_unused(state)
+
+
+def _permit(state: RankState, message: Permit) -> list[RankOutput]:
+    if is_stale(state, message.fencing) or message.incarnation != state.incarnation:
+        return []
+    if not state.joined or known_epoch(state) < message.epoch:
+        return [_question(state)]
+    state.fencing = message.fencing
+    state.permitted = max(state.permitted, message.last_step)
+    return []
+
+
+def _learn(state: RankState, message: EpochsInForce) -> list[RankOutput]:
+    """Add committed maps; they are facts of the log and need no fencing check."""
+    state.fencing = max(state.fencing, message.fencing)
+    by_epoch = {each.epoch: each for each in (*state.maps, *message.maps)}
+    state.maps = [by_epoch[epoch] for epoch in sorted(by_epoch)][-MAPS_KEPT:]
+    if message.asker == state.incarnation:
+        state.joined = True
+    pending = state.preparing
+    if pending is not None and pending.epoch <= known_epoch(state):
+        state.preparing = None
+    return _load_next(state)
+
+
+def _load_next(state: RankState) -> list[RankOutput]:
+    """Load what the maps from the one in use on need, as after a restart."""
+    results: list[RankOutput] = []
+    for each in _live_maps(state):
+        results += _load_missing(state, each.placement)
+    return results
+
+
+def _enter(state: RankState, message: EnterStep, now_s: float) -> list[RankOutput]:
+    if not is_permitted(state, message.step):
+        return _hold(state, message, now_s)
+    usable = [each for each in state.maps if each.first_step <= message.step]
+    if not usable:
+        return _hold(state, message, now_s)
+    current = max(usable, key=lambda each: each.first_step)
+    if _missing(state, current.placement):
+        return [_not_ready(message), *_load_missing(state, current.placement)]
+    state.entered = max(state.entered, message.step)
+    entered = StepEntered(message.step, current.epoch, current.placement)
+    results: list[RankOutput] = [entered, *_drop_unused(state)]
+    if state.permitted - message.step == REPORT_BELOW_STEPS:
+        results += _report(state)
+    return results
+
+
+def _hold(state: RankState, message: EnterStep, now_s: float) -> list[RankOutput]:
+    """Refuse a step, and ask for what the rank needs to enter it."""
+    if now_s < state.next_request_s:
+        return [_not_ready(message)]
+    state.next_request_s = now_s + REQUEST_GAP_S
+    return [_not_ready(message), *_report(state)]
+
+
+def _not_ready(message: EnterStep) -> StepRefused:
+    return StepRefused(message.step, ResultCode.NOT_READY)
+
+
+def _count(state: RankState, message: StepDone) -> list[RankOutput]:
+    if len(state.expert_tokens) != len(message.expert_tokens):
+        state.expert_tokens = [0.0] * len(message.expert_tokens)
+    for expert, tokens in enumerate(message.expert_tokens):
+        state.expert_tokens[expert] += tokens
+    state.busy_s += message.busy_s
+    return []
+
+
+def _loaded(state: RankState, message: WeightsLoaded) -> list[RankOutput]:
+    state.resident.update(message.experts)
+    state.loading.difference_update(message.experts)
+    return _prepared(state)
+
+
+def _load_failed(state: RankState, message: LoadFailed) -> list[RankOutput]:
+    state.loading.difference_update(message.experts)
+    pending = state.preparing
+    if pending is None or not _missing(state, pending.placement):
+        return []
+    state.preparing = None
+    return [_refusal(state, pending, message.code)]
+
+
+def _report(state: RankState) -> list[RankOutput]:
+    report = RankReport(
+        state.group,
+        state.rank,
+        state.incarnation,
+        state.entered,
+        state.permitted,
+        known_epoch(state),
+        tuple(state.expert_tokens),
+        state.busy_s,
+    )
+    state.expert_tokens = []
+    state.busy_s = 0.0
+    return [report] if state.joined else [report, _question(state)]
+
+
+def _live_maps(state: RankState) -> list[EpochInForce]:
+    """Return the map in use and the next; a coordinator commits one epoch ahead at most."""
+    if state.entered == NO_STEP:
+        return state.maps[-2:]
+    used = [each.first_step for each in state.maps if each.first_step <= state.entered]
+    first = max(used, default=NO_STEP)
+    return [each for each in state.maps if each.first_step >= first]
+
+
+def _needed(state: RankState, placement: Placement) -> set[ExpertId]:
+    return set(added_experts(None, placement, state.rank))
+
+
+def _missing(state: RankState, placement: Placement) -> set[ExpertId]:
+    return _needed(state, placement) - state.resident
+
+
+def _load_missing(state: RankState, placement: Placement) -> list[RankOutput]:
+    missing = _missing(state, placement) - state.loading
+    if not missing:
+        return []
+    state.loading |= missing
+    return [LoadWeights(state.fencing, tuple(sorted(missing)))]
+
+
+def _drop_unused(state: RankState) -> list[RankOutput]:
+    needed: set[ExpertId] = set()
+    for each in _live_maps(state):
+        needed |= _needed(state, each.placement)
+    if state.preparing is not None:
+        needed |= _needed(state, state.preparing.placement)
+    unused = state.resident - needed
+    if not unused:
+        return []
+    state.resident -= unused
+    return [DropWeights(tuple(sorted(unused)))]
+
+
+def _question(state: RankState) -> AskEpochs:
+    return AskEpochs(state.group, state.incarnation)
+
+
+def _refusal(state: RankState, message: PrepareEpoch, code: ResultCode) -> PrepareRefused:
+    return PrepareRefused(
+        state.group, state.rank, state.fencing, message.epoch, message.attempt, code
+    )
--- a/src/lycheefall/_rules/replicated/epochs.py
+++ b/src/lycheefall/_rules/replicated/epochs.py
@@ -5,7 +5,7 @@
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.ids import FencingNumber, GroupId, MapEpoch, StepNumber
 from lycheefall._core.messages.control import CommitEpoch, EpochInForce, EpochResult
-from lycheefall._core.messages.groups import EpochsInForce
+from lycheefall._core.messages.groups import AskEpochs, EpochsInForce
 
 # Lock-step ranks need the map in use and the next one; the others answer late resends.
 COMMITS_KEPT = 8
@@ -53,14 +53,14 @@
     return state, _result(ResultCode.OK, group)
 
 
-def in_force(state: EpochsState, group: GroupId) -> EpochsInForce:
-    """Return the committed maps of a group; answer `AskEpochs` with it, read at the leader."""
-    epochs = state.groups.get(group, GroupEpochs())
+def in_force(state: EpochsState, question: AskEpochs) -> EpochsInForce:
+    """Answer with the committed maps of a group; ask the state of the leader only."""
+    epochs = state.groups.get(question.group, GroupEpochs())
     maps = tuple(
         EpochInForce(each.group, each.epoch, each.first_step, each.placement)
         for each in epochs.commits
     )
-    return EpochsInForce(group, epochs.fencing, maps)
+    return EpochsInForce(question.group, epochs.fencing, maps, question.asker)
 
 
 def _follows(command: CommitEpoch, group: GroupEpochs) -> bool:
--- /dev/null
+++ b/tests/group_world.py
@@ -0,0 +1,171 @@
+"""A small world for the protocol of map epochs: the log, coordinators, ranks and a network."""
+
+from dataclasses import dataclass, field
+
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.enums import FenceMode
+from lycheefall._core.ids import FencingNumber, GroupId, Incarnation, RankId, StepNumber
+from lycheefall._core.messages.control import AcquireLease, CommitEpoch, LeaseResult, RenewLease
+from lycheefall._core.messages.groups import (
+    AskEpochs,
+    DropWeights,
+    EnterStep,
+    LoadFailed,
+    LoadWeights,
+    Placement,
+    StepEntered,
+    StepRefused,
+    WeightsLoaded,
+)
+from lycheefall._rules import group_steps, rank_steps
+from lycheefall._rules.replicated import epochs
+
+GROUP = GroupId("assistant-models/0")
+RANKS = 2
+# Every expert on one rank or the other.
+PLACEMENTS: tuple[Placement, ...] = tuple(
+    tuple((RankId(n >> expert & 1),) for expert in range(3)) for n in range(8)
+)
+
+
+@dataclass
+class Flight:
+    """A message on its way; the run that it is meant for, for those that a restart voids."""
+
+    place: str
+    message: object
+    run: Incarnation | None = None
+    # A local message between an agent and its rank, which no network can lose.
+    local: bool = False
+
+
+@dataclass
+class World:
+    """Deliver messages in any order, and compare the maps that ranks use in each step."""
+
+    fence: FenceMode = FenceMode.REFUSES
+    now_s: float = 0.0
+    runs: int = 0
+    log: epochs.EpochsState = field(default_factory=epochs.initial)
+    lease: int = 0
+    network: list[Flight] = field(default_factory=list)
+    late: list[Flight] = field(default_factory=list)
+    coordinators: dict[str, group_steps.CoordinatorState] = field(default_factory=dict)
+    ranks: list[rank_steps.RankState] = field(default_factory=list)
+    platform_fencing: list[int] = field(default_factory=lambda: [0] * RANKS)
+    entered: list[int] = field(default_factory=lambda: [-1] * RANKS)
+    used: dict[int, Placement] = field(default_factory=dict)
+    # Links between a coordinator and a rank that lose all messages, both ways.
+    cut: set[tuple[str, int]] = field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        for name in ("a", "b"):
+            self.crash(name)
+        self.ranks = [self._new_rank(rank) for rank in range(RANKS)]
+
+    def crash(self, name: str) -> None:
+        self.coordinators[name] = group_steps.initial(GROUP, self._run(), RANKS, self.fence)
+
+    def restart(self, rank: int) -> None:
+        self.ranks[rank] = self._new_rank(rank)
+
+    def _run(self) -> Incarnation:
+        self.runs += 1
+        return Incarnation(f"run-{self.runs}")
+
+    def _new_rank(self, rank: int) -> rank_steps.RankState:
+        return rank_steps.initial(GROUP, RankId(rank), self._run(), frozenset())
+
+    def coordinate(self, name: str, message: object) -> None:
+        state, results = group_steps.step(self.coordinators[name], message, self.now_s)
+        for result in results:
+            match result:
+                case group_steps.SendToRank(rank, order):
+                    if (name, rank) in self.cut:
+                        continue
+                    self.network.append(Flight(f"rank-{rank}", order))
+                case group_steps.ProposeCommand(command):
+                    self.network.append(Flight(f"log-{name}", command, state.holder))
+                case AskEpochs():
+                    self.network.append(Flight(f"log-{name}", result, state.holder))
+
+    def tell_rank(self, rank: int, message: object) -> None:
+        state, results = rank_steps.step(self.ranks[rank], message, self.now_s)
+        for result in results:
+            match result:
+                case StepEntered():
+                    self._check(rank, result)
+                case LoadWeights():
+                    self._load(rank, result)
+                case AskEpochs():
+                    self.network.append(Flight(f"log-{rank}", result, state.incarnation))
+                case StepRefused() | DropWeights():
+                    pass
+                case _:
+                    for name in [n for n in self.coordinators if (n, rank) not in self.cut]:
+                        self.network.append(Flight(name, result))
+
+    def _check(self, rank: int, entered: StepEntered) -> None:
+        self.entered[rank] = entered.step
+        first = self.used.setdefault(entered.step, entered.placement)
+        assert first == entered.placement, f"unequal maps in step {entered.step}"
+
+    def _load(self, rank: int, order: LoadWeights) -> None:
+        done: object = WeightsLoaded(order.experts)
+        if self.fence is FenceMode.REFUSES and order.fencing < self.platform_fencing[rank]:
+            done = LoadFailed(order.experts, ResultCode.STALE_FENCING_NUMBER)
+        self.platform_fencing[rank] = max(self.platform_fencing[rank], order.fencing)
+        run = self.ranks[rank].incarnation
+        self.network.append(Flight(f"rank-{rank}", done, run, local=True))
+
+    def deliver(self, flight: Flight) -> None:
+        kind, _, rest = flight.place.partition("-")
+        if kind == "log":
+            self._ask_log(rest, flight)
+        elif kind == "rank":
+            if flight.run in (None, self.ranks[int(rest)].incarnation):
+                self.tell_rank(int(rest), flight.message)
+        elif flight.run in (None, self.coordinators[kind].holder):
+            self.coordinate(kind, flight.message)
+
+    def _ask_log(self, sender: str, flight: Flight) -> None:
+        place = f"rank-{sender}" if sender.isdigit() else sender
+        message = flight.message
+        if isinstance(message, AskEpochs):
+            # Not bound to a run: an answer can reach the run after the one that asked.
+            self.network.append(Flight(place, epochs.in_force(self.log, message)))
+            return
+        result: object
+        if isinstance(message, CommitEpoch):
+            _, result = epochs.apply(self.log, message, 0)
+        else:
+            result = self._lease(message)
+        answered = group_steps.Answered(message, result, self.now_s)
+        self.network.append(Flight(place, answered, flight.run))
+
+    def _lease(self, message: object) -> LeaseResult:
+        """Grant the lease to whoever asks, so that two coordinators hold it at once."""
+        code = ResultCode.OK
+        if isinstance(message, AcquireLease):
+            self.lease += 1
+        elif isinstance(message, RenewLease) and message.fencing != self.lease:
+            code = ResultCode.LEASE_EXPIRED
+        assert isinstance(message, AcquireLease | RenewLease)
+        return LeaseResult(code, message.holder, FencingNumber(self.lease), 2.0)
+
+    def settle(self, limit: int = 400) -> None:
+        while self.network and limit:
+            limit -= 1
+            self.deliver(self.network.pop(0))
+
+    def work(self, name: str, rounds: int = 1, period_s: float = 0.6) -> None:
+        for _ in range(rounds):
+            self.now_s += period_s
+            self.coordinate(name, group_steps.Tick())
+            for rank in range(RANKS):
+                self.tell_rank(rank, rank_steps.ReportDue())
+            self.settle()
+
+    def enter(self, rank: int, count: int) -> None:
+        for _ in range(count):
+            self.tell_rank(rank, EnterStep(StepNumber(self.entered[rank] + 1)))
--- a/tests/test_epochs.py
+++ b/tests/test_epochs.py
@@ -1,8 +1,9 @@
 """Tests of the epochs part of the replicated state machine."""
 
 from lycheefall._core.codes import ResultCode
-from lycheefall._core.ids import FencingNumber, GroupId, MapEpoch, RankId, StepNumber
+from lycheefall._core.ids import FencingNumber, GroupId, Incarnation, MapEpoch, RankId, StepNumber
 from lycheefall._core.messages.control import CommitEpoch, EpochResult
+from lycheefall._core.messages.groups import AskEpochs
 from lycheefall._rules.replicated import epochs
 
 GROUP = GroupId("assistant-models/0")
@@ -51,5 +52,5 @@
         state = epochs.initial()
         for number in range(1, 12):
             epochs.apply(state, commit(number, 1, number), 0)
-        maps = epochs.in_force(state, GROUP).maps
+        maps = epochs.in_force(state, AskEpochs(GROUP, Incarnation("a"))).maps
         assert [each.epoch for each in maps] == list(range(4, 12))
