--- /dev/null
+++ b/src/lycheefall/_control/group_coordinator.py
@@ -0,0 +1,188 @@
+"""Coordinator of a group: holds its lease, plans placement and drives the step protocol."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import structlog
+from msgspec import Struct
+
+from lycheefall._core.events import Event
+from lycheefall._core.exceptions import ControlUnavailable
+from lycheefall._core.ids import RankId
+from lycheefall._core.messages.control import Command, Result
+from lycheefall._core.messages.groups import AskEpochs, Placement, RankReport, ToRank
+from lycheefall._core.pipeline import Inbox, run_owner, tick
+from lycheefall._rules import group_load
+from lycheefall._rules.group_load import GroupLoad
+from lycheefall._rules.group_steps import (
+    Answered,
+    CoordinatorInput,
+    CoordinatorOutput,
+    CoordinatorState,
+    Note,
+    Place,
+    ProposeCommand,
+    SendToRank,
+    Tick,
+    epoch_in_force,
+    may_place,
+    step,
+)
+from lycheefall._rules.placement import Limits, Plan, plan
+
+TICK_S = 0.1
+PLAN_PERIOD_S = 10.0
+PROPOSE_TIMEOUT_S = 1.0
+
+Propose = Callable[[Command, float], Awaitable[Result]]
+
+_log = structlog.get_logger()
+
+
+class PlanRequest(Struct, frozen=True):
+    """Ask for a plan; made outside the task, since it takes tens of milliseconds."""
+
+    load: list[float]
+    slowness: list[float]
+    in_force: Placement | None
+
+
+class Planned(Struct, frozen=True):
+    """Bring a plan."""
+
+    plan: Plan
+
+
+class Coordination(Struct):
+    """State of the coordinator task."""
+
+    protocol: CoordinatorState
+    limits: Limits
+    load: GroupLoad
+    plan_at_s: float = 0.0
+
+
+Input = CoordinatorInput | Planned
+Output = CoordinatorOutput | PlanRequest
+
+
+def initial(protocol: CoordinatorState, limits: Limits) -> Coordination:
+    """Return the state of a coordinator task that has just started."""
+    return Coordination(protocol, limits, group_load.initial(limits.experts, limits.ranks))
+
+
+def coordinate(
+    state: Coordination, message: Input, now_s: float
+) -> tuple[Coordination, list[Output]]:
+    """Apply one message: count load, ask for plans, and step the protocol."""
+    results: list[Output] = []
+    if isinstance(message, Planned):
+        if not _changes(state, message.plan):
+            return state, results
+        message = Place(message.plan.placement)
+    if isinstance(message, RankReport):
+        group_load.observe(state.load, message)
+    state.protocol, sent = step(state.protocol, message, now_s)
+    results += sent
+    if isinstance(message, Tick):
+        results += _request_plan(state, now_s)
+    return state, results
+
+
+def _changes(state: Coordination, made: Plan) -> bool:
+    return not state.protocol.maps or made.placement != state.protocol.maps[-1].placement
+
+
+def _request_plan(state: Coordination, now_s: float) -> list[Output]:
+    if now_s < state.plan_at_s or not may_place(state.protocol):
+        return []
+    state.plan_at_s = now_s + PLAN_PERIOD_S
+    group_load.close_window(state.load)
+    maps = state.protocol.maps
+    in_force = maps[-1].placement if maps else None
+    popularity = state.load.popularity
+    if popularity is None:
+        if in_force is not None:
+            return []
+        popularity = [1.0 / state.limits.experts] * state.limits.experts
+    return [PlanRequest(list(popularity), list(state.load.slowness), in_force)]
+
+
+async def run_coordinator(
+    inbox: Inbox[Input],
+    state: Coordination,
+    *,
+    send: Callable[[RankId, ToRank], None],
+    propose: Propose,
+    ask: Callable[[AskEpochs], None],
+) -> None:
+    """Own the coordination of a group until cancelled.
+
+    `propose` carries a command through the log; `ask` reaches the leader of control, whose
+    answer is put into the inbox.
+    """
+    in_flight: set[Command] = set()
+    async with asyncio.TaskGroup() as tasks:
+
+        def emit(message: Output) -> None:
+            match message:
+                case SendToRank():
+                    send(message.rank, message.message)
+                case ProposeCommand():
+                    if message.command not in in_flight:
+                        in_flight.add(message.command)
+                        proposing = _propose(inbox, propose, message.command, in_flight)
+                        tasks.create_task(proposing)
+                case AskEpochs():
+                    ask(message)
+                case Note():
+                    _write(state, message)
+                case PlanRequest():
+                    tasks.create_task(_plan(inbox, state, message))
+
+        tasks.create_task(tick(inbox, Tick(), TICK_S))
+        tasks.create_task(run_owner(inbox, state, coordinate, emit))
+
+
+async def _propose(
+    inbox: Inbox[Input], propose: Propose, command: Command, in_flight: set[Command]
+) -> None:
+    sent_s = asyncio.get_running_loop().time()
+    try:
+        result = await propose(command, PROPOSE_TIMEOUT_S)
+    except (ControlUnavailable, TimeoutError):
+        # The protocol proposes the command again at its next tick.
+        return
+    finally:
+        in_flight.discard(command)
+    await inbox.put(Answered(command, result, sent_s))
+
+
+async def _plan(inbox: Inbox[Input], state: Coordination, request: PlanRequest) -> None:
+    made = await asyncio.to_thread(
+        plan, state.limits, request.load, request.slowness, request.in_force
+    )
+    _log.info(
+        "experts placed",
+        event_code=int(Event.EXPERTS_PLACED),
+        group=state.protocol.group,
+        epoch=epoch_in_force(state.protocol),
+        moves=made.moves,
+        moved_bytes=made.moved_bytes,
+        gain_s=round(made.gain_s, 3),
+        cost_s=round(made.cost_s, 3),
+        skew_before=round(made.skew_before, 3),
+        skew_ratio=round(made.skew_ratio, 3),
+    )
+    await inbox.put(Planned(made))
+
+
+def _write(state: Coordination, note: Note) -> None:
+    _log.info(
+        note.event.name.lower().replace("_", " "),
+        event_code=int(note.event),
+        group=state.protocol.group,
+        epoch=note.epoch,
+        step=note.step,
+        code=int(note.code),
+    )
