--- a/src/lycheefall/_rules/replicated/machine.py
+++ b/src/lycheefall/_rules/replicated/machine.py
@@ -20,7 +20,7 @@
 )
 from lycheefall._rules.replicated import claims, epochs, leases, revisions, suspects
 from lycheefall._rules.replicated.claims import ClaimsState
-from lycheefall._rules.replicated.epochs import Epochs
+from lycheefall._rules.replicated.epochs import EpochsState
 from lycheefall._rules.replicated.leases import Leases
 from lycheefall._rules.replicated.revisions import Revisions
 from lycheefall._rules.replicated.suspects import Suspects
@@ -42,7 +42,7 @@
     revisions: Revisions = field(default_factory=Revisions)
     claims: ClaimsState = field(default_factory=ClaimsState)
     leases: Leases = field(default_factory=Leases)
-    epochs: Epochs = field(default_factory=Epochs)
+    epochs: EpochsState = field(default_factory=EpochsState)
     suspects: Suspects = field(default_factory=Suspects)
     # In the order of the log, so that expired results are at the front.
     results: dict[CommandId, Recorded] = field(default_factory=dict)
