Add the demo and load commands, and pass the caller's key to the upstream

Change: lycheefall demo runs entries, control, agents and fakes as tasks of one process; lycheefall load runs a scenario file; ClaimToken carries team and key apart, so the upstream gets the caller's own key and the team in a header. GET /v1/entries names its list "addresses", as the design page does.

--- a/src/lycheefall/_agent/check.py
+++ b/src/lycheefall/_agent/check.py
@@ -25,9 +25,10 @@
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.configuration import Configuration
 from lycheefall._core.enums import AttemptState, MemberState
-from lycheefall._core.ids import NO_REVISION, IdempotencyKey
+from lycheefall._core.ids import NO_REVISION
 from lycheefall._core.messages.dispatch import (
     Cancel,
+    ClaimToken,
     Credit,
     Dispatch,
     Finished,
@@ -62,7 +63,7 @@
     load_read_s: float = 0.0
     running: dict[AttemptId, Dispatch] = field(default_factory=dict)
     # Results of claimed attempts, for flows that ask after a lost connection.
-    finished: dict[IdempotencyKey, Finished] = field(default_factory=dict)
+    finished: dict[ClaimToken, Finished] = field(default_factory=dict)
     # A suspect that waits until nothing else runs.
     waiting_alone: Forward | None = None
     alone: AttemptId | None = None
@@ -182,7 +183,7 @@
     finished = _as_finished(result)
     state.attempts, _ = attempts.step(state.attempts, finished, now_s)
     if dispatch is not None and dispatch.claim is not None:
-        _keep(state, dispatch.claim.key, finished)
+        _keep(state, dispatch.claim, finished)
     return [ToPeer(ended.peer, result), *_start_alone(state), *_drained(state)]
 
 
@@ -192,9 +193,9 @@
     return Finished(result.request, result.attempt, result.code)
 
 
-def _keep(state: CheckState, key: IdempotencyKey, finished: Finished) -> None:
-    state.finished.pop(key, None)
-    state.finished[key] = finished
+def _keep(state: CheckState, claim: ClaimToken, finished: Finished) -> None:
+    state.finished.pop(claim, None)
+    state.finished[claim] = finished
     if len(state.finished) > KEPT_RESULTS:
         del state.finished[next(iter(state.finished))]
 
@@ -203,7 +204,7 @@
     state.attempts, (effect,) = attempts.step(state.attempts, resolve, now_s)
     assert isinstance(effect, Resolved)
     results: list[FromCheck] = [ToPeer(peer, effect)]
-    kept = state.finished.get(resolve.claim.key) if resolve.claim is not None else None
+    kept = state.finished.get(resolve.claim) if resolve.claim is not None else None
     if effect.state is AttemptState.FINISHED and kept is not None:
         again = structs.replace(kept, request=resolve.request, attempt=resolve.attempt)
         results.append(ToPeer(peer, again))
--- a/src/lycheefall/_agent/forward.py
+++ b/src/lycheefall/_agent/forward.py
@@ -8,7 +8,7 @@
 
 from lycheefall._agent.messages import AttemptEnded
 from lycheefall._core.codes import ResultCode
-from lycheefall._core.enums import RouteKind, UpstreamKind
+from lycheefall._core.enums import UpstreamKind
 from lycheefall._core.ids import Address
 from lycheefall._core.messages.dispatch import Dispatch, Finished, Frame, Refused, ToEntry
 from lycheefall._wire.sse import EventParser, TokenEvent
@@ -150,9 +150,7 @@
     headers = {"Content-Type": dispatch.content_type or "application/octet-stream"}
     if dispatch.claim is not None:
         headers["Idempotency-Key"] = dispatch.claim.key
-    if dispatch.kind is RouteKind.BOOKING:
-        # A kept connection may close under the call, and the client would then send it again.
-        headers["Connection"] = "close"
+        headers["X-Lycheefall-Team"] = dispatch.claim.team
     url = f"http://{upstream}{dispatch.path}"
     body = dispatch.body or None
     async with session.request(dispatch.method, url, data=body, headers=headers) as response:
--- a/src/lycheefall/_core/messages/dispatch.py
+++ b/src/lycheefall/_core/messages/dispatch.py
@@ -11,6 +11,7 @@
     Incarnation,
     PriorityId,
     RequestId,
+    TeamId,
 )
 from lycheefall._core.messages.membership import Load
 
@@ -18,6 +19,7 @@
 class ClaimToken(Struct, frozen=True, array_like=True):
     """Proof that an attempt of a non-idempotent operation is committed in the log."""
 
+    team: TeamId
     key: IdempotencyKey
     attempt: AttemptNumber
 
--- a/src/lycheefall/_entry/accept.py
+++ b/src/lycheefall/_entry/accept.py
@@ -178,7 +178,7 @@
             return refusal(ResultCode.NOT_READY, "no committed configuration is known yet", "")
         team = TeamId(http.headers.get(TEAM_HEADER) or http.query.get("team", ""))
         body = {
-            "entries": [member.address for member in choose(team)],
+            "addresses": [member.address for member in choose(team)],
             "ttl_s": catalogue.configuration.directory.ttl_s,
         }
         return web.Response(body=msgspec.json.encode(body), content_type="application/json")
--- a/src/lycheefall/_operate/cli.py
+++ b/src/lycheefall/_operate/cli.py
@@ -18,6 +18,8 @@
     commands.check,
     commands.apply,
     commands.status,
+    commands.load,
+    commands.demo,
 )
 
 
--- a/src/lycheefall/_operate/commands.py
+++ b/src/lycheefall/_operate/commands.py
@@ -32,6 +32,8 @@
 from lycheefall._operate import settings as checks
 from lycheefall._operate.configuration_file import digest_of, parse_configuration, replaces_of
 from lycheefall._operate.daemon import run_daemon
+from lycheefall._operate.demo import run_demo
+from lycheefall._operate.load_command import load_and_report
 from lycheefall._operate.logging import LogForm, LogLevel, configure_logging
 from lycheefall._operate.status import describe
 
@@ -211,6 +213,29 @@
     print(describe(report))
 
 
+def load(scenario: str, *, entries: str, report: str = "", plot: str = "") -> None:
+    """Send the load of a scenario file and print a summary.
+
+    :param scenario: path of the scenario file
+    :param entries: addresses to ask for the directory, IP:PORT with commas between
+    :param report: path for the JSON report; empty for none
+    :param plot: path for the SVG plot; empty for none
+    """
+    text = checks.checked_file("scenario", scenario).read_text(encoding="utf-8")
+    addresses = checks.checked_addresses("entries", entries)
+    files = (Path(report) if report else None, Path(plot) if plot else None)
+    print(load_and_report(text, addresses, *files))
+
+
+def demo(*, log_level: str = "warning") -> None:
+    """Run entries, control, agents and fake upstreams in one process, with a short load.
+
+    :param log_level: debug, info, warning or error
+    """
+    _logging("console", log_level, "demo", "demo")
+    aiomisc.run(run_demo(print), log_config=False)
+
+
 def _logging(form: str, level: str, instance: str, role: str) -> None:
     configure_logging(
         checks.checked_choice("log_form", form, LogForm),
--- a/src/lycheefall/_rules/attempts.py
+++ b/src/lycheefall/_rules/attempts.py
@@ -15,8 +15,15 @@
 
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.enums import AttemptState
-from lycheefall._core.ids import AttemptNumber, IdempotencyKey, Incarnation, RequestId
-from lycheefall._core.messages.dispatch import Dispatch, Finished, Refused, Resolve, Resolved
+from lycheefall._core.ids import AttemptNumber, IdempotencyKey, Incarnation, RequestId, TeamId
+from lycheefall._core.messages.dispatch import (
+    ClaimToken,
+    Dispatch,
+    Finished,
+    Refused,
+    Resolve,
+    Resolved,
+)
 
 K = TypeVar("K")
 
@@ -49,6 +56,10 @@
 Effect = Run | Refused | Resolved
 
 
+# Keys of one team say nothing about those of another.
+OperationId = tuple[TeamId, IdempotencyKey]
+
+
 class Seen(Struct):
     """The highest attempt seen under a key, or one attempt of a request."""
 
@@ -64,9 +75,9 @@
     key_retention_s: float = 86_400.0
     draining: bool = False
     plain: dict[tuple[RequestId, AttemptNumber], Seen] = field(default_factory=dict)
-    claimed: dict[IdempotencyKey, Seen] = field(default_factory=dict)
+    claimed: dict[OperationId, Seen] = field(default_factory=dict)
     # Key of each running attempt of a claim.
-    running: dict[tuple[RequestId, AttemptNumber], IdempotencyKey] = field(default_factory=dict)
+    running: dict[tuple[RequestId, AttemptNumber], OperationId] = field(default_factory=dict)
 
 
 def initial(incarnation: Incarnation, key_retention_s: float) -> AttemptsState:
@@ -106,7 +117,7 @@
         return Refused(dispatch.request, dispatch.attempt, code)
     _note(state, dispatch, AttemptState.STARTED, now_s)
     if dispatch.claim is not None:
-        state.running[dispatch.request, dispatch.attempt] = dispatch.claim.key
+        state.running[dispatch.request, dispatch.attempt] = _operation(dispatch.claim)
     return Run(dispatch, now_s + dispatch.remaining_s)
 
 
@@ -135,11 +146,15 @@
     return Resolved(resolve.request, resolve.attempt, known)
 
 
+def _operation(claim: ClaimToken) -> OperationId:
+    return claim.team, claim.key
+
+
 def _known(state: AttemptsState, message: Dispatch | Resolve) -> AttemptState:
     if message.claim is None:
         seen = state.plain.get((message.request, message.attempt))
         return seen.state if seen else AttemptState.UNSEEN
-    seen = state.claimed.get(message.claim.key)
+    seen = state.claimed.get(_operation(message.claim))
     if seen is None or seen.attempt < message.claim.attempt:
         return AttemptState.UNSEEN
     if seen.attempt > message.claim.attempt:
@@ -155,8 +170,9 @@
         state.plain.pop(request, None)
         state.plain[request] = Seen(message.attempt, known, now_s)
     else:
-        state.claimed.pop(message.claim.key, None)
-        state.claimed[message.claim.key] = Seen(message.claim.attempt, known, now_s)
+        operation = _operation(message.claim)
+        state.claimed.pop(operation, None)
+        state.claimed[operation] = Seen(message.claim.attempt, known, now_s)
 
 
 def _finish(state: AttemptsState, finished: Finished, now_s: float) -> None:
--- a/src/lycheefall/_rules/booking_calls.py
+++ b/src/lycheefall/_rules/booking_calls.py
@@ -3,7 +3,7 @@
 from msgspec import structs
 
 from lycheefall._core.codes import ResultCode
-from lycheefall._core.ids import Incarnation
+from lycheefall._core.ids import Incarnation, UpstreamId
 from lycheefall._core.messages.dispatch import Refused
 from lycheefall._core.messages.entry import (
     BookingAnswered,
@@ -76,6 +76,11 @@
     return BookingPicked(request.request, call.upstream, call.incarnation, ResultCode.OK)
 
 
+def _origin(call: Call) -> UpstreamId:
+    # The upstream that was picked has no part in an answer that was recorded before.
+    return call.upstream if call.attempt else NO_UPSTREAM
+
+
 def _no_pick(request: Repick) -> BookingPicked:
     return BookingPicked(request.request, None, Incarnation(""), ResultCode.NO_UPSTREAM)
 
@@ -85,5 +90,5 @@
     call = state.calls.get(answered.end.request)
     if call is None:
         return [answered.end]
-    end = structs.replace(answered.end, upstream=call.upstream, attempts=call.attempt)
+    end = structs.replace(answered.end, upstream=_origin(call), attempts=call.attempt)
     return [end, close(state, call)]
--- a/src/lycheefall/_rules/claim_flow.py
+++ b/src/lycheefall/_rules/claim_flow.py
@@ -12,7 +12,7 @@
 
 from lycheefall._core.codes import ResultCode, run_state
 from lycheefall._core.enums import AttemptState, ClaimState, RunState
-from lycheefall._core.ids import AttemptNumber, IdempotencyKey, TeamId, UpstreamId
+from lycheefall._core.ids import AttemptNumber, UpstreamId
 from lycheefall._core.messages.control import (
     Claim,
     ClaimResult,
@@ -78,11 +78,6 @@
     answered: bool = False
 
 
-def claim_token(team: TeamId, key: IdempotencyKey, attempt: AttemptNumber) -> ClaimToken:
-    """Return the token of an attempt; its key includes the team, whose keys are its own."""
-    return ClaimToken(IdempotencyKey(f"{len(team)}:{team}:{key}"), attempt)
-
-
 def start(booking: Booking, target: Target) -> tuple[Flow, list[Effect]]:
     """Begin with a claim for the chosen upstream."""
     flow = Flow(booking, target)
@@ -378,4 +373,4 @@
 
 
 def _token(flow: Flow, attempt: AttemptNumber) -> ClaimToken:
-    return claim_token(flow.booking.team, flow.booking.key, attempt)
+    return ClaimToken(flow.booking.team, flow.booking.key, attempt)
--- a/tests/processes/test_whole_path.py
+++ b/tests/processes/test_whole_path.py
@@ -92,8 +92,8 @@
             answer = await response.json()
         addresses = {fleet.addresses[f"entry-{number}"] for number in range(4)}
         assert answer["ttl_s"] == 1.0
-        assert set(answer["entries"]) <= addresses
-        assert answer["entries"]
+        assert set(answer["addresses"]) <= addresses
+        assert answer["addresses"]
 
     async def check_refusals(self, fleet: Fleet, session: aiohttp.ClientSession) -> None:
         chat, bookings = "/v1/chat/completions", "/v1/services/counter/bookings"
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -26,7 +26,7 @@
         "priority": "p",
         "rank": 0,
         "fingerprint": "f",
-        "claim": ClaimToken(key, attempt) if key else None,  # type: ignore[arg-type]
+        "claim": ClaimToken("t", key, attempt) if key else None,  # type: ignore[arg-type]
     }
     return Dispatch(**fields | changes)
 
@@ -89,11 +89,11 @@
     def test_bounded(self) -> None:
         """Guards against memory that grows for ever, and against forgetting within a retention."""
         state = attempts.initial("i", DAY_S)  # type: ignore[arg-type]
-        resolve = Resolve("r", 1, ClaimToken("k", 1), "i")  # type: ignore[arg-type]
+        resolve = Resolve("r", 1, ClaimToken("t", "k", 1), "i")  # type: ignore[arg-type]
         attempts.step(state, resolve, 0.0)
         outcome(state, dispatch(key="running"))
         outcome(state, dispatch(key=None))
         assert outcome(state, dispatch(), DAY_S + 60.0) is Code.ATTEMPT_RELEASED
         attempts.step(state, attempts.SetDraining(False), 2 * DAY_S)
-        assert list(state.claimed) == ["running"]
+        assert list(state.claimed) == [("t", "running")]
         assert len(state.plain) == 1
