Keep membership from heartbeats, with versioned deltas

Cause: upstreams and entries announce themselves, and announcements come late, twice and out of order.

Change: membership.py. A late announcement changes nothing, a replaced incarnation is ignored while the newer one is a member, silence leaves a member out, and watchers get deltas from a bounded history. A drain ends only with a later announcement of the same agent or a new incarnation. A load alone doesn't raise the version.

--- /dev/null
+++ b/src/lycheefall/_rules/membership.py
@@ -0,0 +1,193 @@
+"""Members as their heartbeats announce them, with versioned deltas for watchers.
+
+The member is the authority on its own state: an announcement with a higher sequence of the same
+incarnation replaces the last one, and nothing else ends a drain within an incarnation. A silent
+member is left out, but its last announcement is remembered, so a late one can't bring it back.
+
+Incarnations have no order of their own: the one that is first heard later is the newer one. A
+replaced incarnation is ignored while the newer one is a member. If a late announcement made an
+ended incarnation look newer, it falls silent and the live one returns.
+"""
+
+from collections import deque
+from enum import Enum
+
+from msgspec import Struct, field, structs
+
+from lycheefall._core.ids import Incarnation
+from lycheefall._core.messages.membership import Announce, Load, Member, UpstreamMember
+
+# An incarnation that was replaced or fell silent is remembered this long.
+MEMORY_S = 3_600.0
+# Changes kept for deltas; a watcher that is further behind gets a full copy.
+HISTORY = 4_096
+
+
+class MemberKind(Enum):
+    """Kind of a member; ids of different kinds may be equal."""
+
+    UPSTREAM = "upstream"
+    ENTRY = "entry"
+
+
+class MemberKey(Struct, frozen=True):
+    """A member in all its incarnations."""
+
+    kind: MemberKind
+    name: str
+
+
+class Sweep(Struct, frozen=True):
+    """Timer for leaving out silent members."""
+
+
+class Joined(Struct, frozen=True):
+    """A member that is new, or changed in more than its load."""
+
+    key: MemberKey
+    member: Member
+
+
+class Left(Struct, frozen=True):
+    """A member that fell silent."""
+
+    key: MemberKey
+
+
+class Heard(Struct):
+    """The last announcement of an incarnation and when it was received."""
+
+    announce: Announce
+    heard_s: float
+
+
+class Change(Struct, frozen=True):
+    """One step of the version."""
+
+    version: int
+    key: MemberKey
+
+
+class Delta(Struct, frozen=True):
+    """What a watcher lacks; with full, the members are all there are."""
+
+    version: int
+    full: bool
+    members: tuple[Member, ...]
+    removed: tuple[MemberKey, ...]
+
+
+class MembershipState(Struct):
+    """Current members and remembered incarnations, each in the order last heard."""
+
+    silence_s: float
+    history: int
+    members: dict[MemberKey, Heard] = field(default_factory=dict)
+    past: dict[Incarnation, Heard] = field(default_factory=dict)
+    version: int = 0
+    changes: deque[Change] = field(default_factory=deque)
+
+
+def initial(silence_s: float, history: int = HISTORY) -> MembershipState:
+    """Return a state without members; a member is left out after silence_s."""
+    return MembershipState(silence_s, history)
+
+
+def key_of(member: Member) -> MemberKey:
+    """Return the key of a member."""
+    if isinstance(member, UpstreamMember):
+        return MemberKey(MemberKind.UPSTREAM, member.upstream)
+    return MemberKey(MemberKind.ENTRY, member.instance)
+
+
+def step(
+    state: MembershipState, message: Announce | Sweep, now_s: float
+) -> tuple[MembershipState, list[Joined | Left]]:
+    """Take in one announcement, or leave out the members that fell silent."""
+    if isinstance(message, Sweep):
+        return state, _sweep(state, now_s)
+    return state, _announce(state, message, now_s)
+
+
+def changes_since(state: MembershipState, version: int) -> Delta:
+    """Return what changed after a version of this state."""
+    oldest = state.version - len(state.changes)
+    if not oldest <= version <= state.version:
+        members = tuple(heard.announce.member for heard in state.members.values())
+        return Delta(state.version, True, members, ())
+    changed: dict[MemberKey, None] = {}
+    for change in reversed(state.changes):
+        if change.version <= version:
+            break
+        changed[change.key] = None
+    present = [state.members[key].announce.member for key in changed if key in state.members]
+    removed = tuple(key for key in changed if key not in state.members)
+    return Delta(state.version, False, tuple(present), removed)
+
+
+def _announce(state: MembershipState, announce: Announce, now_s: float) -> list[Joined | Left]:
+    key = key_of(announce.member)
+    known = state.members.get(key)
+    if _is_late(announce, known) or _is_past(state, announce):
+        return []
+    if known is not None:
+        del state.members[key]
+        if known.announce.member.incarnation != announce.member.incarnation:
+            state.past[known.announce.member.incarnation] = Heard(known.announce, now_s)
+    state.past.pop(announce.member.incarnation, None)
+    state.members[key] = Heard(announce, now_s)
+    if known is not None and _without_load(known.announce) == _without_load(announce):
+        return []
+    _change(state, key)
+    return [Joined(key, announce.member)]
+
+
+def _is_late(announce: Announce, known: Heard | None) -> bool:
+    if known is None or known.announce.member.incarnation != announce.member.incarnation:
+        return False
+    return announce.sequence <= known.announce.sequence
+
+
+def _is_past(state: MembershipState, announce: Announce) -> bool:
+    past = state.past.get(announce.member.incarnation)
+    if past is None:
+        return False
+    was_replaced = key_of(announce.member) in state.members
+    return was_replaced or announce.sequence <= past.announce.sequence
+
+
+def _without_load(announce: Announce) -> Member:
+    member = announce.member
+    if isinstance(member, UpstreamMember):
+        return structs.replace(member, load=Load())
+    return member
+
+
+def _change(state: MembershipState, key: MemberKey) -> None:
+    state.version += 1
+    state.changes.append(Change(state.version, key))
+    if len(state.changes) > state.history:
+        state.changes.popleft()
+
+
+def _sweep(state: MembershipState, now_s: float) -> list[Joined | Left]:
+    left: list[Joined | Left] = []
+    while state.members:
+        key = next(iter(state.members))
+        heard = state.members[key]
+        if heard.heard_s + state.silence_s > now_s:
+            break
+        del state.members[key]
+        state.past[heard.announce.member.incarnation] = Heard(heard.announce, now_s)
+        _change(state, key)
+        left.append(Left(key))
+    _forget(state, now_s)
+    return left
+
+
+def _forget(state: MembershipState, now_s: float) -> None:
+    while state.past:
+        incarnation = next(iter(state.past))
+        if state.past[incarnation].heard_s + MEMORY_S > now_s:
+            return
+        del state.past[incarnation]
