Decide which tokens of a stream reach the caller and when it has ended

Cause: frames of an old attempt, copies, overlaps and gaps must not mix into an answer, and a lost stream resumes from the last token delivered.

Change: streams.py.

--- /dev/null
+++ b/src/lycheefall/_rules/streams.py
@@ -0,0 +1,136 @@
+"""An entry's resume rule: which tokens of a stream reach the caller, and when it has ended."""
+
+from enum import Enum
+
+from msgspec import Struct, field
+
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.ids import AttemptNumber, RequestId
+from lycheefall._core.messages.dispatch import Finished, Frame
+
+
+class DropReason(Enum):
+    """Why a message of a stream was not used."""
+
+    OTHER_REQUEST = "other-request"
+    OTHER_ATTEMPT = "other-attempt"
+    DELIVERED_BEFORE = "delivered-before"
+
+
+class EndReason(Enum):
+    """Why an attempt ended before the stream did."""
+
+    LOST = "lost"
+    GAP = "gap"
+    COUNT_DIFFERS = "count-differs"
+    FAILED = "failed"
+
+
+class AttemptLost(Struct, frozen=True):
+    """The upstream, its agent or the connection to it was lost."""
+
+    attempt: AttemptNumber
+
+
+class AttemptBegun(Struct, frozen=True):
+    """A new attempt was dispatched with the tokens to resume from."""
+
+    attempt: AttemptNumber
+
+
+class Deliver(Struct, frozen=True):
+    """Send tokens to the caller; index is that of the first one in the answer."""
+
+    index: int
+    tokens: tuple[str, ...]
+
+
+class Dropped(Struct, frozen=True):
+    """A message that was not used."""
+
+    reason: DropReason
+
+
+class AttemptEnded(Struct, frozen=True):
+    """Cancel the attempt and resume elsewhere after these tokens, within the retry budget."""
+
+    attempt: AttemptNumber
+    reason: EndReason
+    resume_tokens: tuple[str, ...]
+    finished: Finished | None = None
+
+
+class Completed(Struct, frozen=True):
+    """The caller has the whole answer."""
+
+    finished: Finished
+
+
+Message = Frame | Finished | AttemptLost | AttemptBegun
+Effect = Deliver | Dropped | AttemptEnded | Completed
+
+
+class StreamState(Struct):
+    """One stream; no attempt is open after a loss, nor after the end."""
+
+    request: RequestId
+    attempt: AttemptNumber
+    open: bool = True
+    delivered: list[str] = field(default_factory=list)
+
+
+def initial(request: RequestId, attempt: AttemptNumber) -> StreamState:
+    """Return the state at the first dispatch."""
+    return StreamState(request, attempt)
+
+
+def step(state: StreamState, message: Message, now_s: float) -> tuple[StreamState, list[Effect]]:
+    """Advance a stream by one message."""
+    match message:
+        case Frame() | Finished():
+            return state, [_received(state, message)]
+        case AttemptLost():
+            if state.open and message.attempt == state.attempt:
+                return state, [_end_attempt(state, EndReason.LOST)]
+        case AttemptBegun():
+            if message.attempt > state.attempt:
+                state.attempt = message.attempt
+                state.open = True
+    return state, []
+
+
+def _received(state: StreamState, message: Frame | Finished) -> Effect:
+    if message.request != state.request:
+        return Dropped(DropReason.OTHER_REQUEST)
+    if message.attempt != state.attempt or not state.open:
+        return Dropped(DropReason.OTHER_ATTEMPT)
+    if isinstance(message, Frame):
+        return _frame(state, message)
+    return _finished(state, message)
+
+
+def _frame(state: StreamState, frame: Frame) -> Effect:
+    index = len(state.delivered)
+    if frame.sequence > index:
+        return _end_attempt(state, EndReason.GAP)
+    tokens = frame.tokens[index - frame.sequence :]
+    if not tokens:
+        return Dropped(DropReason.DELIVERED_BEFORE)
+    state.delivered.extend(tokens)
+    return Deliver(index, tokens)
+
+
+def _finished(state: StreamState, finished: Finished) -> Effect:
+    if finished.code is not ResultCode.OK:
+        return _end_attempt(state, EndReason.FAILED, finished)
+    if finished.token_count != len(state.delivered):
+        return _end_attempt(state, EndReason.COUNT_DIFFERS)
+    state.open = False
+    return Completed(finished)
+
+
+def _end_attempt(
+    state: StreamState, reason: EndReason, finished: Finished | None = None
+) -> AttemptEnded:
+    state.open = False
+    return AttemptEnded(state.attempt, reason, tuple(state.delivered), finished)
