--- a/src/lycheefall/_agent/forward.py
+++ b/src/lycheefall/_agent/forward.py
@@ -91,7 +91,7 @@
     emit: Emit,
 ) -> ToEntry:
     progress = Progress(len(dispatch.resume_tokens))
-    headers = {"Content-Type": "application/json", "X-Priority": str(dispatch.rank)}
+    headers = {"Content-Type": "application/json"}
     url = f"http://{upstream}{dispatch.path}"
     async with session.post(url, data=engine_body(dispatch), headers=headers) as response:
         if response.status != 200:
@@ -135,6 +135,7 @@
     """Return the body for an engine: always streamed, continued after the given tokens."""
     body = msgspec.json.decode(dispatch.body)
     body["stream"] = True
+    body["priority"] = dispatch.rank
     if dispatch.resume_tokens:
         body["resume_tokens"] = dispatch.resume_tokens
     return msgspec.json.encode(body)
--- a/src/lycheefall/_core/messages/entry.py
+++ b/src/lycheefall/_core/messages/entry.py
@@ -274,7 +274,14 @@
 )
 FromQueue = Run | Abandon | ReplyEnd
 ToBooking = (
-    BookingStarted | BookingPicked | BookingReply | BookingLinkLost | EntriesSeen | Proposed | Tick
+    Abandon
+    | BookingStarted
+    | BookingPicked
+    | BookingReply
+    | BookingLinkLost
+    | EntriesSeen
+    | Proposed
+    | Tick
 )
 FromBooking = DispatchClaimed | Repick | ToLink | BookingAnswered | ProposeFor
 FromDispatch = (
@@ -283,6 +290,7 @@
     | ReplyEnd
     | CallEnded
     | Capacity
+    | Abandon
     | BookingStarted
     | BookingPicked
     | BookingReply
--- a/src/lycheefall/_entry/service.py
+++ b/src/lycheefall/_entry/service.py
@@ -87,7 +87,7 @@
     def __init__(self, settings: EntrySettings) -> None:
         self.settings = settings
         self.incarnation = new_incarnation()
-        self.joins: Inbox[Submit | ReplyEnd] = Inbox(INBOX_MESSAGES)
+        self.joins: Inbox[Submit | Abandon | ReplyEnd] = Inbox(INBOX_MESSAGES)
         self.queue: Inbox[ToQueue] = Inbox(INBOX_MESSAGES)
         self.dispatch: Inbox[ToDispatch] = Inbox(INBOX_MESSAGES)
         self.bookings: Inbox[ToBooking] = Inbox(INBOX_MESSAGES)
@@ -103,16 +103,14 @@
         match message:
             case FramesRead():
                 return self.dispatch.offer(message)
-            case Abandon():
-                return self.queue.offer(message)
-            case Submit():
+            case Abandon() | Submit():
                 return self.joins.offer(message)
 
-    def from_joins(self, message: Submit | ReplyEnd) -> None:
+    def from_joins(self, message: Submit | Abandon | ReplyEnd) -> None:
         """Pass on the first try of a booking, and the answer of each try."""
         if isinstance(message, ReplyEnd):
             self._answer(message)
-        elif not self.queue.offer(message):
+        elif not self.queue.offer(message) and isinstance(message, Submit):
             refusal = refuse(message.call, ResultCode.OVERLOADED, "the queue is full", 1.0)
             self.joins.offer(refusal)
 
@@ -132,7 +130,9 @@
                 self.acceptor.reply(message)
             case ReplyEnd():
                 self.joins.offer(message)
-            case BookingStarted() | BookingPicked() | BookingReply() | BookingLinkLost():
+            case (
+                Abandon() | BookingStarted() | BookingPicked() | BookingReply() | BookingLinkLost()
+            ):
                 self.bookings.offer(message)
             case CallEnded() | Capacity():
                 self.queue.offer(message)
--- a/src/lycheefall/_rules/booking_messages.py
+++ b/src/lycheefall/_rules/booking_messages.py
@@ -115,5 +115,11 @@
     entries: frozenset[Incarnation]
 
 
+class Abandoned(Struct, frozen=True):
+    """The caller has left and may try again elsewhere; nothing new may start for it here."""
+
+
 Effect = SendCommand | SendDispatch | SendResolve | PickUpstream | Answer | Ended
-Message = CommandReplied | Picked | LinkLost | Wake | Started | Refused | Finished | Resolved
+Message = (
+    CommandReplied | Picked | LinkLost | Abandoned | Wake | Started | Refused | Finished | Resolved
+)
--- a/src/lycheefall/_rules/bookings.py
+++ b/src/lycheefall/_rules/bookings.py
@@ -5,6 +5,7 @@
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.ids import Digest, Incarnation, RequestId
 from lycheefall._core.messages.entry import (
+    Abandon,
     BookingAnswered,
     BookingLinkLost,
     BookingPicked,
@@ -23,6 +24,7 @@
 )
 from lycheefall._rules import claim_flow
 from lycheefall._rules.booking_messages import (
+    Abandoned,
     Answer,
     Booking,
     CommandReplied,
@@ -76,6 +78,8 @@
             # This entry is there for itself, whatever control has heard so far.
             state.entries = message.incarnations | {state.holder}
             return state, []
+        case Abandon():
+            return state, _step(state, message.request, Abandoned(), now_s)
         case BookingLinkLost():
             return state, _step_all(state, LinkLost(message.upstream), now_s)
         case Tick():
--- a/src/lycheefall/_rules/calls.py
+++ b/src/lycheefall/_rules/calls.py
@@ -217,9 +217,11 @@
 
 def _abandon(state: CallsState, request: RequestId) -> list[FromDispatch]:
     call = state.calls.get(request)
-    # A booking goes on: its outcome is recorded for the next try of its key.
-    if call is None or is_booking(call):
+    if call is None:
         return []
+    if is_booking(call):
+        # An attempt that runs goes on: its outcome is recorded for the next try of the key.
+        return [Abandon(request), close(state, call)]
     return [_cancel(call), close(state, call)]
 
 
--- a/src/lycheefall/_rules/claim_flow.py
+++ b/src/lycheefall/_rules/claim_flow.py
@@ -22,6 +22,7 @@
 )
 from lycheefall._core.messages.dispatch import ClaimToken, Finished, Refused, Resolve, Resolved
 from lycheefall._rules.booking_messages import (
+    Abandoned,
     Answer,
     Booking,
     CommandReplied,
@@ -101,6 +102,9 @@
             return flow, _on_resolved(flow, message, now_s)
         case LinkLost():
             return flow, _on_link_lost(flow, message)
+        case Abandoned():
+            flow.answered = True
+            return flow, _end(flow) if flow.stage is Stage.JOINED else []
         case Wake():
             return flow, _on_wake(flow, message, now_s)
     return flow, []
--- a/src/lycheefall/_rules/joins.py
+++ b/src/lycheefall/_rules/joins.py
@@ -8,7 +8,7 @@
 
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.ids import Fingerprint, IdempotencyKey, RequestId, TeamId
-from lycheefall._core.messages.entry import CallerRequest, ReplyEnd, Submit
+from lycheefall._core.messages.entry import Abandon, CallerRequest, ReplyEnd, Submit
 
 OperationId = tuple[TeamId, IdempotencyKey]
 
@@ -26,18 +26,25 @@
 
     by_operation: dict[OperationId, RequestId] = field(default_factory=dict)
     by_request: dict[RequestId, Joined] = field(default_factory=dict)
+    # The try that each follower waits for.
+    by_follower: dict[RequestId, RequestId] = field(default_factory=dict)
 
 
-def step_joins(
-    state: JoinsState, message: Submit | ReplyEnd, now_s: float
-) -> tuple[JoinsState, list[Submit | ReplyEnd]]:
+Passed = Submit | Abandon | ReplyEnd
+
+
+def step_joins(state: JoinsState, message: Passed, now_s: float) -> tuple[JoinsState, list[Passed]]:
     """Pass on the first try of a booking, and give its answer to all tries."""
-    if isinstance(message, Submit):
-        return state, _submit(state, message.call)
-    return state, _end(state, message)
+    match message:
+        case Submit():
+            return state, _submit(state, message.call)
+        case Abandon():
+            return state, _abandon(state, message)
+        case ReplyEnd():
+            return state, _end(state, message)
 
 
-def _submit(state: JoinsState, call: CallerRequest) -> list[Submit | ReplyEnd]:
+def _submit(state: JoinsState, call: CallerRequest) -> list[Passed]:
     if call.operation is None:
         return [Submit(call)]
     operation = (call.team, call.operation.key)
@@ -51,16 +58,39 @@
         detail = "the key is in use for another request"
         return [ReplyEnd(request=call.request, code=ResultCode.KEY_REUSED, detail=detail)]
     joined.followers.append(call.request)
+    state.by_follower[call.request] = first
     return []
 
 
-def _end(state: JoinsState, end: ReplyEnd) -> list[Submit | ReplyEnd]:
-    joined = state.by_request.pop(end.request, None)
+def _abandon(state: JoinsState, abandon: Abandon) -> list[Passed]:
+    first = state.by_follower.pop(abandon.request, None)
+    if first is not None:
+        state.by_request[first].followers.remove(abandon.request)
+        return []
+    joined = state.by_request.get(abandon.request)
+    if joined is None:
+        return [abandon]
+    if joined.followers:
+        # The try goes on for those that joined it.
+        return []
+    _forget(state, abandon.request, joined)
+    return [abandon]
+
+
+def _end(state: JoinsState, end: ReplyEnd) -> list[Passed]:
+    joined = state.by_request.get(end.request)
     if joined is None:
         return [end]
-    del state.by_operation[joined.operation]
+    _forget(state, end.request, joined)
     code = ResultCode.JOINED if end.code is ResultCode.OK else end.code
     return [
         end,
         *(structs.replace(end, request=follower, code=code) for follower in joined.followers),
     ]
+
+
+def _forget(state: JoinsState, request: RequestId, joined: Joined) -> None:
+    del state.by_request[request]
+    del state.by_operation[joined.operation]
+    for follower in joined.followers:
+        state.by_follower.pop(follower, None)
--- a/src/lycheefall/_rules/replicated/machine.py
+++ b/src/lycheefall/_rules/replicated/machine.py
@@ -10,6 +10,7 @@
     AcquireLease,
     ApplyFile,
     Claim,
+    ClearSuspects,
     Command,
     CommitEpoch,
     Reassign,
@@ -23,7 +24,7 @@
 from lycheefall._rules.replicated.epochs import EpochsState
 from lycheefall._rules.replicated.leases import Leases
 from lycheefall._rules.replicated.revisions import Revisions
-from lycheefall._rules.replicated.suspects import Suspects
+from lycheefall._rules.replicated.suspects import SuspectsState
 
 # A command sent again within this time gets the first result; clients give up well before.
 RESULT_KEPT_MS = 30_000
@@ -43,7 +44,7 @@
     claims: ClaimsState = field(default_factory=ClaimsState)
     leases: Leases = field(default_factory=Leases)
     epochs: EpochsState = field(default_factory=EpochsState)
-    suspects: Suspects = field(default_factory=Suspects)
+    suspects: SuspectsState = field(default_factory=SuspectsState)
     # In the order of the log, so that expired results are at the front.
     results: dict[CommandId, Recorded] = field(default_factory=dict)
 
@@ -94,6 +95,7 @@
             state.leases, result = leases.apply(state.leases, command, stamp_ms)
         case CommitEpoch():
             state.epochs, result = epochs.apply(state.epochs, command, stamp_ms)
-        case RecordCrash():
-            state.suspects, result = suspects.apply(state.suspects, command, stamp_ms)
+        case RecordCrash() | ClearSuspects():
+            limits = state.revisions.configuration.limits
+            state.suspects, result = suspects.apply(state.suspects, command, stamp_ms, limits)
     return result
