Refuse ambiguous routes, and test the crash and the bound on load strictly

Cause: two chat routes with one model left it open which of them a request takes.

Change: a model, or a service and path, that leads to two routes of one kind is refused with its line. The crash test sets the shutdown time to 60 s, so only the crash itself can end the connections. A test of the bound on requests in flight. Ending.CONNECTION_FAILED names any connection that broke before an answer. Callers in the tests give up sooner.

--- a/src/lycheefall/_load/caller.py
+++ b/src/lycheefall/_load/caller.py
@@ -19,7 +19,7 @@
 
 _NO_TIMEOUT = ClientTimeout(total=None)
 _OK = 200
-_RETRIED = (Ending.CONNECT_FAILED, Ending.TIMED_OUT)
+_RETRIED = (Ending.CONNECTION_FAILED, Ending.TIMED_OUT)
 
 
 class Call(Struct, frozen=True):
@@ -37,7 +37,7 @@
     """Send a request until it is answered or the caller gives up."""
     loop = asyncio.get_running_loop()
     give_up_at = loop.time() + call.arrival.flow.timeout_s + behaviour.grace_s
-    answer = Answer(ending=Ending.CONNECT_FAILED)
+    answer = Answer(ending=Ending.CONNECTION_FAILED)
     tries = 0
     while tries <= behaviour.max_retries and loop.time() < give_up_at:
         addresses = await ask_directory(directory)
@@ -92,7 +92,7 @@
     except TimeoutError:
         return Answer(ending=Ending.TIMED_OUT)
     except (ClientError, OSError):
-        return Answer(ending=Ending.CONNECT_FAILED)
+        return Answer(ending=Ending.CONNECTION_FAILED)
 
 
 async def _read(response: ClientResponse, call: Call, begun: Callable[[], None]) -> Answer:
--- a/src/lycheefall/_load/outcome.py
+++ b/src/lycheefall/_load/outcome.py
@@ -17,7 +17,7 @@
     WRONG_CONTENT = "wrong-content"
     CUT_OFF = "cut-off"
     TIMED_OUT = "timed-out"
-    CONNECT_FAILED = "connect-failed"
+    CONNECTION_FAILED = "connection-failed"
     # The generator had as many requests in flight as it may.
     NOT_SENT = "not-sent"
 
--- a/src/lycheefall/_operate/configuration_checks.py
+++ b/src/lycheefall/_operate/configuration_checks.py
@@ -67,6 +67,7 @@
     faults = list(_range_faults(configuration))
     faults += _name_faults(configuration)
     faults += _share_faults(configuration)
+    faults += _ambiguity_faults(configuration)
     for index, route in enumerate(configuration.routes):
         faults += _route_faults(index, route)
     for index, group in enumerate(configuration.groups):
@@ -122,6 +123,24 @@
         yield Fault(Place("priorities", last, "share_ratio"), detail, FileFieldError)
 
 
+def _ambiguity_faults(configuration: Configuration) -> Iterator[Fault]:
+    owners: dict[tuple[str, ...], str] = {}
+    for index, route in enumerate(configuration.routes):
+        for field, target in _targets(route):
+            owner = owners.setdefault(target, route.name)
+            if owner != route.name:
+                detail = f"{field}: {target[-1]!r} already leads to route {owner!r}"
+                yield Fault(Place("routes", index, field), detail, FileFieldError)
+
+
+def _targets(route: Route) -> Iterator[tuple[str, tuple[str, ...]]]:
+    # A lookup and a booking may share a path, since their methods differ.
+    if route.kind is RouteKind.CHAT:
+        yield from (("models", (route.kind.value, model)) for model in route.models)
+    else:
+        yield "path", (route.kind.value, route.service, route.path)
+
+
 def _route_faults(index: int, route: Route) -> Iterator[Fault]:
     if not route.pools:
         yield Fault(
--- a/tests/test_configuration_file.py
+++ b/tests/test_configuration_file.py
@@ -35,6 +35,14 @@
 models = ["m"]
 priority = "urgent"
 """
+SAME_MODEL = """
+[[routes]]
+name = "other"
+kind = "chat"
+pools = ["models"]
+models = ["x", "m"]
+priority = "urgent"
+"""
 GROUP = """
 [[groups]]
 name = "g"
@@ -103,6 +111,7 @@
             (GROUP.replace('"models"', '"x"'), FileReferenceError, ("line 21 ", "'x'")),
             (GROUP.replace("16", "17"), FileFieldError, ("slots_per_rank", "17 experts")),
             ('\n[[pools]]\nname = "models"\nkind = "engine"', FileFieldError, ("line 20", "twice")),
+            (SAME_MODEL, FileFieldError, ("line 23 ", "models", "'match'")),
             ("\n[limits]\nretry_ratio = 1.5", FileFieldError, ("line 20 ", "retry_ratio")),
             ("\n[limits]\nretries = 1", FileFieldError, ("line 20 ", "retries")),
         ],
--- a/tests/test_fakes.py
+++ b/tests/test_fakes.py
@@ -132,17 +132,20 @@
         assert (early["running"], late["running"]) == (0, 1)
         assert late["age_s"] >= 0.2
 
-    async def test_crash_breaks_every_connection(self) -> None:
-        """Guards against a crash that lets other requests of the batch end well."""
+    async def test_crash_breaks_every_connection(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against a crash that lets other requests of the batch end well or linger."""
+        # A crash must not depend on the time that an orderly shutdown leaves to its handlers.
+        monkeypatch.setattr("lycheefall._fakes.serving._SHUTDOWN_TIMEOUT_S", 60.0)
         async with running(engine(crash_marker="boom", base_step_s=0.005)) as fake:
             other = asyncio.create_task(fake.ask("x", max_tokens=1000))
             await asyncio.sleep(0.05)
-            with pytest.raises(ClientError):
-                await fake.ask("boom")
-            with pytest.raises(ClientError):
-                await other
-            with pytest.raises(UpstreamCrashed):
-                await fake.task
+            async with asyncio.timeout(5.0):
+                with pytest.raises(ClientError):
+                    await fake.ask("boom")
+                with pytest.raises(ClientError):
+                    await other
+                with pytest.raises(UpstreamCrashed):
+                    await fake.task
 
     async def test_fast_error_and_stall(self) -> None:
         """Guards against faults that can't be switched on while the engine runs."""
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -35,6 +35,7 @@
 [caller]
 slow_after_s = 0.2
 max_retries = 1
+grace_s = 0.2
 [[flows]]
 route = "{route}"
 kind = "{kind}"
@@ -42,7 +43,7 @@
 teams = ["a", "b"]
 rate = 30.0
 target_s = 0.5
-timeout_s = 1.0
+timeout_s = 0.8
 path = "p"
 service = "s"
 max_tokens = 4
@@ -194,7 +195,15 @@
         report = await load_through_baseline(scenario_of("chat"), serve)
         assert report.endings == {"cut-off": report.requests}
 
+    async def test_bound_on_requests_in_flight(self) -> None:
+        """Guards against a generator that exhausts its machine and hides what it did not send."""
+        caller = msgspec.structs.replace(scenario_of("chat").caller, max_in_flight=1)
+        scenario = msgspec.structs.replace(scenario_of("chat"), caller=caller)
+        report = await load_through_baseline(scenario, engine())
+        assert report.endings["not-sent"] > 0
+        assert report.endings["not-sent"] + report.endings["answered"] == report.requests
+
     async def test_no_entry(self) -> None:
         """Guards against a run that hangs when no entry answers."""
         report = await run_load(scenario_of("chat"), [Address("127.0.0.1:9")])
-        assert report.endings == {"connect-failed": report.requests}
+        assert report.endings == {"connection-failed": report.requests}
