Prove bookings at most once while processes are killed and frozen

Cause: at most once had been shown only without faults.

Change: tests/processes/test_bookings_under_faults.py runs 16 callers that retry without pause through all four entries, while entries, services and agents are killed and frozen one at a time, and checks the history against the executions that the services wrote: no key twice, no "ran" that did not run, one answer a key, no "not run" that ran.

Cut links and lost control replicas are not in this run yet.

--- /dev/null
+++ b/tests/processes/test_bookings_under_faults.py
@@ -0,0 +1,159 @@
+"""Bookings by callers that retry without pause while processes are killed and frozen."""
+
+import asyncio
+import json
+import random
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+import pytest
+
+from processes.fleet import Fleet, configuration_text
+from processes.test_whole_path import TEAM, time_ms
+
+SEEDS = (11, 12)
+RUN_S = 12.0
+CALLERS = 16
+TRY_TIMEOUT_S = 1.0
+TRIES = 40
+# The longest timeout of a booking, after which no try can still start it.
+SETTLE_S = 6.0
+
+
+@dataclass
+class Operation:
+    """What one caller was told about one key, in order."""
+
+    key: str
+    answers: list[tuple[str, str]] = field(default_factory=list)
+    # True when the caller gave the key up after it was told that nothing ran.
+    trusted_not_run: bool = False
+
+
+@dataclass
+class History:
+    """All operations of a run."""
+
+    operations: list[Operation] = field(default_factory=list)
+
+    def violations(self, executions: Counter[str]) -> list[str]:
+        """Return what the history and the executions contradict."""
+        found: list[str] = []
+        for each in self.operations:
+            count = executions[each.key]
+            bodies = {body for run, body in each.answers if run == "ran"}
+            if count > 1:
+                found.append(f"{each.key} ran {count} times")
+            if bodies and count == 0:
+                found.append(f"{each.key} was answered as run but did not run")
+            if len(bodies) > 1:
+                found.append(f"{each.key} got different answers: {bodies}")
+            if each.trusted_not_run and count:
+                found.append(f"{each.key} was answered as not run but ran: {each.answers}")
+        return found
+
+
+async def book(
+    fleet: Fleet, session: aiohttp.ClientSession, operation: Operation, rng: random.Random
+) -> None:
+    """Try one booking through changing entries, at once after each failure."""
+    headers = TEAM | {"Idempotency-Key": operation.key}
+    body = {"item": operation.key}
+    for number in range(TRIES):
+        entry = (number + rng.randrange(4)) % 4
+        url = fleet.url(entry, "/v1/services/counter/bookings")
+        try:
+            async with session.post(url, json=body, headers=headers) as response:
+                run = response.headers["X-Lycheefall-Run"]
+                operation.answers.append((run, await response.text()))
+        except (aiohttp.ClientError, TimeoutError):
+            await asyncio.sleep(0.01)
+            continue
+        if run == "ran":
+            return
+        if run == "not-run" and rng.random() < 0.5:
+            operation.trusted_not_run = True
+            return
+        await asyncio.sleep(0.01)
+
+
+async def kill(fleet: Fleet, name: str, pause_s: float) -> None:
+    """End a process and start it again."""
+    fleet.kill(name)
+    await asyncio.sleep(pause_s)
+    fleet.start(name)
+
+
+async def freeze(fleet: Fleet, name: str, pause_s: float) -> None:
+    """Stop a process for a time."""
+    fleet.pause(name)
+    await asyncio.sleep(pause_s)
+    fleet.resume(name)
+
+
+async def break_things(fleet: Fleet, rng: random.Random, until_s: float) -> Counter[str]:
+    """Kill and freeze one process at a time."""
+    loop = asyncio.get_running_loop()
+    entries = [f"entry-{n}" for n in range(4)]
+    services = [f"service-{n}" for n in range(3)]
+    names = entries + services + [f"{name}-agent" for name in services]
+    faults: dict[str, Callable[[Fleet, str, float], Awaitable[None]]] = {
+        "kill": kill,
+        "freeze": freeze,
+    }
+    done: Counter[str] = Counter()
+    while loop.time() < until_s:
+        kind = rng.choice(sorted(faults))
+        await faults[kind](fleet, rng.choice(names), rng.uniform(0.2, 1.5))
+        done[kind] += 1
+        await asyncio.sleep(rng.uniform(0.1, 0.5))
+    return done
+
+
+async def run_history(fleet: Fleet, seed: int) -> History:
+    """Run callers and faults side by side."""
+    rng = random.Random(seed)
+    history = History()
+    loop = asyncio.get_running_loop()
+    timeout = aiohttp.ClientTimeout(total=TRY_TIMEOUT_S)
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(timeout=timeout, connector=connector) as session:
+        await fleet.ready(session)
+        end_s = loop.time() + RUN_S
+
+        async def caller(number: int) -> None:
+            own = random.Random(seed * 1000 + number)
+            while loop.time() < end_s:
+                operation = Operation(f"{time_ms()}-{number}-{len(history.operations)}")
+                history.operations.append(operation)
+                await book(fleet, session, operation, own)
+
+        faults = asyncio.create_task(break_things(fleet, rng, end_s))
+        await asyncio.gather(*(caller(number) for number in range(CALLERS)))
+        print(f"seed {seed}: faults {dict(await faults)}")
+    await asyncio.sleep(SETTLE_S)
+    return history
+
+
+class TestBookings:
+    @pytest.mark.parametrize("seed", SEEDS)
+    async def test_at_most_once(self, tmp_path: Path, seed: int) -> None:
+        """Guards against a booking that runs twice, or that ran although "not run" was told."""
+        fleet = Fleet(tmp_path, engines=1, services=3)
+        fleet.plan()
+        fleet.start_all()
+        try:
+            applied = fleet.apply(configuration_text())
+            assert applied.returncode == 0, applied.stderr
+            history = await run_history(fleet, seed)
+            executions = Counter(json.loads(line)["key"] for line in fleet.executions())
+        finally:
+            fleet.close()
+        told = Counter(run for each in history.operations for run, _ in each.answers)
+        print(f"seed {seed}: {len(history.operations)} keys, answers {dict(told)}")
+        assert history.violations(executions) == []
+        finished = sum(any(run == "ran" for run, _ in each.answers) for each in history.operations)
+        assert finished > len(history.operations) / 2
