Add weighted fair queueing by team

Cause: one team at 20 times the load of the others must not take their share, and a team's cost is in tokens, not in requests.

Change: _rules/fairness.py, start-time fair queueing (Goyal, Vin, Cheng 1996): one lane a team, a heap of start tags, a lazy heap of lane lengths for trimming, removal on cancel without charge, correction of a cost after the request ran.

--- /dev/null
+++ b/src/lycheefall/_rules/fairness.py
@@ -0,0 +1,215 @@
+"""Weighted fair queueing by team, costed in tokens.
+
+Start-time fair queueing: P. Goyal, H. Vin, H. Cheng, "Start-time Fair Queueing: A Scheduling
+Algorithm for Integrated Services Packet Switching Networks", SIGCOMM 1996. Requests leave in the
+order of their start tags, so the cost may be corrected after a request has run.
+"""
+
+from collections import OrderedDict
+from heapq import heapify, heappop, heappush
+
+from lycheefall._core.ids import RequestId, TeamId
+
+_NOT_QUEUED = 0
+# Stale heap entries are cleared when they outnumber the lanes by this many.
+_STALE_ENTRIES = 64
+
+
+class Lane:
+    """Requests of one team, in order of arrival, with the team's virtual times."""
+
+    __slots__ = (
+        "backlog_tokens",
+        "debt_tokens",
+        "finish",
+        "listed",
+        "requests",
+        "start",
+        "team",
+        "ticket",
+        "weight",
+    )
+
+    def __init__(self, team: TeamId, weight: float) -> None:
+        self.team = team
+        self.weight = weight
+        self.requests: OrderedDict[RequestId, float] = OrderedDict()
+        self.backlog_tokens = 0.0
+        # Tokens that requests cost beyond their estimate; charged to the next request.
+        self.debt_tokens = 0.0
+        self.start = 0.0
+        self.finish = 0.0
+        # Identifies the one valid entry of this lane in the heap of start tags.
+        self.ticket = _NOT_QUEUED
+        # Length under which the lane stands in the heap of longest lanes.
+        self.listed = 0.0
+
+
+class FairQueue:
+    """Lanes of all teams and the virtual time."""
+
+    __slots__ = (
+        "active_weight",
+        "backlog_tokens",
+        "by_length",
+        "by_start",
+        "lanes",
+        "length",
+        "tickets",
+        "virtual_time",
+    )
+
+    def __init__(self) -> None:
+        self.lanes: dict[TeamId, Lane] = {}
+        self.by_start: list[tuple[float, int, Lane]] = []
+        self.by_length: list[tuple[float, int, Lane]] = []
+        self.virtual_time = 0.0
+        self.tickets = _NOT_QUEUED
+        self.length = 0
+        self.backlog_tokens = 0.0
+        self.active_weight = 0.0
+
+
+def add(queue: FairQueue, team: TeamId, weight: float, request: RequestId, tokens: float) -> None:
+    """Queue a request at the end of its team's lane; the id must not be queued already."""
+    lane = queue.lanes.get(team)
+    if lane is None:
+        lane = queue.lanes[team] = Lane(team, weight)
+    if not lane.requests:
+        lane.weight = weight
+        _activate(queue, lane)
+    elif weight != lane.weight:
+        queue.active_weight += weight - lane.weight
+        lane.weight = weight
+        lane.listed = 0.0
+    lane.requests[request] = tokens
+    lane.backlog_tokens += tokens
+    queue.backlog_tokens += tokens
+    queue.length += 1
+    _list_length(queue, lane)
+
+
+def take(queue: FairQueue) -> RequestId | None:
+    """Remove and return the request with the lowest start tag."""
+    lane = _first(queue)
+    if lane is None:
+        return None
+    heappop(queue.by_start)
+    request, tokens = lane.requests.popitem(last=False)
+    queue.virtual_time = lane.start
+    charged_tokens = max(0.0, tokens + lane.debt_tokens)
+    lane.debt_tokens += tokens - charged_tokens
+    lane.finish = lane.start + charged_tokens / lane.weight
+    _forget(queue, lane, tokens)
+    if lane.requests:
+        _queue_by_start(queue, lane, lane.finish)
+    return request
+
+
+def remove(queue: FairQueue, team: TeamId, request: RequestId) -> bool:
+    """Remove a cancelled or expired request without charge; return whether it was queued."""
+    lane = queue.lanes.get(team)
+    tokens = None if lane is None else lane.requests.pop(request, None)
+    if lane is None or tokens is None:
+        return False
+    _forget(queue, lane, tokens)
+    return True
+
+
+def charge(queue: FairQueue, team: TeamId, tokens: float) -> None:
+    """Correct what a team has used by the difference between a request's cost and its estimate."""
+    lane = queue.lanes.get(team)
+    if lane is not None:
+        lane.debt_tokens += tokens
+
+
+def longest_lane(queue: FairQueue) -> Lane | None:
+    """Return the lane with the most requests for its weight."""
+    heap = queue.by_length
+    while heap:
+        negative_length, _, lane = heap[0]
+        length = len(lane.requests) / lane.weight
+        if -negative_length == lane.listed == length and length > 0.0:
+            return lane
+        heappop(heap)
+        # A lane whose entry is the newest one is listed again under its present length.
+        if -negative_length == lane.listed:
+            lane.listed = 0.0
+            _list_length(queue, lane)
+    return None
+
+
+def newest(lane: Lane) -> RequestId:
+    """Return the request that joined the lane last."""
+    return next(reversed(lane.requests))
+
+
+def tokens_ahead(queue: FairQueue, team: TeamId, weight: float, tokens: float) -> float:
+    """Estimate the tokens served before and with a new request of this team.
+
+    Each team is served at its share, so a short lane does not wait for a long one.
+    """
+    lane = queue.lanes.get(team)
+    own_tokens = tokens
+    active_weight = queue.active_weight
+    if lane is not None and lane.requests:
+        own_tokens += lane.backlog_tokens
+    else:
+        active_weight += weight
+    at_fair_share = own_tokens * active_weight / weight
+    return min(queue.backlog_tokens + tokens, at_fair_share)
+
+
+def _activate(queue: FairQueue, lane: Lane) -> None:
+    # The virtual time bounds the start tag from below: an idle team saves up no credit.
+    owed = lane.finish + lane.debt_tokens / lane.weight
+    lane.debt_tokens = 0.0
+    queue.active_weight += lane.weight
+    _queue_by_start(queue, lane, owed)
+
+
+def _queue_by_start(queue: FairQueue, lane: Lane, start: float) -> None:
+    lane.start = max(queue.virtual_time, start)
+    queue.tickets += 1
+    lane.ticket = queue.tickets
+    heappush(queue.by_start, (lane.start, lane.ticket, lane))
+    if len(queue.by_start) > 2 * len(queue.lanes) + _STALE_ENTRIES:
+        queue.by_start = [entry for entry in queue.by_start if entry[2].ticket == entry[1]]
+        heapify(queue.by_start)
+
+
+def _first(queue: FairQueue) -> Lane | None:
+    heap = queue.by_start
+    while heap:
+        _, ticket, lane = heap[0]
+        if lane.ticket == ticket:
+            return lane
+        heappop(heap)
+    return None
+
+
+def _forget(queue: FairQueue, lane: Lane, tokens: float) -> None:
+    lane.backlog_tokens -= tokens
+    queue.backlog_tokens -= tokens
+    queue.length -= 1
+    if lane.requests:
+        return
+    lane.ticket = _NOT_QUEUED
+    lane.backlog_tokens = 0.0
+    queue.active_weight -= lane.weight
+    if queue.length == 0:
+        # Ends the sums' rounding errors with the busy period.
+        queue.backlog_tokens = 0.0
+        queue.active_weight = 0.0
+
+
+def _list_length(queue: FairQueue, lane: Lane) -> None:
+    length = len(lane.requests) / lane.weight
+    if length <= lane.listed:
+        return
+    lane.listed = length
+    queue.tickets += 1
+    heappush(queue.by_length, (-length, queue.tickets, lane))
+    if len(queue.by_length) > 2 * len(queue.lanes) + _STALE_ENTRIES:
+        queue.by_length = [entry for entry in queue.by_length if -entry[0] == entry[2].listed]
+        heapify(queue.by_length)
