Add admission by priority, share and deadline

Cause: a flood of one kind of work must not take what is kept for lookups, bookings and other priorities, and a request that cannot meet its deadline should be told so at once.

A full queue gives up the newest request of the longest team queue in the class of least worth that is over its places.

Conclusion: the shares hold for each pair of flood and victim tried.

--- /dev/null
+++ b/src/lycheefall/_rules/admission.py
@@ -0,0 +1,267 @@
+"""Admission to one pool: who waits, who is refused and who is sent next."""
+
+from collections.abc import Sequence
+from heapq import heappop, heappush
+
+from msgspec import Struct
+
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.ids import RequestId, TeamId
+from lycheefall._rules import fairness, shares
+from lycheefall._rules.service_rate import (
+    SlotRate,
+    observe_admitted,
+    observe_finished,
+    tokens_per_s,
+    tokens_per_slot_s,
+)
+from lycheefall._rules.shares import ClassPolicy, ClassState, WorkClass
+
+_MIN_RETRY_AFTER_S = 1.0
+_MAX_RETRY_AFTER_S = 30.0
+
+
+class Item(Struct, frozen=True, kw_only=True):
+    """A request that asks for admission."""
+
+    request: RequestId
+    team: TeamId
+    weight: float
+    work_class: WorkClass
+    # Expected cost; `finish` corrects it.
+    cost_tokens: float
+    # Time of the caller's deadline, on the clock of now_s.
+    deadline_s: float
+
+
+class Admitted(Struct, frozen=True):
+    """Tell that a request holds a slot until `finish`."""
+
+    request: RequestId
+    waited_s: float
+
+
+class Refused(Struct, frozen=True):
+    """Tell that a request was not run, and when to try again."""
+
+    request: RequestId
+    code: ResultCode
+    retry_after_s: float
+
+
+Outcome = Admitted | Refused
+
+
+class _Waiting(Struct):
+    item: Item
+    since_s: float
+
+
+class _Running(Struct):
+    item: Item
+    since_s: float
+
+
+class AdmissionState:
+    """Classes, waiting and running requests of one pool."""
+
+    __slots__ = (
+        "classes",
+        "expiries",
+        "ordered",
+        "queue_requests",
+        "rate",
+        "running",
+        "sequence",
+        "slots",
+        "waiting",
+    )
+
+    def __init__(self, policies: Sequence[ClassPolicy], queue_requests: int) -> None:
+        self.ordered = [ClassState(policy) for policy in policies]
+        self.classes = {each.policy.name: each for each in self.ordered}
+        self.queue_requests = queue_requests
+        self.waiting: dict[RequestId, _Waiting] = {}
+        self.running: dict[RequestId, _Running] = {}
+        self.expiries: list[tuple[float, int, RequestId]] = []
+        self.sequence = 0
+        self.rate = SlotRate()
+        self.slots = 0
+
+
+def submit(state: AdmissionState, item: Item, now_s: float) -> tuple[AdmissionState, list[Outcome]]:
+    """Queue a request, or refuse it; a full queue gives up another one for it.
+
+    `release` admits it. The outcome may concern another request than the one submitted.
+    """
+    each = state.classes.get(item.work_class)
+    if each is None:
+        return state, [Refused(item.request, ResultCode.UNKNOWN_PRIORITY, _MIN_RETRY_AFTER_S)]
+    if item.request in state.waiting or item.request in state.running:
+        return state, [Refused(item.request, ResultCode.DUPLICATE_ATTEMPT, _MIN_RETRY_AFTER_S)]
+    leave_s = min(item.deadline_s, now_s + each.policy.max_wait_s)
+    late_s = now_s + expected_wait_s(state, item, now_s) - leave_s
+    if late_s > 0.0:
+        code = ResultCode.DEADLINE_UNREACHABLE
+        return state, [Refused(item.request, code, _retry_after_s(late_s))]
+    _enqueue(state, each, item, now_s, leave_s)
+    if len(state.waiting) > state.queue_requests:
+        return state, [_trim(state, now_s)]
+    return state, []
+
+
+def release(
+    state: AdmissionState, slots: int, now_s: float
+) -> tuple[AdmissionState, list[Outcome]]:
+    """Admit requests while the pool has free slots; `slots` counts the busy ones as well."""
+    if slots != state.slots:
+        state.slots = slots
+        shares.reserve_slots(state.ordered, slots)
+    state, outcomes = expire(state, now_s)
+    while state.waiting:
+        each = shares.next_class(state.ordered, slots - len(state.running))
+        if each is None:
+            break
+        request = fairness.take(each.queue)
+        if request is None:
+            break
+        outcomes.append(_admit(state, each, request, now_s))
+    return state, outcomes
+
+
+def finish(
+    state: AdmissionState, request: RequestId, cost_tokens: float, now_s: float
+) -> tuple[AdmissionState, list[Outcome]]:
+    """Free the slot of an admitted request and charge its team what it really cost."""
+    running = state.running.pop(request, None)
+    if running is None:
+        return state, []
+    observe_finished(state.rate, cost_tokens, now_s - running.since_s)
+    item = running.item
+    each = state.classes.get(item.work_class)
+    if each is not None:
+        each.in_flight -= 1
+        fairness.charge(each.queue, item.team, cost_tokens - item.cost_tokens)
+    return state, []
+
+
+def cancel(
+    state: AdmissionState, request: RequestId, now_s: float
+) -> tuple[AdmissionState, list[Outcome]]:
+    """Drop a waiting request whose caller has left; one that runs ends by `finish`."""
+    if request not in state.waiting:
+        return state, []
+    _drop(state, request)
+    return state, [Refused(request, ResultCode.CANCELLED_BEFORE_START, 0.0)]
+
+
+def expire(state: AdmissionState, now_s: float) -> tuple[AdmissionState, list[Outcome]]:
+    """Refuse the waiting requests whose time is over."""
+    outcomes: list[Outcome] = []
+    while state.expiries and state.expiries[0][0] <= now_s:
+        _, _, request = heappop(state.expiries)
+        waiting = state.waiting.get(request)
+        if waiting is None:
+            continue
+        each = state.classes[waiting.item.work_class]
+        if now_s < min(waiting.item.deadline_s, waiting.since_s + each.policy.max_wait_s):
+            # An entry of an earlier request with the same id.
+            continue
+        _drop(state, request)
+        retry_after_s = _retry_after_s(expected_wait_s(state, waiting.item, now_s))
+        outcomes.append(Refused(request, ResultCode.EXPIRED_BEFORE_START, retry_after_s))
+    return state, outcomes
+
+
+def reconfigure(
+    state: AdmissionState, policies: Sequence[ClassPolicy], queue_requests: int
+) -> tuple[AdmissionState, list[Outcome]]:
+    """Put new classes and bounds in force; what waits in a class that is gone is refused."""
+    kept = {policy.name for policy in policies}
+    outcomes: list[Outcome] = []
+    for request, waiting in list(state.waiting.items()):
+        if waiting.item.work_class not in kept:
+            _drop(state, request)
+            outcomes.append(Refused(request, ResultCode.UNKNOWN_PRIORITY, _MIN_RETRY_AFTER_S))
+    before = state.classes
+    state.ordered = [before.get(policy.name) or ClassState(policy) for policy in policies]
+    for each, policy in zip(state.ordered, policies, strict=True):
+        each.policy = policy
+    state.classes = {each.policy.name: each for each in state.ordered}
+    state.queue_requests = queue_requests
+    shares.reserve_slots(state.ordered, state.slots)
+    return state, outcomes
+
+
+def next_expiry_s(state: AdmissionState) -> float | None:
+    """Return a time before which `expire` has nothing to do, or None when nothing waits."""
+    return state.expiries[0][0] if state.waiting else None
+
+
+def expected_wait_s(state: AdmissionState, item: Item, now_s: float) -> float:
+    """Judge how long a new request would wait, from the measured rate and the cost ahead of it."""
+    capacity = state.slots * tokens_per_slot_s(state.rate)
+    own = state.classes[item.work_class]
+    urgent_tokens = 0.0
+    urgent_flow = 0.0
+    owed_ratio = 0.0
+    passed = False
+    for each in state.ordered:
+        if each is own:
+            passed = True
+        elif passed:
+            owed_ratio += each.policy.share_ratio if each.queue.length else 0.0
+        else:
+            urgent_tokens += each.queue.backlog_tokens
+            urgent_flow += tokens_per_s(each.flow, now_s)
+    own_tokens = own.queue.backlog_tokens and (
+        fairness.tokens_ahead(own.queue, item.team, item.weight, item.cost_tokens)
+        - item.cost_tokens
+    )
+    if capacity <= 0.0 or not (own_tokens or urgent_tokens):
+        return 0.0
+    left_ratio = 1.0 - urgent_flow / capacity - owed_ratio
+    by_urgency_s = urgent_tokens / capacity + own_tokens / (capacity * max(left_ratio, 1e-9))
+    reserved = capacity * own.policy.share_ratio
+    return min(by_urgency_s, own_tokens / reserved) if reserved > 0.0 else by_urgency_s
+
+
+def _enqueue(
+    state: AdmissionState, each: ClassState, item: Item, now_s: float, leave_s: float
+) -> None:
+    state.waiting[item.request] = _Waiting(item, now_s)
+    state.sequence += 1
+    heappush(state.expiries, (leave_s, state.sequence, item.request))
+    fairness.add(each.queue, item.team, item.weight, item.request, item.cost_tokens)
+
+
+def _admit(state: AdmissionState, each: ClassState, request: RequestId, now_s: float) -> Admitted:
+    waiting = state.waiting.pop(request)
+    state.running[request] = _Running(waiting.item, now_s)
+    each.in_flight += 1
+    observe_admitted(each.flow, waiting.item.cost_tokens, now_s)
+    shares.account(state.ordered, each, waiting.item.cost_tokens)
+    return Admitted(request, now_s - waiting.since_s)
+
+
+def _drop(state: AdmissionState, request: RequestId) -> None:
+    item = state.waiting.pop(request).item
+    fairness.remove(state.classes[item.work_class].queue, item.team, request)
+
+
+def _trim(state: AdmissionState, now_s: float) -> Refused:
+    # Each class keeps an equal part of the places; the class of least worth gives up first.
+    places = state.queue_requests // len(state.ordered)
+    over = [each for each in state.ordered if each.queue.length > places]
+    victim = min(reversed(over), key=lambda each: each.policy.worth)
+    lane = fairness.longest_lane(victim.queue)
+    assert lane is not None, "a class over its places has a lane"
+    request = fairness.newest(lane)
+    item = state.waiting[request].item
+    _drop(state, request)
+    retry_after_s = _retry_after_s(expected_wait_s(state, item, now_s))
+    return Refused(request, ResultCode.OVERLOADED, retry_after_s)
+
+
+def _retry_after_s(estimate_s: float) -> float:
+    return min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, estimate_s))
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,239 @@
+"""Tests of admission by priority, share and deadline."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.configuration import Priority
+from lycheefall._core.enums import RouteKind
+from lycheefall._core.ids import PriorityId, RequestId, TeamId
+from lycheefall._rules import admission, shares
+from lycheefall._rules.admission import AdmissionState, Admitted, Item, Outcome, Refused
+from lycheefall._rules.shares import WorkClass
+
+PRIORITIES = tuple(
+    Priority(name=PriorityId(name), target_s=target_s, worth=worth)
+    for name, target_s, worth in (("urgent", 0.6, 100.0), ("soon", 5.0, 10.0), ("later", 60.0, 1.0))
+)
+QUEUE_S = 5.0
+POLICIES = shares.policies_of(PRIORITIES, list(RouteKind), QUEUE_S)
+NAMES = [policy.name for policy in POLICIES]
+URGENT, LATER = NAMES[0], NAMES[-1]
+FAR_S = 1e9
+MAX_TOKENS = 100
+
+
+def item(
+    name: str,
+    work_class: WorkClass = URGENT,
+    team: str = "team",
+    tokens: float = 10.0,
+    deadline_s: float = FAR_S,
+) -> Item:
+    """Make a request."""
+    return Item(
+        request=RequestId(name),
+        team=TeamId(team),
+        weight=1.0,
+        work_class=work_class,
+        cost_tokens=tokens,
+        deadline_s=deadline_s,
+    )
+
+
+def measured(slots: int, tokens_per_slot: float = 10.0) -> AdmissionState:
+    """Make a state that has measured one request at the given rate."""
+    state = AdmissionState(POLICIES, 1000)
+    admission.submit(state, item("first", tokens=tokens_per_slot), 0.0)
+    admission.release(state, slots, 0.0)
+    admission.finish(state, RequestId("first"), tokens_per_slot, 1.0)
+    return state
+
+
+def requests_of(outcomes: list[Outcome]) -> list[RequestId]:
+    """Return the ids of the requests that were admitted."""
+    return [each.request for each in outcomes if isinstance(each, Admitted)]
+
+
+class AdmissionMachine(RuleBasedStateMachine):
+    """Compare admission with the sets of requests that wait and run."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.bound = 8
+        self.state = AdmissionState(POLICIES, self.bound)
+        self.waiting: dict[RequestId, float] = {}
+        self.running: list[RequestId] = []
+        self.now_s = 0.0
+        self.count = 0
+
+    def _apply(self, outcomes: list[Outcome]) -> None:
+        for each in outcomes:
+            del self.waiting[each.request]
+            if isinstance(each, Admitted):
+                self.running.append(each.request)
+
+    @rule(
+        work_class=st.sampled_from(NAMES),
+        team=st.sampled_from("abc"),
+        tokens=st.integers(1, MAX_TOKENS),
+        allowed_s=st.floats(0.1, 20.0),
+    )
+    def submit(self, work_class: WorkClass, team: str, tokens: int, allowed_s: float) -> None:
+        self.count += 1
+        new = item(str(self.count), work_class, team, tokens, self.now_s + allowed_s)
+        policy = POLICIES[NAMES.index(work_class)]
+        self.waiting[new.request] = self.now_s + min(allowed_s, policy.max_wait_s)
+        self._apply(admission.submit(self.state, new, self.now_s)[1])
+
+    @rule(slots=st.integers(0, 12), step_s=st.floats(0.0, 2.0))
+    def release(self, slots: int, step_s: float) -> None:
+        self.now_s += step_s
+        free = slots - len(self.running)
+        outcomes = admission.release(self.state, slots, self.now_s)[1]
+        self._apply(outcomes)
+        assert len(requests_of(outcomes)) <= max(0, free)
+        assert all(leave_s > self.now_s for leave_s in self.waiting.values())
+
+    @rule(data=st.data(), tokens=st.integers(1, MAX_TOKENS))
+    def finish(self, data: st.DataObject, tokens: int) -> None:
+        if self.running:
+            request = self.running.pop(data.draw(st.integers(0, len(self.running) - 1)))
+            admission.finish(self.state, request, tokens, self.now_s)
+
+    @rule(data=st.data())
+    def cancel(self, data: st.DataObject) -> None:
+        if self.waiting:
+            request = data.draw(st.sampled_from(sorted(self.waiting)))
+            self._apply(admission.cancel(self.state, request, self.now_s)[1])
+            assert request not in self.waiting
+
+    @invariant()
+    def each_request_has_one_place(self) -> None:
+        assert set(self.state.waiting) == set(self.waiting)
+        assert set(self.state.running) == set(self.running)
+        assert sum(each.queue.length for each in self.state.ordered) == len(self.waiting)
+        assert sum(each.in_flight for each in self.state.ordered) == len(self.running)
+        assert len(self.waiting) <= self.bound
+
+
+TestAdmissionMachine = AdmissionMachine.TestCase
+
+
+class TestReservedShare:
+    @settings(deadline=None, max_examples=60)
+    @given(
+        flood=st.sampled_from(NAMES),
+        other=st.sampled_from(NAMES),
+        slots=st.integers(4, 40),
+        costs=st.lists(st.integers(1, MAX_TOKENS), min_size=8, max_size=8),
+    )
+    def test_no_flood_takes_it(
+        self, flood: WorkClass, other: WorkClass, slots: int, costs: list[int]
+    ) -> None:
+        """Guards against a flood of one class that starves another one."""
+        state = AdmissionState(POLICIES, 100_000)
+        served = dict.fromkeys(NAMES, 0.0)
+        running: list[Item] = []
+        sent: dict[RequestId, Item] = {}
+        for step in range(400):
+            for work_class in {flood, other}:
+                new = item(f"{work_class}{step}", work_class, tokens=costs[step % 8])
+                sent[new.request] = new
+                assert not admission.submit(state, new, 0.0)[1]
+            for request in requests_of(admission.release(state, slots, 0.0)[1]):
+                running.append(sent[request])
+                served[sent[request].work_class] += sent[request].cost_tokens
+            if running:
+                ended = running.pop(0)
+                admission.finish(state, ended.request, ended.cost_tokens, 0.0)
+        share = POLICIES[NAMES.index(other)].share_ratio
+        assert served[other] >= share * sum(served.values()) - 2 * MAX_TOKENS
+
+    @pytest.mark.parametrize("flood", NAMES)
+    @pytest.mark.parametrize("other", [shares.BOOKINGS, shares.LOOKUPS])
+    def test_services_find_a_free_slot(self, flood: WorkClass, other: WorkClass) -> None:
+        """Guards against lookups and bookings that wait for a flood's requests to end."""
+        state = AdmissionState(POLICIES, 1000)
+        for number in range(100):
+            admission.submit(state, item(str(number), flood), 0.0)
+        admission.release(state, 24, 0.0)
+        admission.submit(state, item("new", other), 0.1)
+        admitted = requests_of(admission.release(state, 24, 0.1)[1])
+        assert (RequestId("new") in admitted) == (flood != other)
+        assert len(state.running) <= 24
+
+    def test_urgent_goes_before_a_flood(self) -> None:
+        """Guards against urgent work that waits behind work that can wait."""
+        state = AdmissionState(POLICIES, 1000)
+        for number in range(100):
+            admission.submit(state, item(str(number), LATER), 0.0)
+        admission.release(state, 20, 0.0)
+        admission.submit(state, item("urgent"), 0.1)
+        assert requests_of(admission.release(state, 20, 0.1)[1]) == ["urgent"]
+
+
+class TestEarlyRefusal:
+    def test_refused_when_the_queue_is_too_long(self) -> None:
+        """Guards against a request that waits in vain and then expires."""
+        state = measured(slots=2)
+        for number in range(40):
+            admission.submit(state, item(str(number), LATER), 1.0)
+        admission.release(state, 2, 1.0)
+        outcomes = admission.submit(state, item("late", LATER, deadline_s=1.5), 1.0)[1]
+        assert [each.request for each in outcomes] == ["late"]
+        assert isinstance(outcomes[0], Refused)
+        assert outcomes[0].code is ResultCode.DEADLINE_UNREACHABLE
+        assert outcomes[0].retry_after_s >= 1.0
+
+    def test_small_team_is_not_refused_for_a_large_one(self) -> None:
+        """Guards against a small team refused because of a large team's backlog."""
+        state = measured(slots=2)
+        for number in range(30):
+            admission.submit(state, item(str(number), LATER, "large"), 1.0)
+        admission.release(state, 2, 1.0)
+        assert not admission.submit(state, item("x", LATER, "small", deadline_s=3.5), 1.0)[1]
+
+    def test_nothing_is_refused_before_a_rate_is_measured(self) -> None:
+        """Guards against a new entry that refuses its first requests."""
+        state = AdmissionState(POLICIES, 1000)
+        for number in range(100):
+            assert not admission.submit(state, item(str(number)), 0.0)[1]
+
+
+class TestQueueBound:
+    def test_longest_queue_is_trimmed_first(self) -> None:
+        """Guards against one team's flood that pushes out another team's request."""
+        state = AdmissionState(POLICIES, 20)
+        admission.submit(state, item("small", team="small"), 0.0)
+        refused = [
+            outcome
+            for number in range(50)
+            for outcome in admission.submit(state, item(str(number), team="large"), 0.0)[1]
+        ]
+        assert len(refused) == 31
+        assert RequestId("small") in state.waiting
+
+    def test_class_of_least_worth_is_trimmed_first(self) -> None:
+        """Guards against work that can wait pushing out urgent work."""
+        state = AdmissionState(POLICIES, 20)
+        for number in range(30):
+            admission.submit(state, item(f"later{number}", LATER), 0.0)
+        for number in range(30):
+            admission.submit(state, item(f"urgent{number}"), 0.0)
+        lengths = {each.policy.name: each.queue.length for each in state.ordered}
+        assert lengths[URGENT] == 16
+        assert lengths[LATER] == 4
+
+
+class TestReconfigure:
+    def test_removed_class(self) -> None:
+        """Guards against requests left in a class that the new file doesn't have."""
+        state = AdmissionState(POLICIES, 20)
+        admission.submit(state, item("gone", LATER), 0.0)
+        admission.submit(state, item("kept"), 0.0)
+        outcomes = admission.reconfigure(state, POLICIES[:-1], 20)[1]
+        assert [each.request for each in outcomes] == ["gone"]
+        assert requests_of(admission.release(state, 4, 0.0)[1]) == ["kept"]
