Judge the delay of an upstream by a longer mean

One short first request became the lowest delay, and a mean over 8 requests varies by more than the tolerated factor of 2.

Change: a warm-up of 32 requests before the lowest delay is kept, and a weight of 0.03 in place of 0.125.

The mean now covers about 33 requests, so a slow upstream is seen later; its reported queue is not affected.

--- a/src/lycheefall/_rules/limits.py
+++ b/src/lycheefall/_rules/limits.py
@@ -15,7 +15,9 @@
 _DECREASE_RATIO = 0.8
 # Reports lag, so the effect of a decrease must be seen before the next one.
 _DECREASE_PERIOD_S = 0.5
-_RECENT_WEIGHT = 0.125
+_RECENT_WEIGHT = 0.03
+# Until then the mean of all is used; one short first request would make all others look late.
+_WARM_UP_SAMPLES = 32
 # Time to the first token that counts as congestion, against the lowest recent one.
 _TOLERATED_DELAY_RATIO = 2.0
 # Waiting requests that count as congestion, against the concurrency.
@@ -36,12 +38,14 @@
         "decreased_s",
         "limit",
         "recent_s",
+        "samples",
     )
 
     def __init__(self, concurrency: int, entries: int) -> None:
         self.concurrency = concurrency
         self.limit = max(_MIN_LIMIT, concurrency / max(1, entries))
         self.recent_s = 0.0
+        self.samples = 0
         self.baseline_s = 0.0
         self.baseline_at_s = 0.0
         self.decreased_s = float("-inf")
@@ -56,13 +60,7 @@
     limit: UpstreamLimit, elapsed_s: float, in_flight: int, now_s: float
 ) -> UpstreamLimit:
     """Adapt to the time that a request took to its first token."""
-    if limit.recent_s == 0.0:
-        limit.recent_s = limit.baseline_s = elapsed_s
-    limit.recent_s += _RECENT_WEIGHT * (elapsed_s - limit.recent_s)
-    doublings = (now_s - limit.baseline_at_s) / _BASELINE_DOUBLES_S
-    risen_s = limit.baseline_s * (1.0 + min(1.0, doublings))
-    limit.baseline_s = min(limit.recent_s, risen_s)
-    limit.baseline_at_s = now_s
+    _observe_delay(limit, elapsed_s, now_s)
     if limit.recent_s > _TOLERATED_DELAY_RATIO * limit.baseline_s:
         return observe_refusal(limit, now_s)
     if in_flight >= _USED_RATIO * limit.limit:
@@ -89,3 +87,14 @@
         limit.decreased_s = now_s
         limit.limit = max(_MIN_LIMIT, limit.limit * _DECREASE_RATIO)
     return limit
+
+
+def _observe_delay(limit: UpstreamLimit, elapsed_s: float, now_s: float) -> None:
+    limit.samples += 1
+    weight = max(_RECENT_WEIGHT, 1.0 / limit.samples)
+    limit.recent_s += weight * (elapsed_s - limit.recent_s)
+    doublings = (now_s - limit.baseline_at_s) / _BASELINE_DOUBLES_S
+    risen_s = limit.baseline_s * (1.0 + min(1.0, doublings))
+    warm = limit.samples >= _WARM_UP_SAMPLES
+    limit.baseline_s = min(limit.recent_s, risen_s) if warm else limit.recent_s
+    limit.baseline_at_s = now_s
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,5 +1,7 @@
 """Tests of the adaptive limit of an upstream."""
 
+from random import Random
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -51,6 +53,16 @@
         """Guards against a limit that leaves an upstream idle."""
         assert run_against(UpstreamLimit(16, 4), 16, 0.0, 60, reports=True)[-1] >= 14
 
+    def test_varying_requests_do_not_lower_it(self) -> None:
+        """Guards against a limit that falls because some requests are shorter than others."""
+        random = Random(1)
+        limit = UpstreamLimit(8, 1)
+        limits.observe_first_token(limit, 0.001, 8, 0.0)
+        for step in range(2000):
+            elapsed_s = random.expovariate(1.0 / SERVICE_S)
+            limits.observe_first_token(limit, elapsed_s, limits.allowed(limit), step * 0.02)
+        assert limits.allowed(limit) >= 8
+
     def test_delay_lowers_it(self) -> None:
         """Guards against a queue at an upstream that has become slow and reports nothing."""
         limit = UpstreamLimit(64, 4)
