--- /dev/null
+++ b/bench/routing_compare.py
@@ -0,0 +1,276 @@
+"""Compare the pickers on the same arrivals, with a slow upstream and one that fails fast.
+
+One entry, 16 upstreams of 8 slots with a first-come queue each, and load reports that are half a
+second old. A request waits at the entry while the picker finds no upstream below its limit; its
+time counts from its arrival. Only the picker differs between the lines.
+
+Run: PYTHONPATH=src python bench/routing_compare.py
+"""
+
+from collections import deque
+from collections.abc import Callable
+from heapq import heappop, heappush
+from random import Random
+from statistics import median
+
+from lycheefall._core.enums import MemberState, UpstreamKind
+from lycheefall._core.ids import (
+    Address,
+    AttemptNumber,
+    DataCentreId,
+    Incarnation,
+    InstanceId,
+    PoolId,
+    RequestId,
+    UpstreamId,
+)
+from lycheefall._core.messages.membership import Load, UpstreamMember
+from lycheefall._rules import routing, upstreams
+from lycheefall._rules.prefix_cache import CacheEvents
+from lycheefall._rules.routing import Ask, Picker
+from lycheefall._rules.upstreams import AttemptKey, Table
+
+SEEDS = (1, 2, 3, 4, 5)
+UPSTREAMS = 16
+SLOTS = 8
+REQUESTS = 12_000
+# Part of the capacity of the 14 sound upstreams.
+LOAD_RATIO = 0.8
+SERVICE_S = 0.2
+# A cached prompt saves this part of the service time.
+CACHED_RATIO = 0.5
+PREFIXES = 200
+CACHE_SIZE = 40
+REPORT_PERIOD_S = 0.25
+REPORT_LAG_S = 0.5
+SLOW, SLOW_FACTOR = 0, 5.0
+FAILING, FAILS_AFTER_S = 1, 0.002
+
+
+def without_hints() -> Picker:
+    """Make the picker in use, with the prefixes of each request left out."""
+    pick = routing.weighted_two_choices()
+    no_prefixes = Ask()
+
+    def pick_without(table: Table, ask: Ask, now_s: float) -> UpstreamId | None:
+        return pick(table, no_prefixes, now_s)
+
+    return pick_without
+
+
+PICKERS: dict[str, Callable[[], Picker]] = {
+    "random": routing.random_choice,
+    "least requests": routing.least_requests,
+    "two choices": routing.two_choices,
+    "weighted, no cache hints": without_hints,
+    "weighted two choices": routing.weighted_two_choices,
+}
+
+
+class Server:
+    """An upstream with its slots, queue and cache."""
+
+    __slots__ = ("busy", "cache", "cache_sequence", "history", "queue")
+
+    def __init__(self) -> None:
+        self.busy = 0
+        self.queue: deque[tuple[AttemptKey, float, int]] = deque()
+        self.cache: dict[int, None] = {}
+        self.cache_sequence = 0
+        # Time, running and waiting at each report period, of which an old one is sent.
+        self.history: deque[tuple[float, int, int]] = deque()
+
+
+class Trial:
+    """One picker against one sequence of arrivals."""
+
+    __slots__ = (
+        "answered_s",
+        "arrived_s",
+        "cached",
+        "events",
+        "failed",
+        "pick",
+        "random",
+        "servers",
+        "table",
+        "waiting",
+    )
+
+    def __init__(self, pick: Picker, seed: int) -> None:
+        self.pick = pick
+        self.random = Random(seed)
+        self.table = Table(InstanceId("entry"), entries=1, seed=seed)
+        self.servers = [Server() for _ in range(UPSTREAMS)]
+        self.events: list[tuple[float, int, Callable[[float], None]]] = []
+        self.answered_s: list[float] = []
+        self.arrived_s: dict[AttemptKey, float] = {}
+        self.waiting: deque[tuple[AttemptKey, float, int]] = deque()
+        self.failed = 0
+        self.cached = 0
+
+
+def name_of(number: int) -> UpstreamId:
+    """Return the id of an upstream."""
+    return UpstreamId(f"u{number}")
+
+
+def member(number: int) -> UpstreamMember:
+    """Return the first announcement of an upstream."""
+    return UpstreamMember(
+        upstream=name_of(number),
+        instance=InstanceId(f"u{number}"),
+        data_centre=DataCentreId("here"),
+        pool=PoolId("pool"),
+        kind=UpstreamKind.ENGINE,
+        address=Address("127.0.0.1:1"),
+        incarnation=Incarnation("1"),
+        state=MemberState.READY,
+        concurrency=SLOTS,
+    )
+
+
+def report_all(trial: Trial, now_s: float) -> None:
+    """Send each upstream's load as it was some time ago."""
+    for number, server in enumerate(trial.servers):
+        server.history.append((now_s, server.busy, len(server.queue)))
+        while len(server.history) > 1 and server.history[1][0] <= now_s - REPORT_LAG_S:
+            server.history.popleft()
+        at_s, running, waiting = server.history[0]
+        load = Load(running=running, waiting=waiting, age_s=now_s - at_s)
+        upstreams.report(trial.table, name_of(number), Incarnation("1"), load, now_s)
+
+
+def serve(trial: Trial, number: int, work_s: float, prefix: int) -> float:
+    """Start a request on a slot and return how long it takes."""
+    server = trial.servers[number]
+    if number == FAILING:
+        return FAILS_AFTER_S
+    if prefix in server.cache:
+        work_s *= 1.0 - CACHED_RATIO
+        trial.cached += 1
+        return work_s * (SLOW_FACTOR if number == SLOW else 1.0)
+    changes = [(prefix, True)]
+    server.cache[prefix] = None
+    if len(server.cache) > CACHE_SIZE:
+        oldest = next(iter(server.cache))
+        del server.cache[oldest]
+        changes.append((oldest, False))
+    events = CacheEvents(
+        upstream=name_of(number),
+        incarnation=Incarnation("1"),
+        first_sequence=server.cache_sequence,
+        changes=tuple(changes),
+    )
+    server.cache_sequence += len(changes)
+    upstreams.cache_events(trial.table, events)
+    return work_s * (SLOW_FACTOR if number == SLOW else 1.0)
+
+
+def fill_slots(trial: Trial, number: int, now_s: float) -> None:
+    """Start what waits at an upstream while it has slots."""
+    server = trial.servers[number]
+    while server.queue and server.busy < SLOTS:
+        key, work_s, prefix = server.queue.popleft()
+        server.busy += 1
+        end_s = now_s + serve(trial, number, work_s, prefix)
+        heappush(trial.events, (end_s, int(key[0]), end_of(trial, number, key)))
+
+
+def end_of(trial: Trial, number: int, key: AttemptKey) -> Callable[[float], None]:
+    """Return the event that ends a request."""
+
+    def end(now_s: float) -> None:
+        trial.servers[number].busy -= 1
+        failed = number == FAILING
+        if failed:
+            trial.failed += 1
+        else:
+            trial.answered_s.append(now_s - trial.arrived_s[key])
+            upstreams.first_token(trial.table, name_of(number), key, now_s)
+        upstreams.ended(trial.table, name_of(number), key, failed, now_s)
+        fill_slots(trial, number, now_s)
+        send_waiting(trial, now_s)
+
+    return end
+
+
+def send_waiting(trial: Trial, now_s: float) -> None:
+    """Send what waits at the entry while the picker finds an upstream."""
+    while trial.waiting:
+        key, work_s, prefix = trial.waiting[0]
+        picked = trial.pick(trial.table, Ask(prefixes=(prefix,)), now_s)
+        if picked is None:
+            return
+        trial.waiting.popleft()
+        number = int(picked[1:])
+        upstreams.sent(trial.table, picked, key, 0.0, now_s)
+        trial.servers[number].queue.append((key, work_s, prefix))
+        fill_slots(trial, number, now_s)
+
+
+def arrive(trial: Trial, call: int, now_s: float) -> None:
+    """Add a new request."""
+    prefix = int(PREFIXES * trial.random.random() ** 2)
+    work_s = trial.random.expovariate(1.0 / SERVICE_S)
+    key = (RequestId(str(call)), AttemptNumber(1))
+    trial.arrived_s[key] = now_s
+    trial.waiting.append((key, work_s, prefix))
+    send_waiting(trial, now_s)
+
+
+def run(pick: Picker, seed: int) -> Trial:
+    """Run one trial to its end."""
+    trial = Trial(pick, seed)
+    for number in range(UPSTREAMS):
+        upstreams.announce(trial.table, member(number), 1, 0.0)
+    rate = LOAD_RATIO * (UPSTREAMS - 2) * SLOTS / SERVICE_S
+    now_s = next_report_s = 0.0
+    for call in range(REQUESTS):
+        now_s += trial.random.expovariate(rate)
+        while trial.events and trial.events[0][0] <= now_s:
+            at_s, _, event = heappop(trial.events)
+            event(at_s)
+        if now_s >= next_report_s:
+            report_all(trial, now_s)
+            next_report_s = now_s + REPORT_PERIOD_S
+        arrive(trial, call, now_s)
+    while trial.events or trial.waiting:
+        # Reports go on, or the last requests would find only stale upstreams.
+        while trial.events and trial.events[0][0] <= next_report_s:
+            at_s, _, event = heappop(trial.events)
+            event(at_s)
+        report_all(trial, next_report_s)
+        send_waiting(trial, next_report_s)
+        next_report_s += REPORT_PERIOD_S
+    return trial
+
+
+def main() -> None:
+    """Print a line for each picker, with medians over the seeds."""
+    print(f"seeds {SEEDS}, {REQUESTS} requests each")
+    print("| picker | failed % | p50 ms | p95 ms | p99 ms | cached % | limit |")
+    print("|---|---|---|---|---|---|---|")
+    for name, make in PICKERS.items():
+        trials = [run(make(), seed) for seed in SEEDS]
+        cells = [median(each.failed / REQUESTS * 100 for each in trials)]
+        for part in (0.5, 0.95, 0.99):
+            cells.append(median(quantile(each.answered_s, part) * 1000 for each in trials))
+        cells.append(median(each.cached / max(1, len(each.answered_s)) * 100 for each in trials))
+        cells.append(median(mean_limit(each) for each in trials))
+        print(f"| {name} | " + " | ".join(f"{cell:.1f}" for cell in cells) + " |")
+
+
+def mean_limit(trial: Trial) -> float:
+    """Return the mean limit of the sound upstreams at the end."""
+    sound = [each for name, each in trial.table.upstreams.items() if name not in ("u0", "u1")]
+    return sum(each.limit.limit for each in sound) / len(sound)
+
+
+def quantile(values: list[float], part: float) -> float:
+    """Return a quantile of the values."""
+    return sorted(values)[int(len(values) * part)]
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/lycheefall/_rules/routing.py
@@ -0,0 +1,140 @@
+"""Pickers: which upstream a request is sent to.
+
+`weighted_two_choices` compares two random upstreams (M. Mitzenmacher, "The Power of Two Choices in
+Randomized Load Balancing", 2001) by expected delay, which is their load times their recent delay.
+The other pickers are kept to compare it with.
+"""
+
+from collections.abc import Callable
+
+from msgspec import Struct
+
+from lycheefall._core.ids import UpstreamId
+from lycheefall._rules import limits, upstreams
+from lycheefall._rules.prefix_cache import longest_match
+from lycheefall._rules.upstreams import Table, Upstream
+
+# Queued tokens that weigh as much as one request.
+_TOKENS_PER_REQUEST = 512.0
+# A recent error weighs as much as a full upstream.
+_LOAD_PER_ERROR = 1.0
+# A whole cached prompt is worth at most this part of the expected delay, so that a popular prefix
+# can't gather all work at one upstream.
+_PREFIX_GAIN_RATIO = 0.4
+
+
+class Ask(Struct, frozen=True, kw_only=True):
+    """What a picker needs to know of a request."""
+
+    # Hashes of the prompt's prefixes, the shortest first.
+    prefixes: tuple[int, ...] = ()
+    # Upstreams that this request must not be sent to, such as those tried before.
+    excluded: frozenset[UpstreamId] = frozenset()
+    # A suspect of a crash: takes the upstream with the least work.
+    alone: bool = False
+
+
+Picker = Callable[[Table, Ask, float], UpstreamId | None]
+
+
+def candidates(table: Table, ask: Ask, now_s: float) -> list[Upstream]:
+    """Return the upstreams that may be sent the request now."""
+    excluded = ask.excluded
+    return [
+        each
+        for each in table.subset
+        if len(each.attempts) < limits.allowed(each.limit)
+        and upstreams.is_live(each, now_s)
+        and each.member.upstream not in excluded
+    ]
+
+
+def random_choice() -> Picker:
+    """Make a picker that takes any upstream."""
+
+    def pick(table: Table, ask: Ask, now_s: float) -> UpstreamId | None:
+        found = candidates(table, ask, now_s)
+        return table.random.choice(found).member.upstream if found else None
+
+    return pick
+
+
+def least_requests() -> Picker:
+    """Make a picker that takes the upstream with the fewest requests of this entry."""
+
+    def pick(table: Table, ask: Ask, now_s: float) -> UpstreamId | None:
+        found = candidates(table, ask, now_s)
+        if not found:
+            return None
+        return min(found, key=lambda each: len(each.attempts)).member.upstream
+
+    return pick
+
+
+def two_choices() -> Picker:
+    """Make a picker that takes the one of two random upstreams with fewer requests."""
+
+    def pick(table: Table, ask: Ask, now_s: float) -> UpstreamId | None:
+        found = candidates(table, ask, now_s)
+        if not found:
+            return None
+        first, second = _two(table, found)
+        fewer = first if len(first.attempts) <= len(second.attempts) else second
+        return fewer.member.upstream
+
+    return pick
+
+
+def weighted_two_choices() -> Picker:
+    """Make the picker in use: two choices by expected delay, and the best holder of the prefix."""
+
+    def pick(table: Table, ask: Ask, now_s: float) -> UpstreamId | None:
+        found = candidates(table, ask, now_s)
+        found = [each for each in found if not upstreams.is_failing(each, now_s)]
+        if not found:
+            return None
+        if ask.alone:
+            return min(found, key=upstreams.requests_at).member.upstream
+        first, second = _two(table, found)
+        best, best_cost = first, expected_cost(table, first, now_s)
+        cost = expected_cost(table, second, now_s)
+        if cost < best_cost:
+            best, best_cost = second, cost
+        holder = _best_holder(table, ask, found, best_cost, now_s)
+        return (holder or best).member.upstream
+
+    return pick
+
+
+def expected_cost(table: Table, upstream: Upstream, now_s: float) -> float:
+    """Return the expected delay at an upstream, in no particular unit."""
+    tokens = upstream.member.load.queue_tokens + upstream.unreported_tokens
+    requests = upstreams.requests_at(upstream) + tokens / _TOKENS_PER_REQUEST
+    load = requests / max(1, upstream.member.concurrency)
+    load += _LOAD_PER_ERROR * upstreams.recent_errors(upstream, now_s)
+    return (1.0 + load) * (upstreams.delay_s(table, upstream, now_s) or 1.0)
+
+
+def _best_holder(
+    table: Table, ask: Ask, found: list[Upstream], best_cost: float, now_s: float
+) -> Upstream | None:
+    holders, part = longest_match(table.hints, ask.prefixes)
+    if not holders:
+        return None
+    best: Upstream | None = None
+    for each in found:
+        if each.member.upstream in holders:
+            cost = expected_cost(table, each, now_s) * (1.0 - _PREFIX_GAIN_RATIO * part)
+            if cost < best_cost:
+                best, best_cost = each, cost
+    return best
+
+
+def _two(table: Table, found: list[Upstream]) -> tuple[Upstream, Upstream]:
+    count = len(found)
+    first = int(table.random.random() * count)
+    if count == 1:
+        return found[0], found[0]
+    # Skips the first one, so that the two differ.
+    second = (first + 1 + int(table.random.random() * (count - 1))) % count
+    return found[first], found[second]
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,155 @@
+"""Tests of the pickers."""
+
+from collections import Counter
+
+import pytest
+
+from lycheefall._core.enums import MemberState
+from lycheefall._core.ids import Incarnation, UpstreamId
+from lycheefall._core.messages.membership import Load
+from lycheefall._rules import routing, upstreams
+from lycheefall._rules.prefix_cache import CacheEvents
+from lycheefall._rules.routing import Ask, Picker
+from lycheefall._rules.upstreams import Table
+from test_upstreams import PICKERS, attempt, member, table_of
+
+OURS = routing.weighted_two_choices()
+
+
+def run(
+    table: Table, delay_s: dict[str, float], failing: frozenset[str], count: int
+) -> Counter[str]:
+    """Send requests one after the other, each of which ends before the next."""
+    picked: Counter[str] = Counter()
+    for number in range(count):
+        now_s = number * 0.01
+        for name in table.upstreams:
+            upstreams.report(table, name, Incarnation("1"), Load(), now_s)
+        upstream = OURS(table, Ask(), now_s)
+        assert upstream is not None
+        picked[upstream] += 1
+        upstreams.sent(table, upstream, attempt(number), 10.0, now_s)
+        end_s = now_s + delay_s.get(upstream, 0.1)
+        if upstream not in failing:
+            upstreams.first_token(table, upstream, attempt(number), end_s)
+        upstreams.ended(table, upstream, attempt(number), upstream in failing, now_s)
+    return picked
+
+
+class TestAllPickers:
+    @pytest.mark.parametrize("picker", PICKERS.values(), ids=list(PICKERS))
+    def test_nothing_to_pick(self, picker: Picker) -> None:
+        """Guards against a picker that fails or picks when no upstream may be used."""
+        table = table_of(2)
+        upstreams.set_state(table, UpstreamId("u0"), MemberState.DRAINING)
+        assert picker(table, Ask(excluded=frozenset([UpstreamId("u1")])), 0.0) is None
+        assert picker(table, Ask(), 0.0) == "u1"
+
+    @pytest.mark.parametrize("picker", PICKERS.values(), ids=list(PICKERS))
+    def test_silent_and_stale(self, picker: Picker) -> None:
+        """Guards against work for an upstream that says nothing, or whose load is long unknown."""
+        table = table_of(1)
+        assert picker(table, Ask(), 0.9) == "u0"
+        assert picker(table, Ask(), 1.1) is None
+        upstreams.report(table, UpstreamId("u0"), Incarnation("1"), Load(age_s=4.9), 4.9)
+        assert picker(table, Ask(), 5.0) == "u0"
+        upstreams.report(table, UpstreamId("u0"), Incarnation("1"), Load(age_s=5.1), 5.1)
+        assert picker(table, Ask(), 5.1) is None
+
+    @pytest.mark.parametrize("picker", PICKERS.values(), ids=list(PICKERS))
+    def test_full_upstream_is_left_out(self, picker: Picker) -> None:
+        """Guards against more work than an upstream's limit."""
+        table = table_of(2)
+        for number in range(16):
+            upstream = picker(table, Ask(), 0.0)
+            assert upstream is not None
+            upstreams.sent(table, upstream, attempt(number), 10.0, 0.0)
+        assert picker(table, Ask(), 0.0) is None
+        assert upstreams.pool_slots(table, 0.0) == 16
+
+
+class TestWeightedTwoChoices:
+    def test_fast_failure_attracts_no_work(self) -> None:
+        """Guards against an upstream that looks idle because it fails at once."""
+        picked = run(table_of(4), {"u0": 0.001}, frozenset(["u0"]), 1000)
+        assert picked["u0"] < 50
+
+    def test_failing_upstream_rests_while_others_are_full(self) -> None:
+        """Guards against waiting requests that all go to the one upstream with free slots."""
+        table = table_of(2)
+        for number in range(8):
+            upstreams.sent(table, UpstreamId("u1"), attempt(number), 1.0, 0.0)
+        failed = 0
+        while upstream := OURS(table, Ask(), 0.5):
+            failed += 1
+            upstreams.sent(table, upstream, attempt(100 + failed), 1.0, 0.5)
+            upstreams.ended(table, upstream, attempt(100 + failed), True, 0.5)
+            assert failed <= 3
+        assert upstreams.pool_slots(table, 0.5) == 8
+
+    def test_few_errors_among_many_answers_count_little(self) -> None:
+        """Guards against a busy upstream that rests for one error in a hundred."""
+        table = table_of(1)
+        for number in range(2000):
+            upstreams.sent(table, UpstreamId("u0"), attempt(number), 1.0, 0.5)
+            upstreams.ended(table, UpstreamId("u0"), attempt(number), number % 100 == 0, 0.5)
+        assert OURS(table, Ask(), 0.5) == "u0"
+
+    def test_slow_upstream_is_avoided_and_tried_again(self) -> None:
+        """Guards against a slow upstream in even use, and against one that is never used again."""
+        picked = run(table_of(4), {"u0": 1.0}, frozenset(), 4000)
+        assert 2 <= picked["u0"] < 200
+
+    def test_own_work_counts_before_it_is_reported(self) -> None:
+        """Guards against a rush to the upstream that an old report shows as idle."""
+        table = Table(table_of(0).instance, entries=1, seed=1)
+        upstreams.announce(table, member("idle", load=Load(age_s=0.0), concurrency=32), 1, 0.0)
+        upstreams.announce(table, member("busy", load=Load(running=8), concurrency=32), 1, 0.0)
+        picked: Counter[str] = Counter()
+        for number in range(24):
+            upstream = OURS(table, Ask(), 0.1)
+            assert upstream is not None
+            picked[upstream] += 1
+            upstreams.sent(table, upstream, attempt(number), 10.0, 0.1)
+        assert 14 <= picked["idle"] <= 18
+
+    def test_prefix_holder_is_preferred_within_bounds(self) -> None:
+        """Guards against lost cache hits, and against all work at one holder."""
+        table = table_of(8)
+        events = CacheEvents(
+            upstream=UpstreamId("u3"),
+            incarnation=Incarnation("1"),
+            first_sequence=0,
+            changes=((1, True), (2, True)),
+        )
+        upstreams.cache_events(table, events)
+        ask = Ask(prefixes=(1, 2))
+        picked: Counter[str] = Counter()
+        for number in range(32):
+            upstream = OURS(table, ask, 0.0)
+            assert upstream is not None
+            picked[upstream] += 1
+            upstreams.sent(table, upstream, attempt(number), 10.0, 0.0)
+            if number == 3:
+                assert picked["u3"] == 4
+        assert len(picked) == 8
+
+    def test_busy_prefix_holder_is_not_preferred(self) -> None:
+        """Guards against a popular prefix that gathers all work at one upstream."""
+        table = table_of(8)
+        events = CacheEvents(
+            upstream=UpstreamId("u3"),
+            incarnation=Incarnation("1"),
+            first_sequence=0,
+            changes=((1, True),),
+        )
+        upstreams.cache_events(table, events)
+        upstreams.report(table, UpstreamId("u3"), Incarnation("1"), Load(running=8), 0.0)
+        assert all(OURS(table, Ask(prefixes=(1,)), 0.0) != "u3" for _ in range(50))
+
+    def test_suspect_takes_the_least_work(self) -> None:
+        """Guards against a suspect of a crash that is sent beside other work by chance."""
+        table = table_of(8)
+        for number in range(7):
+            upstreams.sent(table, UpstreamId(f"u{number}"), attempt(number), 1.0, 0.0)
+        assert all(OURS(table, Ask(alone=True), 0.0) == "u7" for _ in range(50))
--- /dev/null
+++ b/tests/test_upstreams.py
@@ -0,0 +1,181 @@
+"""Tests of the table of upstreams."""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from lycheefall._core.enums import MemberState, UpstreamKind
+from lycheefall._core.ids import (
+    Address,
+    AttemptNumber,
+    DataCentreId,
+    Incarnation,
+    InstanceId,
+    PoolId,
+    RequestId,
+    UpstreamId,
+)
+from lycheefall._core.messages.membership import Load, UpstreamMember
+from lycheefall._rules import routing, upstreams
+from lycheefall._rules.routing import Ask
+from lycheefall._rules.upstreams import AttemptKey, Table
+
+PICKERS = {
+    "random": routing.random_choice(),
+    "least requests": routing.least_requests(),
+    "two choices": routing.two_choices(),
+    "weighted two choices": routing.weighted_two_choices(),
+}
+# Small enough that two quarters of a second sum exactly.
+STEP_S = 0.25
+
+
+def member(
+    name: str,
+    state: MemberState = MemberState.READY,
+    load: Load | None = None,
+    concurrency: int = 8,
+) -> UpstreamMember:
+    """Make an announcement."""
+    return UpstreamMember(
+        upstream=UpstreamId(name),
+        instance=InstanceId(name),
+        data_centre=DataCentreId("here"),
+        pool=PoolId("pool"),
+        kind=UpstreamKind.ENGINE,
+        address=Address("127.0.0.1:1"),
+        incarnation=Incarnation("1"),
+        state=state,
+        concurrency=concurrency,
+        load=load or Load(),
+    )
+
+
+def table_of(count: int, instance: str = "entry") -> Table:
+    """Make a table of ready upstreams."""
+    table = Table(InstanceId(instance), entries=1, seed=1)
+    for number in range(count):
+        upstreams.announce(table, member(f"u{number}"), 1, 0.0)
+    return table
+
+
+def attempt(number: int) -> AttemptKey:
+    """Make the key of an attempt."""
+    return RequestId(str(number)), AttemptNumber(1)
+
+
+class TableMachine(RuleBasedStateMachine):
+    """Compare the counted load with all events, and the pickers with the state of each upstream."""
+
+    names = st.sampled_from([f"u{number}" for number in range(4)])
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.table = Table(InstanceId("entry"), entries=1, seed=1)
+        self.now_s = 0.0
+        self.count = 0
+        self.seen: dict[str, float] = {}
+        self.measured: dict[str, float] = {}
+        self.states: dict[str, MemberState] = {}
+        self.reported: dict[str, int] = {}
+        # Upstream, time sent and time ended of each attempt.
+        self.sent: dict[AttemptKey, tuple[str, float, float | None]] = {}
+
+    @rule(steps=st.integers(1, 6))
+    def wait(self, steps: int) -> None:
+        self.now_s += steps * STEP_S
+
+    @rule(
+        name=names,
+        state=st.sampled_from([MemberState.READY, MemberState.READY, *MemberState]),
+        running=st.integers(0, 8),
+        age=st.integers(0, 24),
+    )
+    def announce(self, name: str, state: MemberState, running: int, age: int) -> None:
+        self.count += 1
+        measured_s = self.now_s - age * STEP_S
+        load = Load(running=running, age_s=age * STEP_S)
+        upstreams.announce(self.table, member(name, state, load), self.count, self.now_s)
+        self.seen[name] = self.now_s
+        self.states[name] = state
+        if measured_s >= self.measured.get(name, float("-inf")):
+            self.measured[name] = measured_s
+            self.reported[name] = running
+
+    @rule(name=names)
+    def late_announcement(self, name: str) -> None:
+        if name in self.seen:
+            upstreams.announce(self.table, member(name), 0, self.now_s)
+
+    @rule(picker=st.sampled_from(sorted(PICKERS)), excluded=st.frozensets(names))
+    def send(self, picker: str, excluded: frozenset[str]) -> None:
+        ask = Ask(excluded=frozenset(UpstreamId(name) for name in excluded))
+        picked = PICKERS[picker](self.table, ask, self.now_s)
+        if picked is None:
+            return
+        assert picked not in excluded
+        assert self.states[picked] is MemberState.READY
+        assert self.now_s - self.seen[picked] <= upstreams.SILENT_AFTER_S
+        assert self.now_s - self.measured[picked] <= upstreams.STALE_AFTER_S
+        self.count += 1
+        upstreams.sent(self.table, picked, attempt(self.count), 100.0, self.now_s)
+        self.sent[attempt(self.count)] = (picked, self.now_s, None)
+
+    @rule(data=st.data(), failed=st.booleans())
+    def end(self, data: st.DataObject, failed: bool) -> None:
+        open_attempts = [key for key, (_, _, ended_s) in self.sent.items() if ended_s is None]
+        if open_attempts:
+            key = data.draw(st.sampled_from(open_attempts))
+            name, sent_s, _ = self.sent[key]
+            upstreams.ended(self.table, UpstreamId(name), key, failed, self.now_s)
+            self.sent[key] = (name, sent_s, self.now_s)
+
+    @invariant()
+    def load_is_the_report_and_what_came_after(self) -> None:
+        for name, reported in self.reported.items():
+            measured_s = self.measured[name]
+            own = 0
+            for upstream, sent_s, ended_s in self.sent.values():
+                if upstream != name:
+                    continue
+                own += ended_s is None
+                reported += ended_s is None and sent_s >= measured_s
+                reported -= ended_s is not None and sent_s < measured_s <= ended_s
+            known = self.table.upstreams[UpstreamId(name)]
+            assert upstreams.requests_at(known) == max(reported, own)
+
+
+TestTableMachine = TableMachine.TestCase
+
+
+class TestLateReport:
+    def test_report_measured_between_events(self) -> None:
+        """Guards against work counted twice, or still counted after its end, by a late report."""
+        table = table_of(1)
+        known = table.upstreams[UpstreamId("u0")]
+        for number, sent_s in enumerate((0.1, 0.2, 0.4)):
+            upstreams.sent(table, UpstreamId("u0"), attempt(number), 10.0, sent_s)
+        upstreams.ended(table, UpstreamId("u0"), attempt(0), False, 0.5)
+        load = Load(running=2, age_s=0.3)
+        upstreams.report(table, UpstreamId("u0"), Incarnation("1"), load, 0.6)
+        assert known.unreported_tokens == 10.0
+        assert upstreams.requests_at(known) == 2
+
+
+class TestSubset:
+    def test_small_and_stable(self) -> None:
+        """Guards against an entry that uses all of many upstreams, or changes them all at once."""
+        table = table_of(820)
+        before = {each.member.upstream for each in table.subset}
+        upstreams.leave(table, min(before))
+        after = {each.member.upstream for each in table.subset}
+        assert len(before) == len(after) == 20
+        assert len(before & after) == 19
+
+    def test_entries_differ(self) -> None:
+        """Guards against entries that all use the same few upstreams."""
+        used = {
+            each.member.upstream
+            for number in range(40)
+            for each in table_of(100, f"entry{number}").subset
+        }
+        assert len(used) == 100
