Add retry budgets, advice on retries and hedging

Cause: partner software retries at once and without pause, and an unknown outcome of a booking must never be run again.

Change: _rules/retries.py: token buckets by team and in total that first tries fill, backoff with full jitter, advice by result code, the time after which a lookup may be hedged (p95 of the last 128).

Measured: retries stay within 3 (30 in total) plus the ratio of first tries in all generated histories.

Conclusion: the budget bounds the added load of a fault by its ratio.

--- /dev/null
+++ b/src/lycheefall/_rules/retries.py
@@ -0,0 +1,143 @@
+"""Retries and hedges: which outcome may be tried again, when, and how many at most.
+
+Budgets as a part of first tries: "Site Reliability Engineering" (B. Beyer and others, 2016),
+chapter 21. Full jitter: M. Brooker, "Exponential Backoff And Jitter", 2015. Hedging after a high
+percentile: J. Dean, L. Barroso, "The Tail at Scale", 2013.
+"""
+
+from bisect import bisect_left, insort
+from collections import deque
+from enum import Enum
+from random import Random
+
+from lycheefall._core.codes import ResultCode, run_state
+from lycheefall._core.enums import RouteKind, RunState
+from lycheefall._core.ids import TeamId
+
+# Retries that a team may make before it has made first tries to earn them.
+_FIRST_RETRIES = 3.0
+_FIRST_RETRIES_IN_TOTAL = 30.0
+# Retries that are saved up at most, so that calm hours don't pay for a storm.
+_MAX_SAVED = 10.0
+_MAX_SAVED_IN_TOTAL = 100.0
+_BACKOFF_S = 0.02
+_MAX_BACKOFF_S = 1.0
+_HEDGE_SAMPLES = 128
+_MIN_HEDGE_SAMPLES = 20
+_HEDGE_RATIO = 0.95
+
+
+class RetryAdvice(Enum):
+    """Whether and where a request may be tried again."""
+
+    NEVER = "never"
+    # The upstream may be used again, after a pause.
+    ANYWHERE = "anywhere"
+    # Not at the upstreams that were tried.
+    ELSEWHERE = "elsewhere"
+
+
+# Refusals that every other upstream would repeat, or that the caller asked for.
+_FINAL_CODES = frozenset(
+    (
+        ResultCode.OVERLOADED,
+        ResultCode.DEADLINE_UNREACHABLE,
+        ResultCode.RETRY_BUDGET_SPENT,
+        ResultCode.FINGERPRINT_REFUSED,
+        ResultCode.EXPIRED_BEFORE_START,
+        ResultCode.CANCELLED_BEFORE_START,
+        ResultCode.CANCELLED_AFTER_START,
+        ResultCode.DUPLICATE_ATTEMPT,
+    )
+)
+# Refusals that say nothing against the upstream a moment later.
+_PASSING_CODES = frozenset((ResultCode.NOT_CONNECTED, ResultCode.WRONG_INCARNATION))
+_FIRST_SYSTEM_CODE = 3000
+_FIRST_FILE_CODE = 5000
+
+
+class Budget:
+    """Token bucket that first tries fill and retries empty."""
+
+    __slots__ = ("tokens",)
+
+    def __init__(self, tokens: float) -> None:
+        self.tokens = tokens
+
+
+class RetryBudgets:
+    """Budgets of all teams and the total one."""
+
+    __slots__ = ("ratio", "teams", "total")
+
+    def __init__(self, ratio: float) -> None:
+        self.ratio = ratio
+        self.total = Budget(_FIRST_RETRIES_IN_TOTAL)
+        self.teams: dict[TeamId, Budget] = {}
+
+
+def first_try(budgets: RetryBudgets, team: TeamId, team_ratio: float) -> RetryBudgets:
+    """Count a first try, which earns its team a part of a retry."""
+    own = budgets.teams.get(team)
+    if own is None:
+        own = budgets.teams[team] = Budget(_FIRST_RETRIES)
+    own.tokens = min(_MAX_SAVED, own.tokens + team_ratio)
+    total = budgets.total
+    total.tokens = min(_MAX_SAVED_IN_TOTAL, total.tokens + budgets.ratio)
+    return budgets
+
+
+def spend(budgets: RetryBudgets, team: TeamId) -> bool:
+    """Take one retry or hedge from both budgets; return False, and take none, if one is empty."""
+    own = budgets.teams.get(team)
+    if own is None or own.tokens < 1.0 or budgets.total.tokens < 1.0:
+        return False
+    own.tokens -= 1.0
+    budgets.total.tokens -= 1.0
+    return True
+
+
+def advise(code: ResultCode, idempotent: bool) -> RetryAdvice:
+    """Tell whether a request that ended with this code may be tried again.
+
+    An operation that isn't idempotent may be tried again only after it was proved not to have run.
+    """
+    if code in _FINAL_CODES or not _FIRST_SYSTEM_CODE <= code < _FIRST_FILE_CODE:
+        return RetryAdvice.NEVER
+    run = run_state(code)
+    if run is RunState.RAN or (run is RunState.UNKNOWN and not idempotent):
+        return RetryAdvice.NEVER
+    return RetryAdvice.ANYWHERE if code in _PASSING_CODES else RetryAdvice.ELSEWHERE
+
+
+def backoff_s(random: Random, retries_made: int) -> float:
+    """Return the pause before the next retry: random, up to a bound that doubles."""
+    return random.random() * min(_MAX_BACKOFF_S, _BACKOFF_S * 2.0 ** min(retries_made, 16))
+
+
+class HedgeTimes:
+    """Recent times of the lookups of one route, in order of arrival and of size."""
+
+    __slots__ = ("recent_s", "sorted_s")
+
+    def __init__(self) -> None:
+        self.recent_s: deque[float] = deque()
+        self.sorted_s: list[float] = []
+
+
+def observe_time(times: HedgeTimes, elapsed_s: float) -> HedgeTimes:
+    """Add the time that a first try took."""
+    times.recent_s.append(elapsed_s)
+    insort(times.sorted_s, elapsed_s)
+    if len(times.recent_s) > _HEDGE_SAMPLES:
+        oldest_s = times.recent_s.popleft()
+        del times.sorted_s[bisect_left(times.sorted_s, oldest_s)]
+    return times
+
+
+def hedge_after_s(times: HedgeTimes, kind: RouteKind) -> float | None:
+    """Return the time after which a second try may be sent, or None when it may not."""
+    count = len(times.sorted_s)
+    if kind is not RouteKind.LOOKUP or count < _MIN_HEDGE_SAMPLES:
+        return None
+    return times.sorted_s[int(count * _HEDGE_RATIO)]
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,117 @@
+"""Tests of retry budgets, advice and hedging."""
+
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lycheefall._core.codes import ResultCode, run_state
+from lycheefall._core.enums import RouteKind, RunState
+from lycheefall._core.ids import TeamId
+from lycheefall._rules import retries
+from lycheefall._rules.retries import HedgeTimes, RetryAdvice, RetryBudgets
+
+TEAMS = [TeamId("a"), TeamId("b")]
+
+
+class TestBudget:
+    @given(
+        st.lists(st.tuples(st.sampled_from(TEAMS), st.booleans()), max_size=400),
+        st.floats(0.0, 0.5),
+        st.floats(0.0, 0.5),
+    )
+    def test_ratio_is_never_exceeded(
+        self, events: list[tuple[TeamId, bool]], ratio: float, team_ratio: float
+    ) -> None:
+        """Guards against retries that multiply the load of a fault."""
+        budgets = RetryBudgets(ratio)
+        firsts = dict.fromkeys(TEAMS, 0)
+        spent = dict.fromkeys(TEAMS, 0)
+        for team, is_retry in events:
+            if is_retry:
+                spent[team] += retries.spend(budgets, team)
+            else:
+                firsts[team] += 1
+                retries.first_try(budgets, team, team_ratio)
+            assert spent[team] <= 3.0 + team_ratio * firsts[team] + 1e-6
+            assert sum(spent.values()) <= 30.0 + ratio * sum(firsts.values()) + 1e-6
+
+    def test_calm_does_not_pay_for_a_storm(self) -> None:
+        """Guards against a day's unused retries being spent at once."""
+        budgets = RetryBudgets(0.1)
+        for _ in range(10_000):
+            retries.first_try(budgets, TEAMS[0], 0.2)
+        assert sum(retries.spend(budgets, TEAMS[0]) for _ in range(1000)) <= 11
+
+    def test_one_team_leaves_the_other_its_retries(self) -> None:
+        """Guards against one team's storm that spends every team's retries."""
+        budgets = RetryBudgets(0.1)
+        for team in TEAMS:
+            retries.first_try(budgets, team, 0.2)
+        for _ in range(100):
+            retries.spend(budgets, TEAMS[0])
+        assert retries.spend(budgets, TEAMS[1])
+
+
+class TestAdvice:
+    @pytest.mark.parametrize("code", list(ResultCode))
+    def test_only_what_did_not_run_or_may_run_twice(self, code: ResultCode) -> None:
+        """Guards against a booking that is carried out twice, and an error that is run again."""
+        run = run_state(code)
+        if run is not RunState.NOT_RUN:
+            assert retries.advise(code, idempotent=False) is RetryAdvice.NEVER
+        if run is RunState.RAN:
+            assert retries.advise(code, idempotent=True) is RetryAdvice.NEVER
+
+    def test_lost_upstream(self) -> None:
+        """Guards against a lookup that is lost with its upstream."""
+        assert retries.advise(ResultCode.UPSTREAM_LOST, True) is RetryAdvice.ELSEWHERE
+        assert retries.advise(ResultCode.UPSTREAM_DRAINING, False) is RetryAdvice.ELSEWHERE
+        assert retries.advise(ResultCode.NOT_CONNECTED, False) is RetryAdvice.ANYWHERE
+
+    def test_the_request_is_at_fault(self) -> None:
+        """Guards against upstreams lost one after the other to a refused request."""
+        assert retries.advise(ResultCode.FINGERPRINT_REFUSED, True) is RetryAdvice.NEVER
+        assert retries.advise(ResultCode.BAD_FIELD, True) is RetryAdvice.NEVER
+
+
+class TestBackoff:
+    @given(st.integers(0, 10_000), st.integers(0, 99))
+    def test_bounds(self, retries_made: int, seed: int) -> None:
+        """Guards against a pause that overflows or grows past the bound."""
+        assert 0.0 <= retries.backoff_s(Random(seed), retries_made) <= 1.0
+
+    def test_spread(self) -> None:
+        """Guards against retries that all return at the same moment."""
+        random = Random(1)
+        pauses = [retries.backoff_s(random, 3) for _ in range(100)]
+        assert min(pauses) < 0.03 < 0.13 < max(pauses) <= 0.16
+
+
+class TestHedge:
+    @given(st.lists(st.floats(0.0, 10.0), min_size=20, max_size=300))
+    def test_p95_of_recent_times(self, times_s: list[float]) -> None:
+        """Guards against hedges of more than one in twenty lookups."""
+        times = HedgeTimes()
+        for each in times_s:
+            retries.observe_time(times, each)
+        after_s = retries.hedge_after_s(times, RouteKind.LOOKUP)
+        recent = sorted(times_s[-128:])
+        assert after_s == recent[int(len(recent) * 0.95)]
+
+    def test_old_times_are_forgotten(self) -> None:
+        """Guards against hedges by the times of a fault that is over."""
+        times = HedgeTimes()
+        for number in range(400):
+            retries.observe_time(times, 9.0 if number < 200 else 0.1)
+        assert retries.hedge_after_s(times, RouteKind.LOOKUP) == 0.1
+
+    def test_lookups_only(self) -> None:
+        """Guards against a booking that is sent twice, and against hedges on no evidence."""
+        times = HedgeTimes()
+        assert retries.hedge_after_s(times, RouteKind.LOOKUP) is None
+        for _ in range(100):
+            retries.observe_time(times, 0.1)
+        assert retries.hedge_after_s(times, RouteKind.BOOKING) is None
+        assert retries.hedge_after_s(times, RouteKind.CHAT) is None
