--- /dev/null
+++ b/bench/rules_cost.py
@@ -0,0 +1,234 @@
+"""Cost of each rule on the path of a request, against numbers of teams and upstreams.
+
+Run: PYTHONPATH=src python bench/rules_cost.py
+"""
+
+from collections.abc import Callable
+from statistics import median
+from time import perf_counter
+
+from lycheefall._core.configuration import Directory, Priority
+from lycheefall._core.enums import MemberState, RouteKind, UpstreamKind
+from lycheefall._core.ids import (
+    Address,
+    AttemptNumber,
+    DataCentreId,
+    Incarnation,
+    InstanceId,
+    PoolId,
+    PriorityId,
+    RequestId,
+    TeamId,
+    UpstreamId,
+)
+from lycheefall._core.messages.membership import EntryMember, Load, UpstreamMember
+from lycheefall._rules import (
+    admission,
+    directory,
+    prefix_cache,
+    retries,
+    routing,
+    shares,
+    upstreams,
+)
+from lycheefall._rules.admission import AdmissionState, Admitted, Item
+from lycheefall._rules.prefix_cache import CacheEvents
+from lycheefall._rules.routing import Ask
+from lycheefall._rules.upstreams import Table
+
+CALLS = 2000
+RUNS = 9
+SLOTS = 256
+TEAMS = (16, 570, 2280)
+UPSTREAMS = (4, 16, 32, 820)
+PRIORITIES = tuple(
+    Priority(name=PriorityId(name), target_s=target_s, worth=worth)
+    for name, target_s, worth in (("urgent", 0.6, 100.0), ("soon", 5.0, 10.0), ("later", 60.0, 1.0))
+)
+
+Run = Callable[[int], None]
+
+
+def measure(run: Run) -> tuple[float, float, float]:
+    """Return the median, lowest and highest microseconds a call."""
+    costs = []
+    for number in range(RUNS + 1):
+        begin_s = perf_counter()
+        for call in range(number * CALLS, (number + 1) * CALLS):
+            run(call)
+        costs.append((perf_counter() - begin_s) / CALLS * 1e6)
+    # The first run warms up.
+    return median(costs[1:]), min(costs[1:]), max(costs[1:])
+
+
+def admission_run(teams: int) -> Run:
+    """Submit, finish and release with a backlog of ten requests for each team."""
+    policies = shares.policies_of(PRIORITIES, list(RouteKind), 5.0)
+    names = [policy.name for policy in policies]
+    state = AdmissionState(policies, 20 * teams)
+    running: list[RequestId] = []
+
+    def submit(call: int, now_s: float) -> None:
+        new = Item(
+            request=RequestId(f"r{call}"),
+            team=TeamId(f"t{call * 7 % teams}"),
+            weight=1.0,
+            work_class=names[call % 5],
+            cost_tokens=10 + call % 90,
+            deadline_s=now_s + 5.0,
+        )
+        admission.submit(state, new, now_s)
+
+    def run(call: int) -> None:
+        now_s = call * 1e-4
+        submit(call, now_s)
+        if running:
+            admission.finish(state, running.pop(), 50.0, now_s)
+        for each in admission.release(state, SLOTS, now_s)[1]:
+            if isinstance(each, Admitted):
+                running.append(each.request)
+
+    for call in range(10 * teams):
+        submit(-1 - call, 0.0)
+    return run
+
+
+def table_of(count: int) -> Table:
+    """Make a table of ready upstreams with reported load and cached prefixes."""
+    table = Table(InstanceId("entry"), entries=4, seed=1)
+    for number in range(count):
+        name = f"u{number}"
+        member = UpstreamMember(
+            upstream=UpstreamId(name),
+            instance=InstanceId(name),
+            data_centre=DataCentreId("here"),
+            pool=PoolId("pool"),
+            kind=UpstreamKind.ENGINE,
+            address=Address("127.0.0.1:1"),
+            incarnation=Incarnation("1"),
+            state=MemberState.READY,
+            concurrency=64,
+            load=Load(running=number % 16),
+        )
+        upstreams.announce(table, member, 1, 0.0)
+        changes = tuple((number * 1000 + prefix, True) for prefix in range(200))
+        events = CacheEvents(
+            upstream=member.upstream,
+            incarnation=member.incarnation,
+            first_sequence=0,
+            changes=changes,
+        )
+        upstreams.cache_events(table, events)
+    return table
+
+
+def routing_run(count: int) -> Run:
+    """Pick with 16 prefixes, count the attempt, its first token and its end."""
+    table = table_of(count)
+    pick = routing.weighted_two_choices()
+
+    def run(call: int) -> None:
+        now_s = call * 1e-5
+        ask = Ask(prefixes=tuple(range(call % 1000, call % 1000 + 16)))
+        picked = pick(table, ask, now_s)
+        if picked is None:
+            raise RuntimeError("no upstream was picked")
+        key = (RequestId(f"r{call}"), AttemptNumber(1))
+        upstreams.sent(table, picked, key, 100.0, now_s)
+        upstreams.first_token(table, picked, key, now_s + 0.1)
+        upstreams.ended(table, picked, key, False, now_s + 0.1)
+
+    return run
+
+
+def slots_run(count: int) -> Run:
+    """Count the slots of the pool."""
+    table = table_of(count)
+
+    def run(call: int) -> None:
+        upstreams.pool_slots(table, 0.5)
+
+    return run
+
+
+def report_run(count: int) -> Run:
+    """Take over a load report."""
+    table = table_of(count)
+
+    def run(call: int) -> None:
+        name = UpstreamId(f"u{call % count}")
+        upstreams.report(table, name, Incarnation("1"), Load(running=8), call * 1e-4)
+
+    return run
+
+
+def budget_run(teams: int) -> Run:
+    """Count a first try and spend a retry."""
+    budgets = retries.RetryBudgets(0.1)
+
+    def run(call: int) -> None:
+        team = TeamId(f"t{call % teams}")
+        retries.first_try(budgets, team, 0.2)
+        retries.spend(budgets, team)
+
+    return run
+
+
+def directory_run(entries: int) -> Run:
+    """Answer teams while the entries don't change."""
+    state = directory.EntryDirectory(Directory(shard_size=4))
+    members = [
+        EntryMember(
+            instance=InstanceId(f"entry{number}"),
+            data_centre=DataCentreId("here"),
+            address=Address("127.0.0.1:1"),
+            announce_address=Address("127.0.0.1:1"),
+            incarnation=Incarnation("1"),
+            state=MemberState.READY,
+        )
+        for number in range(entries)
+    ]
+    directory.entries_changed(state, members)
+
+    def run(call: int) -> None:
+        directory.answer(state, TeamId(f"t{call % 570}"))
+
+    return run
+
+
+def hashes_run(size_bytes: int) -> Run:
+    """Hash the prefixes of a prompt."""
+    prompt = b"p" * size_bytes
+
+    def run(call: int) -> None:
+        prefix_cache.prefix_hashes(prompt)
+
+    return run
+
+
+def show(name: str, sizes: tuple[int, ...], make: Callable[[int], Run]) -> None:
+    """Print a line for each size and the slope between the smallest and the largest."""
+    medians = []
+    for size in sizes:
+        middle, low, high = measure(make(size))
+        medians.append(middle)
+        print(f"| {name} | {size} | {middle:.2f} | {low:.2f} to {high:.2f} |")
+    slope = (medians[-1] - medians[0]) / (sizes[-1] - sizes[0]) * 1000
+    print(f"| {name}, slope | {sizes[0]} to {sizes[-1]} | {slope:.2f} for 1000 | |")
+
+
+def main() -> None:
+    """Measure all rules."""
+    print("| rule | size | median us | lowest to highest us |")
+    print("|---|---|---|---|")
+    show("submit, finish, release; teams", TEAMS, admission_run)
+    show("pick, sent, first token, ended; upstreams", UPSTREAMS, routing_run)
+    show("pool_slots; upstreams", UPSTREAMS, slots_run)
+    show("report; upstreams", UPSTREAMS, report_run)
+    show("first_try, spend; teams", TEAMS, budget_run)
+    show("directory answer; entries", (4, 41, 410), directory_run)
+    show("prefix_hashes; bytes", (1024, 8192), hashes_run)
+
+
+if __name__ == "__main__":
+    main()
