Keep the time at which a waiting request leaves the queue

Cause: a request that waited while a new file allowed its class a longer wait lost its entry in the heap of expiries, and never expired.

Change: the time is kept with the request and no longer worked out from the class.

Measured: the new test fails before the change (no outcome at 10 s nor 100 s) and passes after it.

Conclusion: a new file changes the wait of requests that arrive after it.

--- a/src/lycheefall/_rules/admission.py
+++ b/src/lycheefall/_rules/admission.py
@@ -55,6 +55,7 @@
 class _Waiting(Struct):
     item: Item
     since_s: float
+    leave_s: float
 
 
 class _Running(Struct):
@@ -163,8 +164,7 @@
         waiting = state.waiting.get(request)
         if waiting is None:
             continue
-        each = state.classes[waiting.item.work_class]
-        if now_s < min(waiting.item.deadline_s, waiting.since_s + each.policy.max_wait_s):
+        if now_s < waiting.leave_s:
             # An entry of an earlier request with the same id.
             continue
         _drop(state, request)
@@ -229,7 +229,7 @@
 def _enqueue(
     state: AdmissionState, each: ClassState, item: Item, now_s: float, leave_s: float
 ) -> None:
-    state.waiting[item.request] = _Waiting(item, now_s)
+    state.waiting[item.request] = _Waiting(item, now_s, leave_s)
     state.sequence += 1
     heappush(state.expiries, (leave_s, state.sequence, item.request))
     fairness.add(each.queue, item.team, item.weight, item.request, item.cost_tokens)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -4,6 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from msgspec import structs
 
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.configuration import Priority
@@ -237,3 +238,13 @@
         outcomes = admission.reconfigure(state, POLICIES[:-1], 20)[1]
         assert [each.request for each in outcomes] == ["gone"]
         assert requests_of(admission.release(state, 4, 0.0)[1]) == ["kept"]
+
+    def test_longer_wait(self) -> None:
+        """Guards against a request that never expires because the file allowed a longer wait."""
+        state = AdmissionState(POLICIES, 20)
+        admission.submit(state, item("waits"), 0.0)
+        longer = shares.policies_of(PRIORITIES[1:], list(RouteKind), 60.0)
+        renamed = [structs.replace(longer[0], name=URGENT), *longer[1:]]
+        admission.reconfigure(state, renamed, 20)
+        outcomes = admission.expire(state, 10.0)[1] + admission.expire(state, 100.0)[1]
+        assert [each.request for each in outcomes] == ["waits"]
