Locate a restarted rank before it answers a preparation

Cause: in a longer run of the state machine (generated examples without a fixed seed) an agent restarted after its rank had entered step 191, answered a preparation with no permission, and the new map began at step 129. In another, the coordinators and all agents had restarted and the group stayed at its step, since nobody reported it.

Change: an agent takes the position of its rank from EnterStep, answers a preparation only after that, and counts entered steps as permitted.

Conclusion: the rank's runtime must know its step across a restart of its agent.

--- a/src/lycheefall/_rules/rank_steps.py
+++ b/src/lycheefall/_rules/rank_steps.py
@@ -86,6 +86,8 @@
     preparing: PrepareEpoch | None = None
     permitted: StepNumber = NO_STEP
     entered: StepNumber = NO_STEP
+    # True after the rank has told this run of the agent which step it is at.
+    located: bool = False
     next_request_s: float = 0.0
     expert_tokens: list[float] = field(default_factory=list)
     busy_s: float = 0.0
@@ -151,9 +153,13 @@
 
 
 def _prepared(state: RankState) -> list[RankOutput]:
-    """Answer a preparation once all weights are there."""
+    """Answer a preparation once all weights are there.
+
+    A restarted agent first learns where its rank is: the rank may have entered steps by a
+    permission of the run before, and the answer must cover them.
+    """
     message = state.preparing
-    if message is None or _missing(state, message.placement):
+    if message is None or not state.located or _missing(state, message.placement):
         return []
     return [
         Prepared(
@@ -163,7 +169,7 @@
             message.fencing,
             message.epoch,
             message.attempt,
-            state.permitted,
+            max(state.permitted, state.entered),
         )
     ]
 
@@ -210,6 +216,15 @@
 
 
 def _enter(state: RankState, message: EnterStep, now_s: float) -> list[RankOutput]:
+    # After a restart of the agent only the rank itself knows how far it has come.
+    state.entered = max(state.entered, StepNumber(message.step - 1))
+    if not state.located:
+        state.located = True
+        return _prepared(state) + _try_enter(state, message, now_s)
+    return _try_enter(state, message, now_s)
+
+
+def _try_enter(state: RankState, message: EnterStep, now_s: float) -> list[RankOutput]:
     if not is_permitted(state, message.step):
         return _hold(state, message, now_s)
     usable = [each for each in state.maps if each.first_step <= message.step]
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -164,6 +164,7 @@
             self.coordinate(name, group_steps.Tick())
             for rank in range(RANKS):
                 self.tell_rank(rank, rank_steps.ReportDue())
+                self.enter(rank, 1)
             self.settle()
 
     def enter(self, rank: int, count: int) -> None:
--- a/tests/test_group_steps.py
+++ b/tests/test_group_steps.py
@@ -201,6 +201,41 @@
         assert world.coordinators["b"].phase is Phase.STEADY
 
 
+class TestRestart:
+    def test_all_processes(self) -> None:
+        """Guards against a group that stays at its step when nobody remembers the number."""
+        world = running()
+        for _ in range(3):
+            world.enter(0, 100)
+            world.enter(1, 100)
+            world.work("a")
+        world.crash("a")
+        world.crash("b")
+        world.restart(0)
+        world.restart(1)
+        check_progress(world, "b", 6)
+
+    def test_agent_that_forgot_its_permission(self) -> None:
+        """Guards against a first step below the steps that a rank entered before a restart."""
+        world = running()
+        world.cut.add(("b", 0))
+        world.work("b", 1, period_s=0.1)
+        for _ in range(3):
+            world.enter(0, 200)
+            world.work("a", 1, period_s=0.1)
+        world.restart(0)
+        world.crash("a")
+        world.cut.clear()
+        world.coordinate("b", group_steps.Tick())
+        world.settle()
+        world.tell_rank(0, ReportDue())
+        world.settle()
+        world.coordinate("b", Place(PLACEMENTS[1]))
+        world.settle()
+        world.enter(1, 400)
+        check_progress(world, "b", 2)
+
+
 class TestAbort:
     def test_rank_cannot_prepare(self) -> None:
         """Guards against a commit of a map that one rank could not load."""
