Join admission, fair queueing, routing, limits and the directory to the entry

Change: _entry/queue.py runs one admission queue for each set of pools; _rules/calls.py uses the tables of upstreams, adaptive limits, retry budgets and the weighted picker; _rules/choice.py gives each request two upstreams of its own, one by the start of its prompt and one by its fingerprint; a call without a free upstream waits up to 2 s; GET /v1/entries answers from shuffle shards and refuses unknown teams.

Their effect under floods is measured next.

--- a/src/lycheefall/_core/messages/entry.py
+++ b/src/lycheefall/_core/messages/entry.py
@@ -60,6 +60,8 @@
     deadline_s: float
     # Expected prompt and answer tokens; 1 for a call to a service.
     cost_tokens: int
+    # The part of the cost that is the prompt.
+    prompt_tokens: int
     fingerprint: Fingerprint
     # Hash of the start of the prompt, by which requests share a prefix cache; 0 for none.
     prefix: int = 0
@@ -105,11 +107,17 @@
     incarnation: Incarnation
 
 
-class UpstreamsChanged(Struct, frozen=True):
-    """Tell which upstreams are new or changed and which are gone."""
+class UpstreamHeard(Struct, frozen=True):
+    """A heartbeat of an upstream's agent."""
 
-    upstreams: tuple[UpstreamMember, ...]
-    removed: tuple[UpstreamId, ...] = ()
+    member: UpstreamMember
+    sequence: int
+
+
+class UpstreamLeft(Struct, frozen=True):
+    """Tell that an upstream has been silent for long."""
+
+    upstream: UpstreamId
 
 
 class ConfigurationChanged(Struct, frozen=True):
@@ -262,7 +270,9 @@
     | FromAgent
     | LinkUp
     | LinkDown
-    | UpstreamsChanged
+    | UpstreamHeard
+    | UpstreamLeft
+    | EntriesSeen
     | ConfigurationChanged
     | FingerprintsChanged
     | FramesRead
--- a/src/lycheefall/_entry/accept.py
+++ b/src/lycheefall/_entry/accept.py
@@ -16,11 +16,11 @@
     ReplyPart,
     Submit,
 )
-from lycheefall._core.messages.membership import EntryMember
 from lycheefall._core.pipeline import Inbox, Latest
 from lycheefall._entry.answer import answer, refusal
 from lycheefall._entry.catalogue import Catalogue
 from lycheefall._entry.identify import CHAT_PATH, KEY_HEADER, TEAM_HEADER, RawRequest, identify
+from lycheefall._rules.directory import EntriesAnswer
 from lycheefall._rules.refusals import early_code
 
 # One frame a message: the first credit of an attempt and the end of the answer fit.
@@ -143,7 +143,7 @@
 
 
 # Entries that a team may use, first choice first.
-ChooseEntries = Callable[[TeamId], list[EntryMember]]
+ChooseEntries = Callable[[TeamId], EntriesAnswer]
 
 
 def build_application(acceptor: Acceptor, choose: ChooseEntries) -> web.Application:
@@ -177,11 +177,10 @@
         if catalogue is None:
             return refusal(ResultCode.NOT_READY, "no committed configuration is known yet", "")
         team = TeamId(http.headers.get(TEAM_HEADER) or http.query.get("team", ""))
-        body = {
-            "addresses": [member.address for member in choose(team)],
-            "ttl_s": catalogue.configuration.directory.ttl_s,
-        }
-        return web.Response(body=msgspec.json.encode(body), content_type="application/json")
+        if team not in catalogue.teams:
+            return refusal(ResultCode.UNKNOWN_TEAM, f"no team is named {team!r}", "")
+        body = msgspec.json.encode(choose(team))
+        return web.Response(body=body, content_type="application/json")
 
     return entries
 
--- a/src/lycheefall/_entry/identify.py
+++ b/src/lycheefall/_entry/identify.py
@@ -153,7 +153,8 @@
             model=chat.model if chat else "",
             arrived_s=raw.now_s,
             deadline_s=raw.now_s + _timeout_s(raw, route),
-            cost_tokens=_cost_tokens(raw, chat, default_tokens),
+            cost_tokens=_prompt_tokens(chat, raw) + _answer_tokens(chat, default_tokens),
+            prompt_tokens=_prompt_tokens(chat, raw),
             fingerprint=_fingerprint(raw, route),
             prefix=_prefix(chat) if chat else 0,
             operation=None if route.idempotent else _operation(raw),
@@ -189,10 +190,12 @@
     return min(timeout_s, route.timeout_s)
 
 
-def _cost_tokens(raw: RawRequest, chat: ChatBody | None, default_tokens: int) -> int:
-    if chat is None:
-        return SERVICE_COST_TOKENS
-    return len(raw.body) // BYTES_PER_TOKEN + (chat.max_tokens or default_tokens)
+def _prompt_tokens(chat: ChatBody | None, raw: RawRequest) -> int:
+    return len(raw.body) // BYTES_PER_TOKEN if chat else 0
+
+
+def _answer_tokens(chat: ChatBody | None, default_tokens: int) -> int:
+    return chat.max_tokens or default_tokens if chat else SERVICE_COST_TOKENS
 
 
 def _fingerprint(raw: RawRequest, route: Route) -> Fingerprint:
--- a/src/lycheefall/_entry/queue.py
+++ b/src/lycheefall/_entry/queue.py
@@ -1,20 +1,132 @@
-"""Hold requests until the upstreams of their route have room."""
+"""Hold requests until the upstreams of their route have room for them."""
 
-from msgspec import Struct
+from msgspec import Struct, field
 
-from lycheefall._core.messages.entry import Abandon, FromQueue, Run, Submit, ToQueue
+from lycheefall._core.configuration import Configuration
+from lycheefall._core.ids import PoolId, RequestId, TeamId
+from lycheefall._core.messages.entry import (
+    Abandon,
+    CallEnded,
+    CallerRequest,
+    Capacity,
+    ConfigurationChanged,
+    FromQueue,
+    Run,
+    Submit,
+    Tick,
+    ToQueue,
+)
+from lycheefall._rules import admission
+from lycheefall._rules.admission import AdmissionState, Admitted, Item, Outcome
+from lycheefall._rules.refusals import refuse
+from lycheefall._rules.shares import ClassPolicy, class_of, policies_of
 
+# The pools that a route may reach; routes with the same ones share a queue.
+Pools = tuple[PoolId, ...]
 
-class QueueState(Struct):
-    """Requests that wait."""
+
+class QueueState(Struct, eq=False):
+    """Queues by the pools that they feed, and the requests in them."""
+
+    configuration: Configuration = field(default_factory=Configuration)
+    queues: dict[Pools, AdmissionState] = field(default_factory=dict)
+    slots: dict[PoolId, int] = field(default_factory=dict)
+    weights: dict[TeamId, float] = field(default_factory=dict)
+    waiting: dict[RequestId, CallerRequest] = field(default_factory=dict)
 
 
 def step_queue(
     state: QueueState, message: ToQueue, now_s: float
 ) -> tuple[QueueState, list[FromQueue]]:
-    """Apply one message to the queue."""
-    if isinstance(message, Submit):
-        return state, [Run(message.call)]
-    if isinstance(message, Abandon):
-        return state, [message]
-    return state, []
+    """Apply one message to the queues."""
+    match message:
+        case Submit():
+            return state, _submit(state, message.call, now_s)
+        case CallEnded():
+            return state, _ended(state, message, now_s)
+        case Abandon():
+            return state, _abandon(state, message, now_s)
+        case Capacity():
+            state.slots[message.pool] = message.slots
+            return state, []
+        case ConfigurationChanged():
+            return state, _configure(state, message.configuration)
+        case Tick():
+            released = [_release(state, pools, now_s) for pools in state.queues]
+            return state, [each for batch in released for each in batch]
+
+
+def _submit(state: QueueState, call: CallerRequest, now_s: float) -> list[FromQueue]:
+    pools = call.route.pools
+    queue = _queue(state, pools)
+    state.waiting[call.request] = call
+    item = Item(
+        request=call.request,
+        team=call.team,
+        weight=state.weights.get(call.team, 1.0),
+        work_class=class_of(call.route.kind, call.priority),
+        cost_tokens=call.cost_tokens,
+        deadline_s=call.deadline_s,
+    )
+    _, outcomes = admission.submit(queue, item, now_s)
+    return _messages(state, outcomes) + _release(state, pools, now_s)
+
+
+def _ended(state: QueueState, ended: CallEnded, now_s: float) -> list[FromQueue]:
+    queue = _queue(state, ended.pools)
+    admission.finish(queue, ended.request, ended.cost_tokens, now_s)
+    return _release(state, ended.pools, now_s)
+
+
+def _abandon(state: QueueState, abandon: Abandon, now_s: float) -> list[FromQueue]:
+    call = state.waiting.pop(abandon.request, None)
+    if call is None:
+        return [abandon]
+    admission.cancel(_queue(state, call.route.pools), abandon.request, now_s)
+    return []
+
+
+def _release(state: QueueState, pools: Pools, now_s: float) -> list[FromQueue]:
+    slots = sum(state.slots.get(pool, 0) for pool in pools)
+    _, outcomes = admission.release(state.queues[pools], slots, now_s)
+    return _messages(state, outcomes)
+
+
+def _messages(state: QueueState, outcomes: list[Outcome]) -> list[FromQueue]:
+    results: list[FromQueue] = []
+    for outcome in outcomes:
+        call = state.waiting.pop(outcome.request, None)
+        if call is None:
+            continue
+        if isinstance(outcome, Admitted):
+            results.append(Run(call))
+        else:
+            detail = "the request could not be served in time"
+            results.append(refuse(call, outcome.code, detail, outcome.retry_after_s))
+    return results
+
+
+def _configure(state: QueueState, configuration: Configuration) -> list[FromQueue]:
+    state.configuration = configuration
+    state.weights = {team.name: team.weight for team in configuration.teams}
+    results: list[FromQueue] = []
+    for pools, queue in state.queues.items():
+        limits = configuration.limits
+        policies = _policies(configuration, pools)
+        _, outcomes = admission.reconfigure(queue, policies, limits.queue_requests)
+        results += _messages(state, outcomes)
+    return results
+
+
+def _queue(state: QueueState, pools: Pools) -> AdmissionState:
+    queue = state.queues.get(pools)
+    if queue is None:
+        limits = state.configuration.limits
+        policies = _policies(state.configuration, pools)
+        queue = state.queues[pools] = AdmissionState(policies, limits.queue_requests)
+    return queue
+
+
+def _policies(configuration: Configuration, pools: Pools) -> tuple[ClassPolicy, ...]:
+    kinds = {route.kind for route in configuration.routes if route.pools == pools}
+    return policies_of(configuration.priorities, kinds, configuration.limits.queue_s)
--- a/src/lycheefall/_entry/service.py
+++ b/src/lycheefall/_entry/service.py
@@ -1,14 +1,13 @@
 """Join the filters of an entry, from the caller's request to the answer."""
 
 import asyncio
-import random
 from collections.abc import Callable
 
 from aiohttp import web
 
 from lycheefall._control.client import new_client, run_client
 from lycheefall._core.codes import ResultCode
-from lycheefall._core.configuration import Configuration
+from lycheefall._core.configuration import Configuration, Directory
 from lycheefall._core.enums import MemberState
 from lycheefall._core.events import Event
 from lycheefall._core.exceptions import ControlUnavailable, PortInUse
@@ -22,7 +21,6 @@
     BookingReply,
     BookingStarted,
     CallEnded,
-    CallerRequest,
     Capacity,
     ConfigurationChanged,
     EntriesSeen,
@@ -40,7 +38,8 @@
     ToDispatch,
     ToLink,
     ToQueue,
-    UpstreamsChanged,
+    UpstreamHeard,
+    UpstreamLeft,
 )
 from lycheefall._core.messages.membership import Announce, EntryMember
 from lycheefall._core.pipeline import Inbox, run_owner, tick
@@ -52,10 +51,18 @@
 from lycheefall._entry.settings import EntrySettings
 from lycheefall._entry.upstreams import UpstreamTable, receive_announce, step_upstreams
 from lycheefall._rules.bookings import BookingsState, step_bookings
-from lycheefall._rules.call_state import CallsState, Pick, Upstream
+from lycheefall._rules.call_state import CallsState
 from lycheefall._rules.calls import step_calls
+from lycheefall._rules.directory import (
+    EntriesAnswer,
+    EntryDirectory,
+    entries_changed,
+    put_in_force,
+)
+from lycheefall._rules.directory import answer as choose_entries
 from lycheefall._rules.joins import JoinsState, step_joins
 from lycheefall._rules.refusals import refuse
+from lycheefall._rules.routing import weighted_two_choices
 from lycheefall._wire.announcer import Announcer
 from lycheefall._wire.zmq_ends import RouterEnd
 
@@ -73,6 +80,7 @@
         "announcer",
         "bookings",
         "client",
+        "directory",
         "dispatch",
         "incarnation",
         "joins",
@@ -97,6 +105,7 @@
         self.announcer = Announcer()
         self.client = new_client()
         self.proposals: set[asyncio.Task[None]] = set()
+        self.directory = EntryDirectory(Directory())
         self.members: dict[InstanceId, EntryMember] = {}
 
     def _from_accept(self, message: Submit | Abandon | FramesRead) -> bool:
@@ -154,13 +163,13 @@
         assert result is None or isinstance(result, ClaimResult | Failed)
         await self.bookings.put(Proposed(proposal.request, proposal.sequence, result))
 
-    def from_upstreams(self, changed: UpstreamsChanged) -> None:
+    def from_upstreams(self, message: UpstreamHeard | UpstreamLeft) -> None:
         """Open and close links, then tell the dispatch filter."""
-        for member in changed.upstreams:
-            self.links.connect(member.upstream, member.address)
-        for upstream in changed.removed:
-            self.links.disconnect(upstream)
-        self.dispatch.offer(changed)
+        if isinstance(message, UpstreamHeard):
+            self.links.connect(message.member.upstream, message.member.address)
+        else:
+            self.links.disconnect(message.upstream)
+        self.dispatch.offer(message)
 
     def on_changes(self, changes: Changes) -> None:
         """Take what control says has changed."""
@@ -182,12 +191,13 @@
             )
         )
 
-    def choose_entries(self, team: TeamId) -> list[EntryMember]:
+    def choose_entries(self, team: TeamId) -> EntriesAnswer:
         """Return the entries that a team may use."""
-        return [each for each in self.members.values() if each.state is MemberState.READY]
+        return choose_entries(self.directory, team)
 
     def _configure(self, configuration: Configuration) -> None:
         self.acceptor.catalogue.publish(build_catalogue(configuration))
+        put_in_force(self.directory, configuration.directory)
         self.queue.offer(ConfigurationChanged(configuration))
         self.dispatch.offer(ConfigurationChanged(configuration))
         if not self.acceptor.draining:
@@ -202,9 +212,10 @@
                 self.members[member.instance] = member
         for removed in changes.removed_entries:
             self.members.pop(removed, None)
-        self.bookings.offer(
-            EntriesSeen(frozenset(member.incarnation for member in self.members.values()))
-        )
+        seen = EntriesSeen(frozenset(each.incarnation for each in self.members.values()))
+        self.bookings.offer(seen)
+        self.dispatch.offer(seen)
+        entries_changed(self.directory, self.members.values())
 
     def _answer(self, end: ReplyEnd) -> None:
         self.acceptor.reply(end)
@@ -237,7 +248,7 @@
             drained,
             run_owner(parts.joins, JoinsState(), step_joins, parts.from_joins),
             run_owner(parts.queue, QueueState(), step_queue, parts.from_queue),
-            run_owner(parts.dispatch, CallsState(pick_any()), step_calls, parts.from_dispatch),
+            run_owner(parts.dispatch, _calls(parts), step_calls, parts.from_dispatch),
             run_owner(
                 parts.bookings,
                 BookingsState(parts.incarnation),
@@ -304,12 +315,7 @@
     return catalogue.configuration.directory.ttl_s if catalogue else 0.0
 
 
-def pick_any(seed: int = 0) -> Pick:
-    """Return a picker that takes the less busy one of two upstreams chosen at random."""
-    generator = random.Random(seed)
-
-    def pick(call: CallerRequest, upstreams: list[Upstream], now_s: float) -> Upstream:
-        pair = generator.sample(upstreams, min(2, len(upstreams)))
-        return min(pair, key=lambda upstream: upstream.running)
-
-    return pick
+def _calls(parts: Parts) -> CallsState:
+    # Entries draw different pairs of upstreams, so that they do not all choose the same ones.
+    seed = int(parts.incarnation, 16)
+    return CallsState(parts.settings.instance, weighted_two_choices(), seed)
--- a/src/lycheefall/_entry/upstreams.py
+++ b/src/lycheefall/_entry/upstreams.py
@@ -8,7 +8,7 @@
 from lycheefall._core.events import Event
 from lycheefall._core.ids import UpstreamId
 from lycheefall._core.log import log, warn
-from lycheefall._core.messages.entry import Tick, UpstreamsChanged
+from lycheefall._core.messages.entry import Tick, UpstreamHeard, UpstreamLeft
 from lycheefall._core.messages.membership import Announce, UpstreamMember
 from lycheefall._wire.codec import decode_announce
 
@@ -32,7 +32,7 @@
 
 def step_upstreams(
     state: UpstreamTable, message: Announce | Tick, now_s: float
-) -> tuple[UpstreamTable, list[UpstreamsChanged]]:
+) -> tuple[UpstreamTable, list[UpstreamHeard | UpstreamLeft]]:
     """Apply one heartbeat, or forget upstreams that are silent."""
     if isinstance(message, Tick):
         return state, _forget(state, now_s)
@@ -45,21 +45,21 @@
     state.heard[member.upstream] = Heard(member, message.sequence, now_s)
     if known is None:
         log(Event.UPSTREAM_SEEN, upstream=member.upstream, address=member.address)
-    return state, [UpstreamsChanged((member,))]
+    return state, [UpstreamHeard(member, message.sequence)]
 
 
 def _is_late(known: Heard, member: UpstreamMember, sequence: int) -> bool:
     return known.member.incarnation == member.incarnation and sequence <= known.sequence
 
 
-def _forget(state: UpstreamTable, now_s: float) -> list[UpstreamsChanged]:
+def _forget(state: UpstreamTable, now_s: float) -> list[UpstreamHeard | UpstreamLeft]:
     gone = tuple(
         upstream for upstream, heard in state.heard.items() if now_s - heard.heard_s > FORGET_S
     )
     for upstream in gone:
         log(Event.UPSTREAM_LEFT, upstream=upstream)
         del state.heard[upstream]
-    return [UpstreamsChanged((), gone)] if gone else []
+    return [UpstreamLeft(upstream) for upstream in gone]
 
 
 def receive_announce(deliver: Callable[[Announce], object]) -> Callable[[bytes, bytes], None]:
--- a/src/lycheefall/_rules/booking_calls.py
+++ b/src/lycheefall/_rules/booking_calls.py
@@ -3,7 +3,7 @@
 from msgspec import structs
 
 from lycheefall._core.codes import ResultCode
-from lycheefall._core.ids import Incarnation, UpstreamId
+from lycheefall._core.ids import UpstreamId
 from lycheefall._core.messages.dispatch import Refused
 from lycheefall._core.messages.entry import (
     BookingAnswered,
@@ -20,6 +20,7 @@
     NO_UPSTREAM,
     Call,
     CallsState,
+    begun,
     choose,
     close,
     leave,
@@ -38,10 +39,10 @@
 
     An earlier try of the key may have run, so only control can tell that nothing did.
     """
-    upstream = choose(state, call.call, (), now_s)
+    upstream = choose(state, call, set(), now_s)
     if upstream is None:
         return [BookingStarted(call.call, NO_UPSTREAM, NO_INCARNATION)]
-    occupy(call, upstream)
+    occupy(state, call, upstream, now_s)
     return [BookingStarted(call.call, call.upstream, call.incarnation)]
 
 
@@ -51,44 +52,45 @@
     """Dispatch an attempt whose claim is committed."""
     call = state.calls.get(claimed.request)
     if call is None:
-        return [_refused(claimed)]
+        # The caller has left; the attempt was not sent and never will be.
+        code = ResultCode.CANCELLED_BEFORE_START
+        return [BookingReply(Refused(claimed.request, claimed.attempt, code))]
     call.attempt = claimed.attempt
     call.incarnation = claimed.incarnation
     dispatch = structs.replace(make_dispatch(state, call, now_s), claim=claimed.token)
     return [ToLink(claimed.upstream, dispatch)]
 
 
-def _refused(claimed: DispatchClaimed) -> BookingReply:
-    code = ResultCode.CANCELLED_BEFORE_START
-    return BookingReply(Refused(claimed.request, claimed.attempt, code))
-
-
 def repick(state: CallsState, request: Repick, now_s: float) -> BookingPicked:
     """Choose another upstream that the flow has not tried."""
     call = state.calls.get(request.request)
     if call is None:
         return _no_pick(request)
-    leave(state, call)
-    upstream = choose(state, call.call, request.tried, now_s)
-    if upstream is None or upstream.member.upstream in request.tried:
+    leave(state, call, now_s)
+    upstream = choose(state, call, set(request.tried), now_s)
+    if upstream is None:
         return _no_pick(request)
-    occupy(call, upstream)
+    occupy(state, call, upstream, now_s)
     return BookingPicked(request.request, call.upstream, call.incarnation, ResultCode.OK)
 
 
+def booking_answered(
+    state: CallsState, answered: BookingAnswered, now_s: float
+) -> list[FromDispatch]:
+    """Answer the caller and give the slot back."""
+    call = state.calls.get(answered.end.request)
+    if call is None:
+        return [answered.end]
+    if answered.end.code is ResultCode.OK:
+        begun(state, call, now_s)
+    end = structs.replace(answered.end, upstream=_origin(call), attempts=call.attempt)
+    return [end, close(state, call, now_s)]
+
+
 def _origin(call: Call) -> UpstreamId:
     # The upstream that was picked has no part in an answer that was recorded before.
     return call.upstream if call.attempt else NO_UPSTREAM
 
 
 def _no_pick(request: Repick) -> BookingPicked:
-    return BookingPicked(request.request, None, Incarnation(""), ResultCode.NO_UPSTREAM)
-
-
-def booking_answered(state: CallsState, answered: BookingAnswered) -> list[FromDispatch]:
-    """Answer the caller and give the slot back."""
-    call = state.calls.get(answered.end.request)
-    if call is None:
-        return [answered.end]
-    end = structs.replace(answered.end, upstream=_origin(call), attempts=call.attempt)
-    return [end, close(state, call)]
+    return BookingPicked(request.request, None, NO_INCARNATION, ResultCode.NO_UPSTREAM)
--- a/src/lycheefall/_rules/call_state.py
+++ b/src/lycheefall/_rules/call_state.py
@@ -1,22 +1,27 @@
 """State of the calls of an entry, shared by the rules for plain calls and for bookings."""
 
-from collections.abc import Callable, Collection
-
 from msgspec import Struct, field
 
 from lycheefall._core.codes import ResultCode
-from lycheefall._core.configuration import Configuration
-from lycheefall._core.enums import MemberState
+from lycheefall._core.configuration import Configuration, Limits
 from lycheefall._core.ids import (
     AttemptNumber,
     Fingerprint,
     Incarnation,
+    InstanceId,
+    PoolId,
     RequestId,
+    TeamId,
     UpstreamId,
 )
 from lycheefall._core.messages.dispatch import Dispatch
 from lycheefall._core.messages.entry import CallEnded, CallerRequest, FromDispatch, ReplyEnd
-from lycheefall._core.messages.membership import UpstreamMember
+from lycheefall._rules import upstreams
+from lycheefall._rules.choice import Wish
+from lycheefall._rules.choice import choose as choose_from
+from lycheefall._rules.retries import RetryBudgets
+from lycheefall._rules.routing import Picker
+from lycheefall._rules.upstreams import AttemptKey, Table
 
 # Frames that may wait for one caller to read them.
 WINDOW_FRAMES = 256
@@ -25,75 +30,91 @@
 NO_INCARNATION = Incarnation("")
 
 
-class Upstream(Struct):
-    """What the entry knows about an upstream and has running there."""
-
-    member: UpstreamMember
-    incarnation: Incarnation
-    connected: bool = False
-    running: int = 0
-    running_tokens: int = 0
-
-
-class Call(Struct):
+class Call(Struct, eq=False):
     """A request that was released, and its attempt that counts now."""
 
     call: CallerRequest
     attempt: AttemptNumber = AttemptNumber(0)
     upstream: UpstreamId = NO_UPSTREAM
     incarnation: Incarnation = NO_INCARNATION
+    # Where the table of upstreams counts the call; times it was counted.
+    occupied: AttemptKey | None = None
+    occupations: int = 0
     tokens: list[str] = field(default_factory=list)
     unread_frames: int = 0
     tried: set[UpstreamId] = field(default_factory=set)
+    # An attempt may have run without its end being known.
+    lost: bool = False
+    parked_s: float | None = None
 
 
-# Chooses one of the upstreams for a request.
-Pick = Callable[[CallerRequest, list[Upstream], float], Upstream]
-
-
-class CallsState(Struct):
+class CallsState(Struct, eq=False):
     """Requests and upstreams of one entry."""
 
-    pick: Pick
-    upstreams: dict[UpstreamId, Upstream] = field(default_factory=dict)
+    instance: InstanceId
+    pick: Picker
+    seed: int = 0
+    entries: int = 1
+    tables: dict[PoolId, Table] = field(default_factory=dict)
+    pools: dict[UpstreamId, PoolId] = field(default_factory=dict)
+    connected: dict[UpstreamId, Incarnation] = field(default_factory=dict)
     calls: dict[RequestId, Call] = field(default_factory=dict)
+    # Calls that no upstream could take yet, in the order of their wait.
+    parked: dict[RequestId, Call] = field(default_factory=dict)
     configuration: Configuration = field(default_factory=Configuration)
+    team_ratios: dict[TeamId, float] = field(default_factory=dict)
+    budgets: RetryBudgets = field(default_factory=lambda: RetryBudgets(Limits().retry_ratio))
     suspects: frozenset[Fingerprint] = frozenset()
     refused: frozenset[Fingerprint] = frozenset()
 
 
+def table_of(state: CallsState, upstream: UpstreamId) -> Table | None:
+    """Return the table that an upstream stands in."""
+    return state.tables.get(state.pools.get(upstream, PoolId("")))
+
+
 def choose(
-    state: CallsState, request: CallerRequest, tried: Collection[UpstreamId], now_s: float
-) -> Upstream | None:
-    """Return an upstream for the request, one that was not tried if there is any."""
-    usable = [
-        upstream
-        for upstream in state.upstreams.values()
-        if upstream.connected
-        and upstream.member.state is MemberState.READY
-        and upstream.member.pool in request.route.pools
-    ]
-    untried = [each for each in usable if each.member.upstream not in tried]
-    found = untried or usable
-    return state.pick(request, found, now_s) if found else None
-
-
-def occupy(call: Call, upstream: Upstream) -> None:
+    state: CallsState, call: Call, tried: set[UpstreamId], now_s: float
+) -> UpstreamId | None:
+    """Return an upstream that can take the call now."""
+    alone = call.call.fingerprint in state.suspects
+    for pool in call.call.route.pools:
+        table = state.tables.get(pool)
+        if table is None:
+            continue
+        offline = (name for name in table.upstreams if name not in state.connected)
+        wish = Wish(blocked=frozenset((*tried, *offline)), alone=alone, may_widen=not call.lost)
+        found = choose_from(state.pick, table, call.call, wish, now_s)
+        if found is not None:
+            return found
+    return None
+
+
+def occupy(state: CallsState, call: Call, upstream: UpstreamId, now_s: float) -> None:
     """Count the call as running at the upstream."""
-    call.upstream = upstream.member.upstream
-    call.incarnation = upstream.incarnation
-    call.tried.add(call.upstream)
-    upstream.running += 1
-    upstream.running_tokens += call.call.cost_tokens
+    table = table_of(state, upstream)
+    assert table is not None
+    call.upstream = upstream
+    call.incarnation = state.connected[upstream]
+    call.tried.add(upstream)
+    call.occupations += 1
+    call.occupied = (call.call.request, AttemptNumber(call.occupations))
+    upstreams.sent(table, upstream, call.occupied, call.call.cost_tokens, now_s)
+
 
+def begun(state: CallsState, call: Call, now_s: float) -> None:
+    """Note the first sign of the upstream's work on the call."""
+    table = table_of(state, call.upstream)
+    if table is not None and call.occupied is not None:
+        upstreams.first_token(table, call.upstream, call.occupied, now_s)
 
-def leave(state: CallsState, call: Call) -> None:
-    """Take the call off its upstream."""
-    upstream = state.upstreams.get(call.upstream)
-    if upstream is not None:
-        upstream.running -= 1
-        upstream.running_tokens -= call.call.cost_tokens
-    call.upstream = NO_UPSTREAM
+
+def leave(state: CallsState, call: Call, now_s: float, *, failed: bool = False) -> None:
+    """Take the call off its upstream; `failed` is for faults of the upstream only."""
+    table = table_of(state, call.upstream)
+    if table is not None and call.occupied is not None:
+        upstreams.ended(table, call.upstream, call.occupied, failed, now_s)
+    call.occupied = None
 
 
 def make_dispatch(state: CallsState, call: Call, now_s: float) -> Dispatch:
@@ -118,7 +139,9 @@
     )
 
 
-def end(state: CallsState, call: Call, code: ResultCode, detail: str) -> list[FromDispatch]:
+def end(
+    state: CallsState, call: Call, code: ResultCode, detail: str, now_s: float
+) -> list[FromDispatch]:
     """End a call with a code."""
     reply = ReplyEnd(
         request=call.call.request,
@@ -127,11 +150,14 @@
         attempts=call.attempt,
         detail=detail,
     )
-    return [reply, close(state, call)]
+    return [reply, close(state, call, now_s)]
 
 
-def close(state: CallsState, call: Call) -> CallEnded:
+def close(state: CallsState, call: Call, now_s: float, *, failed: bool = False) -> CallEnded:
     """Forget a call and give its slot back."""
-    leave(state, call)
-    del state.calls[call.call.request]
-    return CallEnded(call.call.request, call.call.route.pools, call.call.cost_tokens)
+    leave(state, call, now_s, failed=failed)
+    request = call.call
+    del state.calls[request.request]
+    state.parked.pop(request.request, None)
+    cost_tokens = request.prompt_tokens + max(1, len(call.tokens))
+    return CallEnded(request.request, request.route.pools, cost_tokens)
--- a/src/lycheefall/_rules/calls.py
+++ b/src/lycheefall/_rules/calls.py
@@ -1,10 +1,8 @@
 """Decide what an entry does with each released request: pick, dispatch, retry, resume, end."""
 
-from msgspec import structs
-
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.enums import MemberState
-from lycheefall._core.ids import AttemptNumber, PoolId, RequestId, UpstreamId
+from lycheefall._core.ids import AttemptNumber, RequestId, UpstreamId
 from lycheefall._core.messages.dispatch import (
     Cancel,
     Credit,
@@ -19,12 +17,11 @@
 from lycheefall._core.messages.entry import (
     Abandon,
     BookingAnswered,
-    BookingLinkLost,
     BookingReply,
     CallerRequest,
-    Capacity,
     ConfigurationChanged,
     DispatchClaimed,
+    EntriesSeen,
     FingerprintsChanged,
     FramesRead,
     FromAgent,
@@ -38,9 +35,10 @@
     Tick,
     ToDispatch,
     ToLink,
-    UpstreamsChanged,
+    UpstreamHeard,
+    UpstreamLeft,
 )
-from lycheefall._core.messages.membership import Load
+from lycheefall._rules import limits, retries, upstreams
 from lycheefall._rules.booking_calls import (
     booking_answered,
     dispatch_claimed,
@@ -51,17 +49,29 @@
 from lycheefall._rules.call_state import (
     Call,
     CallsState,
-    Upstream,
+    begun,
     choose,
     close,
     end,
     leave,
     make_dispatch,
     occupy,
+    table_of,
+)
+from lycheefall._rules.known_upstreams import (
+    capacities,
+    configure,
+    link_down,
+    link_up,
+    upstream_heard,
+    upstream_left,
 )
 from lycheefall._rules.refusals import refuse
+from lycheefall._rules.retries import RetryAdvice
 
 MAX_ATTEMPTS = 4
+# A call waits this long for an upstream that can take it.
+PARK_S = 2.0
 
 
 def step_calls(
@@ -76,20 +86,24 @@
         case FramesRead():
             return state, _credit(state, message)
         case Abandon():
-            return state, _abandon(state, message.request)
+            return state, _abandon(state, message.request, now_s)
+        case UpstreamHeard():
+            return state, upstream_heard(state, message, now_s)
+        case UpstreamLeft():
+            return state, upstream_left(state, message)
         case LinkUp():
-            return state, _link_up(state, message)
+            return state, link_up(state, message)
         case LinkDown():
-            return state, _link_down(state, message, now_s)
-        case UpstreamsChanged():
-            return state, _upstreams(state, message)
+            return state, link_down(state, message) + _lose_all(state, message, now_s)
         case ConfigurationChanged():
-            state.configuration = message.configuration
-            return state, []
+            return state, configure(state, message.configuration)
         case FingerprintsChanged():
             state.suspects = message.suspects
             state.refused = message.refused
             return state, []
+        case EntriesSeen():
+            state.entries = max(1, len(message.incarnations))
+            return state, []
         case DispatchClaimed():
             return state, dispatch_claimed(state, message, now_s)
         case Repick():
@@ -97,19 +111,21 @@
         case ToLink():
             return state, [message]
         case BookingAnswered():
-            return state, booking_answered(state, message)
+            return state, booking_answered(state, message, now_s)
         case Tick():
-            return state, _expire(state, now_s) + _capacities(state)
+            return state, _expire(state, now_s) + _unpark(state, now_s) + capacities(state, now_s)
 
 
 def _run(state: CallsState, request: CallerRequest, now_s: float) -> list[FromDispatch]:
     call = Call(request)
     state.calls[request.request] = call
+    ratio = state.team_ratios.get(request.team, 0.0)
+    retries.first_try(state.budgets, request.team, ratio)
     if request.fingerprint in state.refused:
         detail = "this request has crashed upstreams and is refused for now"
         refusal = refuse(request, ResultCode.FINGERPRINT_REFUSED, detail)
-        return [refusal, close(state, call)]
-    if request.operation is not None:
+        return [refusal, close(state, call, now_s)]
+    if is_booking(call):
         return start_booking(state, call, now_s)
     return _attempt(state, call, ResultCode.NO_UPSTREAM, now_s)
 
@@ -117,20 +133,46 @@
 def _attempt(
     state: CallsState, call: Call, otherwise: ResultCode, now_s: float
 ) -> list[FromDispatch]:
-    """Start the next attempt, or end the call with a code if no upstream may take it."""
-    upstream = choose(state, call.call, call.tried, now_s)
-    if upstream is None or call.attempt >= MAX_ATTEMPTS:
-        return end(state, call, otherwise, "no upstream of the route can take the request")
+    """Start the next attempt, wait for an upstream that can take it, or end with a code."""
+    if call.attempt >= MAX_ATTEMPTS:
+        detail = f"{call.attempt} upstreams could not take the request"
+        return end(state, call, otherwise, detail, now_s)
+    upstream = choose(state, call, call.tried, now_s) or choose(state, call, set(), now_s)
+    if upstream is None:
+        return _park(state, call, otherwise, now_s)
+    state.parked.pop(call.call.request, None)
+    call.parked_s = None
     call.attempt = AttemptNumber(call.attempt + 1)
-    occupy(call, upstream)
-    return [ToLink(call.upstream, make_dispatch(state, call, now_s))]
+    occupy(state, call, upstream, now_s)
+    return [ToLink(upstream, make_dispatch(state, call, now_s))]
+
+
+def _park(state: CallsState, call: Call, otherwise: ResultCode, now_s: float) -> list[FromDispatch]:
+    if call.parked_s is None:
+        call.parked_s = now_s
+        state.parked[call.call.request] = call
+    if now_s - call.parked_s < PARK_S:
+        return []
+    detail = "no upstream of the route can take the request"
+    return end(state, call, otherwise, detail, now_s)
+
+
+def _unpark(state: CallsState, now_s: float) -> list[FromDispatch]:
+    results: list[FromDispatch] = []
+    for call in list(state.parked.values()):
+        code = ResultCode.UPSTREAM_LOST if call.lost else ResultCode.NO_UPSTREAM
+        results += _attempt(state, call, code, now_s)
+    return results
 
 
 def _from_agent(
     state: CallsState, source: UpstreamId, message: ToEntry, now_s: float
 ) -> list[FromDispatch]:
     if isinstance(message, Pong):
-        _load(state, source, message.load, message.state)
+        table = table_of(state, source)
+        if table is not None:
+            upstreams.report(table, source, message.incarnation, message.load, now_s)
+            upstreams.set_state(table, source, message.state)
         return []
     call = state.calls.get(message.request)
     # The flow of a booking may go on after its call has ended.
@@ -142,7 +184,7 @@
         case Finished():
             return _finished(state, message, now_s)
         case Refused():
-            return _refused(state, message, now_s)
+            return _refused(state, source, message, now_s)
         case Started() | Resolved():
             return []
 
@@ -154,13 +196,15 @@
 
 def _frame(state: CallsState, frame: Frame, now_s: float) -> list[FromDispatch]:
     call = _current(state, frame.request, frame.attempt)
-    if call is None:
+    if call is None or call.occupied is None:
         return []
-    fresh = frame.tokens[len(call.tokens) - frame.sequence :]
-    if frame.sequence > len(call.tokens):
+    known = len(call.tokens)
+    if frame.sequence > known:
         return _lost(state, call, ResultCode.UPSTREAM_LOST, now_s)
+    fresh = frame.tokens[known - frame.sequence :]
     if not fresh:
         return []
+    begun(state, call, now_s)
     call.tokens.extend(fresh)
     call.unread_frames += 1
     return [ReplyTokens(frame.request, fresh)]
@@ -168,12 +212,14 @@
 
 def _finished(state: CallsState, finished: Finished, now_s: float) -> list[FromDispatch]:
     call = _current(state, finished.request, finished.attempt)
-    if call is None:
+    if call is None or call.occupied is None:
         return []
-    if finished.code is ResultCode.UPSTREAM_LOST:
-        return _lost(state, call, finished.code, now_s)
-    if finished.code is ResultCode.OK and finished.token_count != len(call.tokens):
+    is_short = finished.code is ResultCode.OK and finished.token_count != len(call.tokens)
+    if finished.code is ResultCode.UPSTREAM_LOST or is_short:
         return _lost(state, call, ResultCode.UPSTREAM_LOST, now_s)
+    if not call.tokens:
+        begun(state, call, now_s)
+    failed = finished.code is not ResultCode.OK
     reply = ReplyEnd(
         request=finished.request,
         code=finished.code,
@@ -184,27 +230,58 @@
         upstream=call.upstream,
         attempts=call.attempt,
     )
-    return [reply, close(state, call)]
+    return [reply, close(state, call, now_s, failed=failed)]
 
 
-def _refused(state: CallsState, refused: Refused, now_s: float) -> list[FromDispatch]:
+def _refused(
+    state: CallsState, source: UpstreamId, refused: Refused, now_s: float
+) -> list[FromDispatch]:
     call = _current(state, refused.request, refused.attempt)
-    if call is None:
+    if call is None or call.occupied is None:
         return []
-    leave(state, call)
-    return _attempt(state, call, refused.code, now_s)
+    leave(state, call, now_s)
+    _learn_refusal(state, source, refused.code, now_s)
+    if retries.advise(refused.code, True) is RetryAdvice.NEVER:
+        return end(state, call, refused.code, "the agent refused the attempt", now_s)
+    # A refused attempt cost the upstream nothing, so it takes nothing from the retry budget.
+    code = ResultCode.UPSTREAM_LOST if call.lost else refused.code
+    return _attempt(state, call, code, now_s)
+
+
+def _learn_refusal(state: CallsState, source: UpstreamId, code: ResultCode, now_s: float) -> None:
+    table = table_of(state, source)
+    if table is None or source not in table.upstreams:
+        return
+    if code is ResultCode.UPSTREAM_DRAINING:
+        upstreams.set_state(table, source, MemberState.DRAINING)
+    elif code is ResultCode.UPSTREAM_BUSY:
+        limits.observe_refusal(table.upstreams[source].limit, now_s)
 
 
 def _lost(state: CallsState, call: Call, code: ResultCode, now_s: float) -> list[FromDispatch]:
     """Try elsewhere after an attempt that may have run."""
-    leave(state, call)
+    leave(state, call, now_s, failed=True)
+    call.lost = True
+    # A stream that resumes repeats no tokens; any other retry is new work for the upstreams.
+    if not call.tokens and not retries.spend(state.budgets, call.call.team):
+        detail = "the upstream was lost and the retry budget is spent"
+        return end(state, call, code, detail, now_s)
     return _attempt(state, call, code, now_s)
 
 
-def _load(state: CallsState, source: UpstreamId, load: Load, announced: MemberState) -> None:
-    upstream = state.upstreams.get(source)
-    if upstream is not None:
-        upstream.member = structs.replace(upstream.member, load=load, state=announced)
+def _lose_all(state: CallsState, down: LinkDown, now_s: float) -> list[FromDispatch]:
+    lost = [
+        call
+        for call in state.calls.values()
+        if call.upstream == down.upstream
+        and call.incarnation == down.incarnation
+        and call.occupied is not None
+        and not is_booking(call)
+    ]
+    results: list[FromDispatch] = []
+    for call in lost:
+        results += _lost(state, call, ResultCode.UPSTREAM_LOST, now_s)
+    return results
 
 
 def _credit(state: CallsState, read: FramesRead) -> list[FromDispatch]:
@@ -212,58 +289,25 @@
     if call is None:
         return []
     call.unread_frames -= read.frames
+    if call.occupied is None:
+        return []
     return [ToLink(call.upstream, Credit(read.request, call.attempt, read.frames))]
 
 
-def _abandon(state: CallsState, request: RequestId) -> list[FromDispatch]:
+def _abandon(state: CallsState, request: RequestId, now_s: float) -> list[FromDispatch]:
     call = state.calls.get(request)
     if call is None:
         return []
     if is_booking(call):
         # An attempt that runs goes on: its outcome is recorded for the next try of the key.
-        return [Abandon(request), close(state, call)]
-    return [_cancel(call), close(state, call)]
-
-
-def _cancel(call: Call) -> ToLink:
-    return ToLink(call.upstream, Cancel(call.call.request, call.attempt))
-
-
-def _link_up(state: CallsState, up: LinkUp) -> list[FromDispatch]:
-    upstream = state.upstreams.get(up.upstream)
-    if upstream is not None:
-        upstream.connected = True
-        upstream.incarnation = up.incarnation
-    return []
-
-
-def _link_down(state: CallsState, down: LinkDown, now_s: float) -> list[FromDispatch]:
-    upstream = state.upstreams.get(down.upstream)
-    if upstream is not None:
-        upstream.connected = False
-    lost = [
-        call
-        for call in state.calls.values()
-        if call.upstream == down.upstream
-        and call.incarnation == down.incarnation
-        and not is_booking(call)
-    ]
-    results: list[FromDispatch] = [BookingLinkLost(down.upstream)]
-    for call in lost:
-        results += _lost(state, call, ResultCode.UPSTREAM_LOST, now_s)
-    return results
+        return [Abandon(request), close(state, call, now_s)]
+    return [*_cancel(call), close(state, call, now_s)]
 
 
-def _upstreams(state: CallsState, changed: UpstreamsChanged) -> list[FromDispatch]:
-    for member in changed.upstreams:
-        known = state.upstreams.get(member.upstream)
-        if known is None:
-            state.upstreams[member.upstream] = Upstream(member, member.incarnation)
-        else:
-            known.member = member
-    for removed in changed.removed:
-        state.upstreams.pop(removed, None)
-    return []
+def _cancel(call: Call) -> list[FromDispatch]:
+    if call.occupied is None:
+        return []
+    return [ToLink(call.upstream, Cancel(call.call.request, call.attempt))]
 
 
 def _expire(state: CallsState, now_s: float) -> list[FromDispatch]:
@@ -274,17 +318,11 @@
     ]
     results: list[FromDispatch] = []
     for call in expired:
-        results.append(_cancel(call))
-        results += end(
-            state, call, ResultCode.TIMEOUT_AFTER_START, "the request ran into its timeout"
-        )
+        results += _cancel(call)
+        results += end(state, call, _late_code(call), "the request ran into its timeout", now_s)
     return results
 
 
-def _capacities(state: CallsState) -> list[FromDispatch]:
-    slots: dict[PoolId, int] = {pool.name: 0 for pool in state.configuration.pools}
-    for upstream in state.upstreams.values():
-        if upstream.connected and upstream.member.state is MemberState.READY:
-            pool = upstream.member.pool
-            slots[pool] = slots.get(pool, 0) + upstream.member.concurrency
-    return [Capacity(pool, number) for pool, number in slots.items()]
+def _late_code(call: Call) -> ResultCode:
+    may_have_run = call.lost or call.occupied is not None
+    return ResultCode.TIMEOUT_AFTER_START if may_have_run else ResultCode.EXPIRED_BEFORE_START
--- /dev/null
+++ b/src/lycheefall/_rules/choice.py
@@ -0,0 +1,61 @@
+"""Choose an upstream for a request among those that may run it.
+
+Each request has two upstreams of its own, which all entries compute alike: one by the start of its
+prompt, whose prefix cache is likely to hold it, and one by its fingerprint, which spreads requests
+with a popular prefix. Copies of one request that are sent through several entries then run at two
+upstreams at most, so a request that crashes upstreams can't take more. The picker compares the two
+by load, which keeps the balance of two random choices.
+"""
+
+from collections.abc import Iterable
+
+from msgspec import Struct
+
+from lycheefall._core.ids import PoolId, UpstreamId
+from lycheefall._core.messages.entry import CallerRequest
+from lycheefall._rules import rendezvous
+from lycheefall._rules.routing import Ask, Picker
+from lycheefall._rules.upstreams import Table
+
+
+class Wish(Struct, frozen=True, kw_only=True):
+    """What limits the choice for one attempt."""
+
+    # Upstreams that can't take it: tried before, or without a connection.
+    blocked: frozenset[UpstreamId]
+    # A suspect runs at the upstream of its pool that all suspects share.
+    alone: bool = False
+    # False after an attempt was lost: another upstream beside the two must not be risked.
+    may_widen: bool = True
+
+
+def choose(
+    pick: Picker, table: Table, call: CallerRequest, wish: Wish, now_s: float
+) -> UpstreamId | None:
+    """Return the upstream for an attempt, or None when none can take it now."""
+    names = [each.member.upstream for each in table.subset]
+    own = own_upstreams(call, names, alone=wish.alone)
+    narrow = wish.blocked | frozenset(names) - own
+    found = pick(table, Ask(excluded=narrow, alone=wish.alone), now_s)
+    if found is None and wish.may_widen and not wish.alone:
+        return pick(table, Ask(excluded=wish.blocked), now_s)
+    return found
+
+
+def own_upstreams(
+    call: CallerRequest, names: Iterable[UpstreamId], *, alone: bool
+) -> frozenset[UpstreamId]:
+    """Return the upstreams that a request belongs to."""
+    names = list(names)
+    if alone:
+        return frozenset(rendezvous.highest(isolation_key(call.route.pools[0]), names, 1))
+    if not call.prefix:
+        return frozenset(rendezvous.highest(call.fingerprint, names, 2))
+    by_prefix = rendezvous.highest(f"prefix/{call.prefix}", names, 1)
+    others = [name for name in names if name not in by_prefix]
+    return frozenset([*by_prefix, *rendezvous.highest(call.fingerprint, others, 1)])
+
+
+def isolation_key(pool: PoolId) -> str:
+    """Return the key by which a pool's upstream for suspects is chosen."""
+    return f"isolation/{pool}"
