Test that a claim granted after the deadline is given up

Cause: with the deadline check in claim_flow.py off, all 10 tests of tests/test_claim_flow.py passed, so nothing guarded it.

Change: an example that grants a claim after the caller was answered.

Conclusion: a late grant frees the key and dispatches nothing.

--- a/tests/test_claim_flow.py
+++ b/tests/test_claim_flow.py
@@ -369,3 +369,16 @@
         world.tell(retry, bm.CommandReplied(2, None))  # type: ignore[arg-type]
         world.settle(5)
         assert world.answers[retry].code is Code.NO_UPSTREAM
+
+    def test_claim_granted_after_the_deadline(self) -> None:
+        """Guards against a dispatch nobody waits for, and against a claim that is left held."""
+        world = World()
+        first = self.begin(world, "e1")
+        world.wake(6.0, world.entries())
+        assert world.answers[first].code is Code.CLAIM_UNCONFIRMED
+        world.command(0, confirmed=True)
+        assert not world.network
+        retry = self.begin(world, "e2", "u2")
+        world.choices.append(bm.Target("u2", "u2.0"))  # type: ignore[arg-type]
+        world.settle(1)
+        assert world.answers[retry].code is Code.OK
