--- /dev/null
+++ b/tests/processes/callers.py
@@ -0,0 +1,124 @@
+"""Callers that send work without pause and keep what they were told."""
+
+import asyncio
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import aiohttp
+
+from lycheefall._fakes.tokens import expected_tokens
+from processes.fleet import Fleet
+from processes.test_whole_path import TEAM, streamed, time_ms
+
+CALLERS_PER_ENTRY = 2
+TRY_TIMEOUT_S = 6.0
+PAUSE_S = 0.02
+SHORT_TOKENS = 2
+
+
+@dataclass
+class Answers:
+    """Answers to short requests: how many had each kind, entry and result code."""
+
+    codes: Counter[tuple[str, int, str]] = field(default_factory=Counter)
+
+    def ran(self, kind: str, entry: int) -> int:
+        """Return the number of requests of a kind that an entry answered as run."""
+        return self.codes[kind, entry, "1000"]
+
+
+@dataclass
+class LongAnswer:
+    """A long stream as its caller saw it."""
+
+    prompt: str
+    tokens: int
+    text: str = ""
+    outcome: dict[str, object] = field(default_factory=dict)
+
+    @property
+    def is_whole(self) -> bool:
+        """Tell whether all tokens arrived once and in order."""
+        return self.text == "".join(expected_tokens(self.prompt, self.tokens))
+
+
+async def long_stream(
+    fleet: Fleet, session: aiohttp.ClientSession, entry: int, name: str, tokens: int
+) -> LongAnswer:
+    """Read a long stream to its end."""
+    answer = LongAnswer(name, tokens)
+    message = {"role": "user", "content": name}
+    body = {"model": "m", "messages": [message], "max_tokens": tokens, "stream": True}
+    url = fleet.url(entry, "/v1/chat/completions")
+    async with session.post(url, json=body, headers=TEAM) as response:
+        answer.text, answer.outcome = await streamed(response)
+    return answer
+
+
+async def short_chat(
+    fleet: Fleet, session: aiohttp.ClientSession, entry: int, name: str
+) -> tuple[int, str]:
+    """Send a short chat request; return the status and the result code."""
+    message = {"role": "user", "content": name}
+    body = {"model": "m", "messages": [message], "max_tokens": SHORT_TOKENS}
+    url = fleet.url(entry, "/v1/chat/completions")
+    async with session.post(url, json=body, headers=TEAM) as response:
+        await response.read()
+        return response.status, response.headers["X-Lycheefall-Code"]
+
+
+async def booking(
+    fleet: Fleet, session: aiohttp.ClientSession, entry: int, name: str
+) -> tuple[int, str]:
+    """Book under a new key; return the status and the result code."""
+    headers = TEAM | {"Idempotency-Key": f"{time_ms()}-{name}"}
+    url = fleet.url(entry, "/v1/services/counter/bookings")
+    async with session.post(url, json={"item": name}, headers=headers) as response:
+        await response.read()
+        return response.status, response.headers["X-Lycheefall-Code"]
+
+
+KINDS = {"chat": short_chat, "booking": booking}
+
+
+@asynccontextmanager
+async def short_load(
+    fleet: Fleet, session: aiohttp.ClientSession, entries: range
+) -> AsyncIterator[Answers]:
+    """Send short chats and bookings through all entries while the context is open."""
+    answers = Answers()
+    stop = asyncio.Event()
+
+    async def caller(kind: str, entry: int, number: int) -> None:
+        count = 0
+        while not stop.is_set():
+            count += 1
+            try:
+                name = f"{kind}-{entry}-{number}-{count}"
+                async with asyncio.timeout(TRY_TIMEOUT_S):
+                    _, code = await KINDS[kind](fleet, session, entry, name)
+            except (aiohttp.ClientError, TimeoutError) as error:
+                code = type(error).__name__
+            answers.codes[kind, entry, code] += 1
+            await asyncio.sleep(PAUSE_S)
+
+    callers = [
+        asyncio.create_task(caller(kind, entry, number))
+        for kind in KINDS
+        for entry in entries
+        for number in range(CALLERS_PER_ENTRY)
+    ]
+    try:
+        yield answers
+    finally:
+        stop.set()
+        await asyncio.gather(*callers)
+
+
+async def statistics(fleet: Fleet, session: aiohttp.ClientSession, engine: str) -> dict[str, int]:
+    """Return the statistics of a fake engine."""
+    url = f"http://{fleet.addresses[engine]}/statistics"
+    async with session.get(url) as response:
+        return await response.json()
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -1,10 +1,12 @@
 """Starts the whole system as processes: entries with control, fake upstreams and agents."""
 
 import asyncio
+import contextlib
 import os
 import signal
 import subprocess
 import sys
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -110,7 +112,8 @@
     # Extra flags of the fakes, by process name.
     fake_flags: dict[str, list[str]] = field(default_factory=dict)
     addresses: dict[str, Address] = field(default_factory=dict)
-    # Other processes reach these instead of the real address, by process name.
+    # Other processes reach these instead of the real address, by listener ("client-0"), or by
+    # process and listener ("entry-3:client-0") if only one process takes the detour.
     detours: dict[str, Address] = field(default_factory=dict)
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
     commands: dict[str, list[str]] = field(default_factory=dict)
@@ -130,7 +133,10 @@
     @property
     def control(self) -> str:
         """Return the client addresses of the replicas as a flag's value."""
-        return ",".join(self._reach(f"client-{n}") for n in range(self.replicas))
+        return self._control_for("operator")
+
+    def _control_for(self, process: str) -> str:
+        return ",".join(self._reach(f"client-{n}", process) for n in range(self.replicas))
 
     @property
     def upstream_names(self) -> list[str]:
@@ -139,8 +145,9 @@
             f"service-{n}" for n in range(self.services)
         ]
 
-    def _reach(self, name: str) -> Address:
-        return self.detours.get(name, self.addresses[name])
+    def _reach(self, listener: str, process: str) -> Address:
+        shared = self.detours.get(listener, self.addresses[listener])
+        return self.detours.get(f"{process}:{listener}", shared)
 
     def start_all(self) -> None:
         """Start every process."""
@@ -173,7 +180,8 @@
 
     def _entry(self, number: int) -> list[str]:
         flags = ["lycheefall", "entry", "--instance", f"entry-{number}"]
-        flags += ["--data-centre", f"dc-{number % 3}", "--control", self.control]
+        flags += ["--data-centre", f"dc-{number % 3}"]
+        flags += ["--control", self._control_for(f"entry-{number}")]
         flags += ["--listen", self.addresses[f"entry-{number}"]]
         flags += ["--announce-listen", self.addresses[f"announce-{number}"], "--drain-s", "20"]
         if number >= self.replicas:
@@ -195,7 +203,8 @@
         pool = {"engine": "assistant-pool", "service": "counter-app"}[kind]
         flags = ["lycheefall", "agent", "--instance", f"host-{upstream}"]
         flags += ["--data-centre", f"dc-{int(number) % 3}", "--upstream", upstream]
-        flags += ["--pool", pool, "--kind", kind, "--control", self.control]
+        flags += ["--pool", pool, "--kind", kind]
+        flags += ["--control", self._control_for(f"{upstream}-agent")]
         flags += ["--upstream-address", self.addresses[upstream]]
         return [*flags, "--listen", self.addresses[f"{kind}-agent-{number}"]]
 
@@ -222,8 +231,13 @@
 
     def executions(self) -> list[str]:
         """Return the lines that the fake services wrote, one for each execution."""
-        files = [self.folder / f"service-{n}.executions" for n in range(self.services)]
-        return [line for file in files if file.exists() for line in file.read_text().splitlines()]
+        names = [f"service-{n}" for n in range(self.services)]
+        return [line for name in names for line in self.executions_of(name)]
+
+    def executions_of(self, service: str) -> list[str]:
+        """Return the lines that one fake service wrote."""
+        file = self.folder / f"{service}.executions"
+        return file.read_text().splitlines() if file.exists() else []
 
     def kill(self, name: str) -> None:
         """End a process with SIGKILL."""
@@ -269,3 +283,18 @@
                 return served and response.status == 200
         except aiohttp.ClientError:
             return False
+
+
+@contextlib.asynccontextmanager
+async def running(fleet: Fleet) -> AsyncIterator[aiohttp.ClientSession]:
+    """Run a planned fleet with an accepted file; yield a session for its callers."""
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        try:
+            fleet.start_all()
+            applied = await asyncio.to_thread(fleet.apply, configuration_text())
+            assert applied.returncode == 0, applied.stdout + applied.stderr
+            await fleet.ready(session)
+            yield session
+        finally:
+            fleet.close()
