Finish graceful shutdowns without losing a request, and test them

Cause, each seen in a run before its fix: - an agent closed its socket with the end of its last attempt, and a closed ZeroMQ socket drops unsent messages: a stream finished at 34.007 s, its entry heard nothing, and resumed it elsewhere after 1 s (attempts 2 instead of 1); - an entry stopped listening ttl_s after SIGTERM, while others and itself still named it for a moment: ConnectionRefusedError 0.02 s before the answer was too old; - a request whose body was still arriving did not count as in flight: no answer within 30 s; - a booking that found no free upstream was refused at once (3003), while other calls wait up to 2 s: 4 of 5,661 answers while service agents restarted.

Change: the agent answers for 2 s after its last attempt; the entry listens 1.5 s plus ttl_s; a request counts from its headers on; a flow of a booking waits up to 2 s, or half of its remaining time, for an upstream. Flow and Stage move to claim_flow_state.py.

--- a/src/lycheefall/_agent/service.py
+++ b/src/lycheefall/_agent/service.py
@@ -1,6 +1,7 @@
 """Join the filters of an agent: announce, check, admit, forward, report."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 import msgspec
@@ -42,6 +43,10 @@
 
 CHECK_INBOX_MESSAGES = 10_000
 TICK_S = 0.05
+# After its last attempt an agent goes on for this long: a socket drops unsent messages when it is
+# closed, dispatches on their way must be refused, and an entry with a silent link asks for the
+# results over a new one, within 2 s.
+ANSWERS_AFTER_DRAIN_S = 2.0
 
 
 async def run_agent(
@@ -52,7 +57,7 @@
     """Run an agent until it is told to stop and its attempts have ended."""
     incarnation = new_incarnation()
     inbox: Inbox[ToCheck] = Inbox(CHECK_INBOX_MESSAGES)
-    drained = asyncio.Event()
+    drained, left = asyncio.Event(), asyncio.Event()
     announcer = Announcer()
     announcer.send_to(set(settings.control))
     router = RouterEnd(settings.listen, lambda peer, payload: _receive(peer, payload, inbox, send))
@@ -70,13 +75,13 @@
     on_ready()
     try:
         await run_until(
-            drained,
+            left,
             run_owner(inbox, state, check, _emit(attempts, send, announcer, drained)),
             tick(inbox, Tick(), TICK_S),
             report_load(settings.upstream_address, inbox.offer),
             announcer.run(),
             run_client(new_client(), settings.control, on_changes),
-            _drain(stop, inbox, drained, settings.drain_s),
+            _leave(stop, inbox, drained, settings.drain_s, left),
         )
     finally:
         await attempts.close()
@@ -184,11 +189,18 @@
     }
 
 
-async def _drain(
-    stop: asyncio.Event, inbox: Inbox[ToCheck], drained: asyncio.Event, limit_s: float
+async def _leave(
+    stop: asyncio.Event,
+    inbox: Inbox[ToCheck],
+    drained: asyncio.Event,
+    limit_s: float,
+    left: asyncio.Event,
 ) -> None:
     await stop.wait()
     log(Event.PROCESS_STOPPING, role="agent")
     await inbox.put(DrainOrdered())
-    await asyncio.sleep(limit_s)
-    drained.set()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(limit_s):
+            await drained.wait()
+    await asyncio.sleep(ANSWERS_AFTER_DRAIN_S)
+    left.set()
--- a/src/lycheefall/_entry/accept.py
+++ b/src/lycheefall/_entry/accept.py
@@ -38,6 +38,7 @@
     __slots__ = (
         "_count",
         "_offer",
+        "_open",
         "_start",
         "catalogue",
         "draining",
@@ -49,6 +50,7 @@
         self._start = f"{instance}-{incarnation[:6]}"
         self._count = 0
         self._offer = offer
+        self._open = 0
         self.catalogue: Latest[Catalogue | None] = Latest(None)
         self.replies: dict[RequestId, Inbox[ReplyPart]] = {}
         self.draining = False
@@ -68,6 +70,17 @@
 
     async def handle(self, http: web.Request, service: str, path: str) -> web.StreamResponse:
         """Answer one request."""
+        # A request counts from its headers on: its body may still be on its way.
+        self._open += 1
+        self.idle.clear()
+        try:
+            return await self._handle(http, service, path)
+        finally:
+            self._open -= 1
+            if not self._open:
+                self.idle.set()
+
+    async def _handle(self, http: web.Request, service: str, path: str) -> web.StreamResponse:
         request = self.next_request()
         try:
             call = await self._identified(http, request, service, path)
@@ -98,9 +111,8 @@
     async def _answered(self, http: web.Request, call: CallerRequest) -> web.StreamResponse:
         inbox: Inbox[ReplyPart] = Inbox(REPLY_PARTS)
         self.replies[call.request] = inbox
-        self.idle.clear()
         if not self._offer(Submit(call)):
-            self._forget(call.request)
+            del self.replies[call.request]
             code = early_code(ResultCode.OVERLOADED, call.operation is not None)
             return refusal(code, "the entry is overloaded", call.request, 1.0)
         whole = False
@@ -113,15 +125,10 @@
             whole = True
             return response
         finally:
-            self._forget(call.request)
+            del self.replies[call.request]
             if not whole:
                 self._offer(Abandon(call.request))
 
-    def _forget(self, request: RequestId) -> None:
-        del self.replies[request]
-        if not self.replies:
-            self.idle.set()
-
 
 async def _read_body(http: web.Request, limit_bytes: int) -> bytes:
     if (http.content_length or 0) > limit_bytes:
--- a/src/lycheefall/_entry/service.py
+++ b/src/lycheefall/_entry/service.py
@@ -68,6 +68,9 @@
 
 INBOX_MESSAGES = 50_000
 TICK_S = 0.05
+# Other entries may name a draining one for this long: they hear of it from control within a poll
+# period, or after a silent connection to control is replaced.
+STILL_NAMED_S = 1.5
 # Control has a new leader within 2 s of losing one; a proposal is repeated until then.
 PROPOSAL_TIMEOUT_S = 4.0
 
@@ -300,7 +303,7 @@
     parts.present(MemberState.DRAINING)
     try:
         async with asyncio.timeout(parts.settings.drain_s):
-            await asyncio.sleep(_ttl_s(parts))
+            await asyncio.sleep(STILL_NAMED_S + _ttl_s(parts))
             for site in list(runner.sites):
                 await site.stop()
             await parts.acceptor.idle.wait()
--- a/src/lycheefall/_rules/bookings.py
+++ b/src/lycheefall/_rules/bookings.py
@@ -40,7 +40,7 @@
     Target,
     Wake,
 )
-from lycheefall._rules.claim_flow import Flow
+from lycheefall._rules.claim_flow_state import Flow
 
 _DETAILS = {
     ResultCode.CLAIM_UNCONFIRMED: "control did not confirm the claim; an earlier try may have run",
--- a/src/lycheefall/_rules/claim_flow.py
+++ b/src/lycheefall/_rules/claim_flow.py
@@ -6,13 +6,9 @@
 proved not to have run, so that it also holds against other entries under the same key.
 """
 
-from enum import Enum
-
-from msgspec import Struct
-
 from lycheefall._core.codes import ResultCode, run_state
 from lycheefall._core.enums import AttemptState, ClaimState, RunState
-from lycheefall._core.ids import AttemptNumber, UpstreamId
+from lycheefall._core.ids import AttemptNumber
 from lycheefall._core.messages.control import (
     Claim,
     ClaimResult,
@@ -38,47 +34,18 @@
     Target,
     Wake,
 )
+from lycheefall._rules.claim_flow_state import Flow, Stage
 from lycheefall._rules.replicated.claims import NO_ATTEMPT, NO_HOLDER, NO_UPSTREAM
 
 POLL_PERIOD_S = 0.1
 # A holder that is alive may have ended its flow, so the agent is asked after this time.
 TAKEOVER_AFTER_S = 0.5
+# A flow waits this long for an upstream that can take the attempt, as other calls do.
+PICK_WAIT_S = 2.0
 # After its answer a flow waits this long for an outcome to record.
 RECORD_GRACE_S = 30.0
 
 
-class Stage(Enum):
-    """What a flow waits for."""
-
-    CLAIMING = "claiming"
-    RUNNING = "running"
-    JOINED = "joined"
-    PICKING = "picking"
-    REASSIGNING = "reassigning"
-    GIVING_UP = "giving-up"
-    RECORDING = "recording"
-    ENDED = "ended"
-
-
-class Flow(Struct):
-    """State of one booking at one entry."""
-
-    booking: Booking
-    first: Target
-    stage: Stage = Stage.CLAIMING
-    held: ClaimResult | None = None
-    sequence: int = 0
-    awaits_reply: bool = False
-    dispatched: AttemptNumber = NO_ATTEMPT
-    tried: tuple[UpstreamId, ...] = ()
-    link_lost: bool = False
-    poll_at_s: float = 0.0
-    resolve_at_s: float = 0.0
-    outcome: RecordedAnswer | None = None
-    final: Answer = Answer(ResultCode.OUTCOME_UNKNOWN)
-    answered: bool = False
-
-
 def start(booking: Booking, target: Target) -> tuple[Flow, list[Effect]]:
     """Begin with a claim for the chosen upstream."""
     flow = Flow(booking, target)
@@ -172,14 +139,32 @@
 def _on_picked(flow: Flow, picked: Picked, now_s: float) -> list[Effect]:
     if flow.stage is not Stage.PICKING or flow.held is None:
         return []
-    if picked.target is None:
-        return _give_up(flow, picked.code)
+    flow.awaits_pick = False
     if flow.answered or now_s >= flow.booking.deadline_s:
         return _give_up(flow, ResultCode.EXPIRED_BEFORE_START)
+    if picked.target is None:
+        return _wait_for_upstream(flow, picked.code, now_s)
     flow.stage = Stage.REASSIGNING
     return [_send_reassign(flow, flow.held, picked.target)]
 
 
+def _wait_for_upstream(flow: Flow, code: ResultCode, now_s: float) -> list[Effect]:
+    """Pick again at the next Wake, among all upstreams, until the wait is over."""
+    if flow.pick_until_s is None:
+        # The rest of the time is left for the commit that gives the claim up.
+        wait_s = min(PICK_WAIT_S, (flow.booking.deadline_s - now_s) / 2)
+        flow.pick_until_s = now_s + wait_s
+    if now_s >= flow.pick_until_s:
+        return _give_up(flow, code)
+    flow.tried = ()
+    return []
+
+
+def _pick(flow: Flow) -> list[Effect]:
+    flow.awaits_pick = True
+    return [PickUpstream(flow.tried)]
+
+
 def _on_refused(flow: Flow, refused: Refused, now_s: float) -> list[Effect]:
     if not _is_own_attempt(flow, refused) or flow.stage is not Stage.RUNNING:
         return []
@@ -194,7 +179,7 @@
     if flow.answered or now_s >= flow.booking.deadline_s:
         return _give_up(flow, ResultCode.EXPIRED_BEFORE_START)
     flow.stage = Stage.PICKING
-    return [PickUpstream(flow.tried)]
+    return _pick(flow)
 
 
 def _give_up(flow: Flow, code: ResultCode) -> list[Effect]:
@@ -283,6 +268,8 @@
             return [*effects, _send_resolve(flow, flow.held)]
         case Stage.RECORDING if not flow.awaits_reply:
             return effects + _send_outcome(flow)
+        case Stage.PICKING if not flow.awaits_pick:
+            return effects + _pick(flow)
     return effects
 
 
--- /dev/null
+++ b/src/lycheefall/_rules/claim_flow_state.py
@@ -0,0 +1,46 @@
+"""State of one booking at one entry."""
+
+from enum import Enum
+
+from msgspec import Struct
+
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.ids import AttemptNumber, UpstreamId
+from lycheefall._core.messages.control import ClaimResult, RecordedAnswer
+from lycheefall._rules.booking_messages import Answer, Booking, Target
+from lycheefall._rules.replicated.claims import NO_ATTEMPT
+
+
+class Stage(Enum):
+    """What a flow waits for."""
+
+    CLAIMING = "claiming"
+    RUNNING = "running"
+    JOINED = "joined"
+    PICKING = "picking"
+    REASSIGNING = "reassigning"
+    GIVING_UP = "giving-up"
+    RECORDING = "recording"
+    ENDED = "ended"
+
+
+class Flow(Struct):
+    """State of one booking at one entry."""
+
+    booking: Booking
+    first: Target
+    stage: Stage = Stage.CLAIMING
+    held: ClaimResult | None = None
+    sequence: int = 0
+    awaits_reply: bool = False
+    dispatched: AttemptNumber = NO_ATTEMPT
+    tried: tuple[UpstreamId, ...] = ()
+    link_lost: bool = False
+    # When a flow that found no upstream gives up; None before the first empty pick.
+    pick_until_s: float | None = None
+    awaits_pick: bool = False
+    poll_at_s: float = 0.0
+    resolve_at_s: float = 0.0
+    outcome: RecordedAnswer | None = None
+    final: Answer = Answer(ResultCode.OUTCOME_UNKNOWN)
+    answered: bool = False
--- a/tests/processes/callers.py
+++ b/tests/processes/callers.py
@@ -122,3 +122,25 @@
     url = f"http://{fleet.addresses[engine]}/statistics"
     async with session.get(url) as response:
         return await response.json()
+
+
+class DirectoryCaller:
+    """Choose the entry that the directory names, and ask again when the answer is old."""
+
+    def __init__(self, fleet: Fleet, session: aiohttp.ClientSession, first: int) -> None:
+        self._numbers = {fleet.addresses[f"entry-{n}"]: n for n in range(fleet.entries)}
+        self._fleet = fleet
+        self._session = session
+        self._entries = [first]
+        self._old_s = 0.0
+
+    async def entry(self) -> int:
+        """Return the entry to use now."""
+        loop = asyncio.get_running_loop()
+        if loop.time() >= self._old_s:
+            url = self._fleet.url(self._entries[0], "/v1/entries")
+            async with self._session.get(url, headers=TEAM) as response:
+                answer = await response.json()
+            self._entries = [self._numbers[each] for each in answer["addresses"]]
+            self._old_s = loop.time() + answer["ttl_s"]
+        return self._entries[0]
