--- a/tests/processes/scaffold.py
+++ b/tests/processes/scaffold.py
@@ -38,6 +38,8 @@
 
     target: Address
     address: Address | None = None
+    # From the first message with these bytes on, answers are held.
+    lose_answers_to: bytes = b""
     server: asyncio.Server | None = None
     forth: asyncio.Event = field(default_factory=asyncio.Event)
     back: asyncio.Event = field(default_factory=asyncio.Event)
@@ -92,20 +94,32 @@
             writer.close()
             return
         self.writers += [writer, far_writer]
-        for source, sink, gate in (
-            (reader, far_writer, self.forth),
-            (far_reader, writer, self.back),
+        for source, sink, gate, seen in (
+            (reader, far_writer, self.forth, self._seen),
+            (far_reader, writer, self.back, _ignore),
         ):
-            task = asyncio.ensure_future(_pump(source, sink, gate))
+            task = asyncio.ensure_future(_pump(source, sink, gate, seen))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
+    def _seen(self, data: bytes) -> None:
+        if self.lose_answers_to and self.lose_answers_to in data:
+            self.block(forth=False)
+
+
+def _ignore(data: bytes) -> None:
+    return None
+
 
 async def _pump(
-    source: asyncio.StreamReader, sink: asyncio.StreamWriter, gate: asyncio.Event
+    source: asyncio.StreamReader,
+    sink: asyncio.StreamWriter,
+    gate: asyncio.Event,
+    seen: Callable[[bytes], None],
 ) -> None:
     with contextlib.suppress(OSError):
         while data := await source.read(65_536):
+            seen(data)
             await gate.wait()
             sink.write(data)
             await sink.drain()
