Measure an entry against the bare pass-through

Cause: the target of half the pass-through's throughput had no measurement.

Change: bench/entry_throughput.py sends the same closed-loop load to an entry and to the pass-through in turn.

--- a/bench/entry_throughput.py
+++ b/bench/entry_throughput.py
@@ -56,9 +56,13 @@
     with tempfile.TemporaryDirectory() as folder, ProcessPoolExecutor(clients) as pool:
         fleet = Fleet(Path(folder), engines=1, services=1, entries=1, replicas=1)
         fleet.fake_flags = {
-            "engine-0": ["--base-step-s", "0.002", "--max-running", "256"],
+            "engine-0": [
+                *("--base-step-s", "0.002", "--sequence-step-s", "0"),
+                *("--prefill-token-s", "0", "--max-running", "256"),
+            ],
             "service-0": ["--service-s", "0.0", "--max-running", "256"],
         }
+        fleet.agent_flags = ["--concurrency", "256"]
         fleet.plan()
         fleet.start_all()
         baselines = [_baseline(fleet, name) for name in ("service-0", "engine-0")]
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -109,6 +109,8 @@
     replicas: int = 3
     # Extra flags of the fakes, by process name.
     fake_flags: dict[str, list[str]] = field(default_factory=dict)
+    # Extra flags of every agent.
+    agent_flags: list[str] = field(default_factory=list)
     addresses: dict[str, Address] = field(default_factory=dict)
     # Other processes reach these instead of the real address, by process name.
     detours: dict[str, Address] = field(default_factory=dict)
@@ -196,7 +198,7 @@
         flags = ["lycheefall", "agent", "--instance", f"host-{upstream}"]
         flags += ["--data-centre", f"dc-{int(number) % 3}", "--upstream", upstream]
         flags += ["--pool", pool, "--kind", kind, "--control", self.control]
-        flags += ["--upstream-address", self.addresses[upstream]]
+        flags += ["--upstream-address", self.addresses[upstream], *self.agent_flags]
         return [*flags, "--listen", self.addresses[f"{kind}-agent-{number}"]]
 
     def apply(self, text: str) -> subprocess.CompletedProcess[str]:
