Search again from a map placed anew when the local search is stuck

Change: a stuck search tries all ranks, and a second search starts from a map placed anew; the better net gain wins. Steps of the search count gain and cost without building a plan, and swaps that can't help are not tried.

--- a/src/lycheefall/_rules/placement.py
+++ b/src/lycheefall/_rules/placement.py
@@ -11,9 +11,11 @@
 HORIZON_S = 300.0
 # Ranks that a move from the slowest rank may go to, lightest first; bounds the search.
 TARGETS = 6
-MOVES_MAX = 96
+CHANGES_MAX = 48
 # The search ends here: less skew than this costs more moves than it saves time.
 SKEW_REACHED = 1.01
+# Above this a second search starts from a map placed anew.
+SKEW_STUCK = 1.06
 
 
 class Limits(Struct, frozen=True):
@@ -137,19 +139,55 @@
     """
     if in_force is None:
         return _evaluate(limits, load, slowness, fresh(limits, load, slowness), None)
-    layout = _layout(load, slowness, in_force)
-    best = _evaluate(limits, load, slowness, in_force, in_force)
-    while best.moves < MOVES_MAX and skew(layout.time) > SKEW_REACHED:
-        change = _best_change(layout)
+    best = _search(limits, load, slowness, in_force, in_force)
+    if best.skew_ratio <= SKEW_STUCK:
+        return best
+    # The search from the map in force can end where no single change helps the slowest rank.
+    anew = fresh(limits, load, slowness)
+    other = _search(limits, load, slowness, anew, in_force)
+    return other if _net_s(other) > _net_s(best) else best
+
+
+def _search(
+    limits: Limits,
+    load: Sequence[float],
+    slowness: Sequence[float],
+    start: Placement,
+    in_force: Placement,
+) -> Plan:
+    """Return the best plan on the way of a local search from a start."""
+    layout = _layout(load, slowness, start)
+    before: list[set[int]] = [set(ranks) for ranks in in_force]
+    slowest = max(rank_times(in_force, load, slowness))
+    best_net_s, best = _layout_net_s(limits, layout, before, slowest), start
+    for _ in range(CHANGES_MAX):
+        if skew(layout.time) <= SKEW_REACHED:
+            break
+        change = _best_change(layout, TARGETS) or _best_change(layout, limits.ranks)
         if change is None:
             break
         _carry_out(layout, change)
-        tried = _evaluate(limits, load, slowness, _placement(layout.holders), in_force)
-        if tried.moves > MOVES_MAX:
-            break
-        if tried.gain_s - tried.cost_s > best.gain_s - best.cost_s:
-            best = tried
-    return best
+        net_s = _layout_net_s(limits, layout, before, slowest)
+        if net_s > best_net_s:
+            best_net_s, best = net_s, _placement(layout.holders)
+    made = _evaluate(limits, load, slowness, best, in_force)
+    # The working times carry rounding errors; the exact ones decide.
+    return made if _net_s(made) > 0 else _evaluate(limits, load, slowness, in_force, in_force)
+
+
+def _layout_net_s(
+    limits: Limits, layout: Layout, before: Sequence[set[int]], slowest: float
+) -> float:
+    """Return the gain less the cost of a layout, without making a plan of it."""
+    pairs = zip(layout.holders, before, strict=True)
+    moves = sum(len(new - old) for new, old in pairs)
+    saved_ratio = 1.0 - max(layout.time) / slowest if slowest > 0 else 0.0
+    cost_s = moves * limits.expert_bytes / limits.store_bytes_per_s
+    return limits.horizon_s * saved_ratio - cost_s
+
+
+def _net_s(made: Plan) -> float:
+    return made.gain_s - made.cost_s
 
 
 def _replica_counts(limits: Limits, load: Sequence[float]) -> list[int]:
@@ -211,12 +249,12 @@
     )
 
 
-def _best_change(layout: Layout) -> _Change | None:
+def _best_change(layout: Layout, targets: int) -> _Change | None:
     """Return the change that leaves the ranks it touches fastest, if it helps the slowest."""
     source = max(range(len(layout.time)), key=layout.time.__getitem__)
     limit = layout.time[source]
     best: _Change | None = None
-    for target in heapq.nsmallest(TARGETS, range(len(layout.time)), layout.time.__getitem__):
+    for target in heapq.nsmallest(targets, range(len(layout.time)), layout.time.__getitem__):
         for added in sorted(layout.held[source] - layout.held[target]):
             for removed in sorted(layout.held[target]):
                 for change in _changes(layout, added, removed, source, target):
@@ -229,7 +267,10 @@
 def _changes(layout: Layout, added: int, removed: int, source: int, target: int) -> list[_Change]:
     """Return the ways to bring an expert of the slowest rank to another rank."""
     changes = []
-    if removed not in layout.held[source]:
+    heavier = layout.load[added] * len(layout.holders[removed])
+    lighter = layout.load[removed] * len(layout.holders[added])
+    # A swap that brings the slowest rank the larger share can't help it.
+    if removed not in layout.held[source] and heavier > lighter:
         changes.append(_Change(added, removed, source, target, swap=True))
     if len(layout.holders[removed]) > 1:
         changes.append(_Change(added, removed, source, target, swap=False))
