--- a/src/lycheefall/_agent/group.py
+++ b/src/lycheefall/_agent/group.py
@@ -39,7 +39,8 @@
     """Own the map state of a rank until cancelled.
 
     `send` reaches every control instance that may coordinate the group, `ask` the leader
-    of control, `load` and `drop` the engine, and `answer` the rank that enters a step.
+    of control, `load` and `drop` the engine; `load` must answer LoadFailed rather than raise.
+    `answer` reaches the rank that enters a step.
     """
     async with asyncio.TaskGroup() as tasks:
 
