--- a/src/lycheefall/_rules/consensus/voters.py
+++ b/src/lycheefall/_rules/consensus/voters.py
@@ -28,16 +28,22 @@
 
 
 def _remove_replaced(state: Consensus, now: Membership, now_s: float) -> Membership | None:
-    """Remove the old incarnation of an instance whose new one votes already."""
-    for position, each in enumerate(now.voters):
-        later = now.voters[position + 1 :]
-        if each.id != state.me.id and any(_same_instance(each, other) for other in later):
+    """Remove a voter whose instance returned with an empty disk and is caught up.
+
+    The removal comes before the promotion: with both in, a second loss of the same instance
+    would leave two dead voters of four.
+    """
+    if len(now.voters) < now.size:
+        return None
+    ready = [each for each in now.learners if _is_caught_up(state, each, now_s)]
+    for each in now.voters:
+        if any(_same_instance(each, learner) for learner in ready):
             return Membership(now.size, _without(now.voters, each), now.learners)
     return None
 
 
 def _demote_silent(state: Consensus, now: Membership, now_s: float) -> Membership | None:
-    """Make a voter a learner after a standby took its place; a silent one if there is one."""
+    """Make a voter a learner after a standby joined; a silent one if there is one."""
     if len(now.voters) <= now.size:
         return None
     candidates = [each for each in now.voters if each.id != state.me.id]
@@ -47,15 +53,28 @@
 
 
 def _promote(state: Consensus, now: Membership, now_s: float) -> Membership | None:
-    """Make a caught-up learner a voter if it replaces a voter that is lost or silent."""
-    if len(now.voters) > now.size:
-        return None
+    """Make a caught-up learner a voter while there are too few, or one is silent.
+
+    A silent voter stays until the standby has joined: its disk may be intact, and with fewer
+    voters the loss of another disk could not be survived by its return.
+    """
+    standbys = _standbys(state, now, now_s)
     silent = any(_is_silent(state, each, now_s) for each in now.voters)
-    for each in now.learners:
-        replaces = any(_same_instance(each, voter) for voter in now.voters)
-        if (replaces or silent) and _is_caught_up(state, each, now_s):
-            return Membership(now.size, (*now.voters, each), _without(now.learners, each))
-    return None
+    is_needed = len(now.voters) < now.size or (silent and len(now.voters) == now.size)
+    if not is_needed or not standbys:
+        return None
+    chosen = standbys[0]
+    return Membership(now.size, (*now.voters, chosen), _without(now.learners, chosen))
+
+
+def _standbys(state: Consensus, now: Membership, now_s: float) -> tuple[Replica, ...]:
+    """Return the caught-up learners of instances without a voter."""
+    return tuple(
+        each
+        for each in now.learners
+        if _is_caught_up(state, each, now_s)
+        and not any(_same_instance(each, voter) for voter in now.voters)
+    )
 
 
 def _admit_learner(state: Consensus, now: Membership, now_s: float) -> Membership | None:
