Test storage, applied files and leases

Cause: damage, full disks, conflicts and fencing numbers were not tested. Change: examples, property tests of any truncation and any damaged byte, and a state machine that compares applied files with a list.

--- a/tests/processes/replica.py
+++ b/tests/processes/replica.py
@@ -5,6 +5,7 @@
 import os
 import sys
 from pathlib import Path
+from typing import Any
 
 import uvloop
 
@@ -13,6 +14,7 @@
 from lycheefall._core.configuration import Configuration, Limits
 from lycheefall._core.exceptions import FileFieldError, LycheefallError
 from lycheefall._core.ids import Revision
+from lycheefall._rules.consensus.state import Timing
 
 
 def parse_number(text: str, revision: Revision) -> Configuration:
@@ -22,12 +24,17 @@
     return Configuration(revision=revision, limits=Limits(queue_requests=int(text)))
 
 
-def settings_of(fields: dict[str, object]) -> ControlSettings:
+def settings_of(fields: dict[str, Any]) -> ControlSettings:
     """Return the settings that the test wrote as JSON."""
     voters = tuple(Voter(*each) for each in fields.pop("voters"))
+    timing = Timing(**fields.pop("timing"))
     folder = Path(str(fields.pop("data_folder")))
     return ControlSettings(
-        **fields, voters=voters, data_folder=folder, on_ready=lambda: print("ready", flush=True)
+        **fields,
+        timing=timing,
+        voters=voters,
+        data_folder=folder,
+        on_ready=lambda: print("ready", flush=True),
     )
 
 
--- /dev/null
+++ b/tests/test_revisions.py
@@ -0,0 +1,118 @@
+"""Tests of accepted configuration files and of results that are kept."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.ids import CommandId, Incarnation, LeaseName, Revision
+from lycheefall._core.messages.consensus import Submitted
+from lycheefall._core.messages.control import AcquireLease, ApplyFile, FileResult
+from lycheefall._rules.replicated import machine, revisions
+from lycheefall._rules.replicated.revisions import digest_of
+from processes.replica import parse_number
+
+apply = revisions.applier(parse_number)
+
+
+def sent(state: revisions.Revisions, replaces: int, text: str) -> FileResult:
+    """Apply a file and return the result."""
+    return apply(state, ApplyFile(Revision(replaces), digest_of(text), text), 0)[1]
+
+
+class TestRevisions:
+    def test_accepted(self) -> None:
+        """Guards against a file that is answered but not in force."""
+        state = revisions.initial()
+        assert sent(state, 0, "5") == FileResult(ResultCode.OK, Revision(1), digest_of("5"))
+        assert state.configuration.limits.queue_requests == 5
+        assert state.configuration.digest == digest_of("5")
+
+    def test_conflict_names_the_winner(self) -> None:
+        """Guards against two files accepted under one number."""
+        state = revisions.initial()
+        sent(state, 0, "5")
+        sent(state, 1, "6")
+        result = sent(state, 0, "7")
+        assert result.code is ResultCode.FILE_CONFLICT
+        assert (result.revision, result.digest) == (1, digest_of("5"))
+        assert state.configuration.limits.queue_requests == 6
+
+    def test_resend_gets_the_first_answer(self) -> None:
+        """Guards against an operator who lost the answer and is told of a conflict with himself."""
+        state = revisions.initial()
+        first = sent(state, 0, "5")
+        sent(state, 1, "6")
+        assert sent(state, 0, "5") == first
+
+    def test_number_ahead(self) -> None:
+        """Guards against a gap in the numbers."""
+        state = revisions.initial()
+        result = sent(state, 3, "5")
+        assert (result.code, result.revision) == (ResultCode.FILE_CONFLICT, 0)
+
+    def test_invalid_file_takes_no_number(self) -> None:
+        """Guards against an invalid file that changes what is in force."""
+        state = revisions.initial()
+        sent(state, 0, "5")
+        result = sent(state, 1, "five")
+        assert (result.code, result.revision) == (ResultCode.FILE_FIELD, 1)
+        assert "not a number" in result.detail
+        assert sent(state, 1, "6").code is ResultCode.OK
+
+
+class TestMachine:
+    def test_command_sent_again(self) -> None:
+        """Guards against a second effect of a command that was resent after a lost answer."""
+        apply_command = machine.applier(parse_number)
+        state = machine.initial()
+        command = AcquireLease(LeaseName("l"), Incarnation("a"), 1.0)
+        submitted = Submitted(CommandId("1"), command)
+        first = apply_command(state, submitted, 0)[1]
+        assert apply_command(state, submitted, 900)[1] == first
+        assert state.leases.granted[LeaseName("l")].expires_ms == 1_000
+
+    def test_results_are_forgotten(self) -> None:
+        """Guards against results that fill the memory."""
+        apply_command = machine.applier(parse_number)
+        state = machine.initial()
+        command = AcquireLease(LeaseName("l"), Incarnation("a"), 1.0)
+        for number in range(100):
+            stamp_ms = number * machine.RESULT_KEPT_MS // 10
+            apply_command(state, Submitted(CommandId(str(number)), command), stamp_ms)
+        assert len(state.results) == 11
+
+
+class RevisionsMachine(RuleBasedStateMachine):
+    """Compares applied files with a list of the accepted ones."""
+
+    @initialize()
+    def open(self) -> None:
+        """Begin without a file."""
+        self.state = revisions.initial()
+        self.accepted: list[str] = []
+
+    @rule(back=st.integers(-1, 3), text=st.sampled_from(["1", "2", "3", "bad"]))
+    def send(self, back: int, text: str) -> None:
+        """Send a file that replaces a number near the one in force."""
+        replaces = max(0, len(self.accepted) - back)
+        result = sent(self.state, replaces, text)
+        if replaces == len(self.accepted) and text != "bad":
+            self.accepted.append(text)
+        if replaces < len(self.accepted):
+            winner = self.accepted[replaces]
+            assert (result.code is ResultCode.OK) == (winner == text)
+            assert (result.revision, result.digest) == (replaces + 1, digest_of(winner))
+        else:
+            assert result.code in (ResultCode.FILE_CONFLICT, ResultCode.FILE_FIELD)
+
+    @invariant()
+    def in_force(self) -> None:
+        """The last accepted file is in force."""
+        assert self.state.configuration.revision == len(self.accepted)
+        if self.accepted:
+            assert self.state.configuration.digest == digest_of(self.accepted[-1])
+
+
+RevisionsMachine.TestCase.settings = settings(max_examples=50, deadline=None, derandomize=True)
+TestRevisionsMachine = RevisionsMachine.TestCase
--- /dev/null
+++ b/tests/test_storage.py
@@ -0,0 +1,242 @@
+"""Tests of the files of a control replica."""
+
+import errno
+import os
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lycheefall._control.frames import frame, read_frames
+from lycheefall._control.storage import (
+    IDENTITY_FILE,
+    LOG_FILE,
+    SNAPSHOT_FILE,
+    Loaded,
+    Storage,
+    close_storage,
+    open_storage,
+    save,
+)
+from lycheefall._core.exceptions import DataFolderUnusable, DiskFull, LogDamaged
+from lycheefall._core.ids import InstanceId, LogIndex, Term
+from lycheefall._core.messages.consensus import Blank, LogEntry, Membership, Snapshot
+from lycheefall._rules.consensus.state import SaveEntries, SaveSnapshot, SaveVote
+
+NAME = InstanceId("a")
+
+
+def entry(index: int, term: int = 1) -> LogEntry:
+    """Return an entry without a command."""
+    return LogEntry(LogIndex(index), Term(term), 0, Blank())
+
+
+def entries(first: int, last: int, term: int = 1) -> SaveEntries:
+    """Return a batch of entries."""
+    return SaveEntries(tuple(entry(index, term) for index in range(first, last + 1)))
+
+
+def snapshot(index: int, term: int = 1) -> Snapshot:
+    """Return a snapshot of an empty state."""
+    return Snapshot(LogIndex(index), Term(term), 0, Membership(0, ()), b"")
+
+
+def reopen(folder: Path) -> Loaded:
+    """Open a folder, close it and return what it held."""
+    storage, loaded = open_storage(folder, NAME)
+    close_storage(storage)
+    return loaded
+
+
+def written(folder: Path, *batches: SaveEntries | SaveVote | SaveSnapshot) -> None:
+    """Write batches, each with its own sync."""
+    storage, _ = open_storage(folder, NAME)
+    for batch in batches:
+        save(storage, (batch,))
+    close_storage(storage)
+
+
+def terms(loaded: Loaded) -> list[tuple[int, int]]:
+    """Return index and term of the entries."""
+    return [(each.index, each.term) for each in loaded.entries]
+
+
+class TestLog:
+    def test_round_trip(self, tmp_path: Path) -> None:
+        """Guards against a vote or an entry that a restart forgets."""
+        identity = reopen(tmp_path).identity
+        vote = SaveVote(Term(3), identity)
+        written(tmp_path, entries(1, 3), vote, entries(2, 2, term=3))
+        loaded = reopen(tmp_path)
+        assert (loaded.identity, loaded.term, loaded.vote) == (identity, 3, identity)
+        assert terms(loaded) == [(1, 1), (2, 3)]
+
+    def test_replacement_in_one_batch(self, tmp_path: Path) -> None:
+        """Guards against replaced entries that return when two leaders fall into one batch."""
+        storage, _ = open_storage(tmp_path, NAME)
+        save(storage, (entries(1, 3), SaveVote(Term(2), None), entries(2, 2, term=2)))
+        close_storage(storage)
+        assert terms(reopen(tmp_path)) == [(1, 1), (2, 2)]
+
+    def test_truncated_tail_is_cut(self, tmp_path: Path) -> None:
+        """Guards against a replica that doesn't start after an interrupted write."""
+        written(tmp_path, entries(1, 1), entries(2, 2))
+        path = tmp_path / LOG_FILE
+        path.write_bytes(path.read_bytes()[:-3])
+        loaded = reopen(tmp_path)
+        assert terms(loaded) == [(1, 1)]
+        assert loaded.cut_bytes > 0
+        written(tmp_path, entries(2, 2, term=4))
+        assert terms(reopen(tmp_path)) == [(1, 1), (2, 4)]
+
+    def test_damaged_tail_is_cut(self, tmp_path: Path) -> None:
+        """Guards against an interrupted write that left wrong bytes."""
+        written(tmp_path, entries(1, 1), entries(2, 2))
+        path = tmp_path / LOG_FILE
+        data = bytearray(path.read_bytes())
+        data[-1] ^= 0xFF
+        path.write_bytes(data)
+        assert terms(reopen(tmp_path)) == [(1, 1)]
+
+    @pytest.mark.parametrize("distance", [0, 4, 8, 20])
+    def test_damage_in_the_middle_stops(self, tmp_path: Path, distance: int) -> None:
+        """Guards against acknowledged entries that are cut off behind a damaged one."""
+        written(tmp_path, entries(1, 1))
+        middle = (tmp_path / LOG_FILE).stat().st_size
+        written(tmp_path, entries(2, 2), entries(3, 3))
+        data = bytearray((tmp_path / LOG_FILE).read_bytes())
+        data[middle + distance] ^= 0xFF
+        (tmp_path / LOG_FILE).write_bytes(data)
+        with pytest.raises(LogDamaged):
+            reopen(tmp_path)
+
+    def test_file_changed_by_another_writer(self, tmp_path: Path) -> None:
+        """Guards against appending behind bytes that this process did not write."""
+        storage, _ = open_storage(tmp_path, NAME)
+        with (tmp_path / LOG_FILE).open("ab") as other:
+            other.write(b"x")
+        with pytest.raises(LogDamaged):
+            save(storage, (entries(1, 1),))
+        close_storage(storage)
+
+
+class TestSnapshot:
+    def test_snapshot_replaces_entries(self, tmp_path: Path) -> None:
+        """Guards against a restart that has to read the whole history."""
+        rest = (entry(3),)
+        written(tmp_path, entries(1, 3), SaveSnapshot(snapshot(2), rest), entries(4, 4))
+        loaded = reopen(tmp_path)
+        assert loaded.snapshot == snapshot(2)
+        assert terms(loaded) == [(3, 1), (4, 1)]
+
+    def test_crash_between_snapshot_and_log(self, tmp_path: Path) -> None:
+        """Guards against entries of the old log that don't continue an installed snapshot."""
+        written(tmp_path, entries(1, 5))
+        old = (tmp_path / LOG_FILE).read_bytes()
+        written(tmp_path, SaveSnapshot(snapshot(3, term=2), ()))
+        (tmp_path / LOG_FILE).write_bytes(old)
+        assert terms(reopen(tmp_path)) == []
+
+    def test_lost_snapshot_stops(self, tmp_path: Path) -> None:
+        """Guards against a start without the entries that the snapshot covered."""
+        written(tmp_path, entries(1, 3), SaveSnapshot(snapshot(2), (entry(3),)))
+        (tmp_path / SNAPSHOT_FILE).unlink()
+        with pytest.raises(LogDamaged):
+            reopen(tmp_path)
+
+    def test_damaged_snapshot_stops(self, tmp_path: Path) -> None:
+        """Guards against a state machine that is restored from wrong bytes."""
+        written(tmp_path, entries(1, 3), SaveSnapshot(snapshot(3), ()))
+        path = tmp_path / SNAPSHOT_FILE
+        path.write_bytes(path.read_bytes()[:-1])
+        with pytest.raises(LogDamaged):
+            reopen(tmp_path)
+
+
+class TestIdentity:
+    def test_empty_folder_is_a_new_incarnation(self, tmp_path: Path) -> None:
+        """Guards against a replica without its disk that goes on under its old identity."""
+        first = reopen(tmp_path / "one").identity
+        second = reopen(tmp_path / "two").identity
+        assert first.instance == second.instance
+        assert first.incarnation != second.incarnation
+
+    @pytest.mark.parametrize("lost", [LOG_FILE, IDENTITY_FILE])
+    def test_part_of_the_folder_lost(self, tmp_path: Path, lost: str) -> None:
+        """Guards against an identity that is kept although its log is lost."""
+        written(tmp_path, entries(1, 2))
+        (tmp_path / lost).unlink()
+        with pytest.raises(LogDamaged):
+            reopen(tmp_path)
+
+    def test_folder_of_another_instance(self, tmp_path: Path) -> None:
+        """Guards against a folder that is given to the wrong instance."""
+        reopen(tmp_path)
+        with pytest.raises(DataFolderUnusable):
+            open_storage(tmp_path, InstanceId("b"))
+
+    def test_folder_in_use(self, tmp_path: Path) -> None:
+        """Guards against two processes that write one log."""
+        storage, _ = open_storage(tmp_path, NAME)
+        with pytest.raises(DataFolderUnusable):
+            open_storage(tmp_path, NAME)
+        close_storage(storage)
+
+    def test_folder_is_a_file(self, tmp_path: Path) -> None:
+        """Guards against an error without a code for a wrong path."""
+        (tmp_path / "file").write_bytes(b"")
+        with pytest.raises(DataFolderUnusable):
+            reopen(tmp_path / "file")
+
+
+class TestFullDisk:
+    def test_batch_is_not_acknowledged(self, tmp_path: Path) -> None:
+        """Guards against an entry that is acknowledged although only a part was written."""
+        left = 20
+
+        def write(descriptor: int, data: bytes) -> int:
+            nonlocal left
+            if left == 0:
+                raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+            count = min(left, len(data))
+            left -= count
+            return os.write(descriptor, data[:count])
+
+        written(tmp_path, entries(1, 1))
+        storage: Storage
+        storage, _ = open_storage(tmp_path, NAME, write)
+        with pytest.raises(DiskFull):
+            save(storage, (entries(2, 2),))
+        with pytest.raises(LogDamaged):
+            save(storage, (entries(2, 2),))
+        close_storage(storage)
+        assert terms(reopen(tmp_path)) == [(1, 1)]
+
+
+class TestFrames:
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(st.lists(st.binary(max_size=40), min_size=1, max_size=5), st.data())
+    def test_any_truncation(self, payloads: list[bytes], data: st.DataObject) -> None:
+        """Guards against a cut that removes more than the interrupted frame."""
+        frames = [frame(each) for each in payloads]
+        whole = b"".join(frames)
+        size = data.draw(st.integers(0, len(whole)))
+        kept = read_frames(whole[:size], "log")
+        complete = 0
+        while sum(map(len, frames[: complete + 1])) <= size and complete < len(frames):
+            complete += 1
+        assert list(kept.payloads) == payloads[:complete]
+
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(st.lists(st.binary(max_size=40), min_size=2, max_size=5), st.data())
+    def test_any_damage_before_the_last_frame(
+        self, payloads: list[bytes], data: st.DataObject
+    ) -> None:
+        """Guards against damage that looks like the end of the file."""
+        frames = [frame(each) for each in payloads]
+        whole = bytearray(b"".join(frames))
+        position = data.draw(st.integers(0, len(whole) - len(frames[-1]) - 1))
+        whole[position] ^= data.draw(st.integers(1, 255))
+        with pytest.raises(LogDamaged):
+            read_frames(bytes(whole), "log")
