Test control as processes; leave replicas that know no leader

Cause: with the leader isolated, a client stayed with it: it answered watches, so the connection was not silent, and it named no other leader. Change: the client goes on to the next address when a replica names no leader, knows none for 1 s, or takes no message for 0.25 s. A first copy of the configuration comes from a leader with a lease only, since a stopped follower takes old messages for new ones when it continues; afterwards the client returns to its own replica. A watch function can refuse changes, which are then asked for again.

--- a/src/lycheefall/_control/client.py
+++ b/src/lycheefall/_control/client.py
@@ -7,7 +7,6 @@
 from msgspec import Struct, field, structs
 
 from lycheefall._core.codes import ResultCode
-from lycheefall._core.configuration import Configuration
 from lycheefall._core.exceptions import ControlUnavailable
 from lycheefall._core.ids import NO_REVISION, Address, CommandId, Incarnation, Revision
 from lycheefall._core.messages.control import (
@@ -30,6 +29,8 @@
 POLL_PERIOD_S = 0.1
 # A connection without an answer for this long is replaced by one to the next address.
 SILENT_AFTER_S = 1.0
+# A replica that knows no leader for this long is left for another one.
+STALE_AFTER_S = 1.0
 # A connection that takes no message for this long is down, which is found before the silence.
 DOWN_AFTER_S = 0.25
 # A proposal without a result is sent again after this time, with the same command id.
@@ -85,7 +86,7 @@
     """State of the owner task."""
 
     addresses: tuple[Address, ...]
-    watch: Callable[[Changes], None]
+    watch: Callable[[Changes], bool]
     link: int = 0
     position: int = -1
     address: Address = Address("")
@@ -93,6 +94,9 @@
     heard_s: float = 0.0
     # When the connection took the last message.
     taken_s: float = 0.0
+    connected_s: float = 0.0
+    # When the replica knew a leader last.
+    current_s: float = 0.0
     sequence: int = 0
     revision: Revision = NO_REVISION
     replica: Incarnation = Incarnation("")
@@ -145,18 +149,19 @@
     return ControlClient(Inbox(CLIENT_INBOX_MESSAGES))
 
 
-def _ignore(changes: Changes) -> None:
-    return None
+def _ignore(changes: Changes) -> bool:
+    return True
 
 
 async def run_client(
     client: ControlClient,
     addresses: tuple[Address, ...],
-    watch: Callable[[Changes], None] = _ignore,
+    watch: Callable[[Changes], bool] = _ignore,
 ) -> None:
     """Own the connection to control until cancelled.
 
-    `watch` gets each `Changes` whose revision is not below one that was delivered before.
+    `watch` is the `offer` of an inbox or the like. It gets `Changes` with configurations of
+    rising revisions only; those that it refuses are asked for again.
     """
     loop = asyncio.get_running_loop()
     state = Client(addresses=addresses, watch=watch)
@@ -195,7 +200,8 @@
 
 def _poll(state: Client, inbox: Inbox[ToClient], now_s: float) -> None:
     is_down = now_s - state.taken_s > DOWN_AFTER_S
-    if is_down or now_s - state.heard_s > SILENT_AFTER_S:
+    is_silent = now_s - state.heard_s > SILENT_AFTER_S
+    if is_down or is_silent or now_s - state.current_s > STALE_AFTER_S:
         _connect_next(state, inbox, now_s)
     for command_id, pending in state.pending.items():
         if now_s >= pending.send_due_s:
@@ -231,7 +237,7 @@
         state.end.close()
     state.link += 1
     state.address = address
-    state.heard_s = state.taken_s = now_s
+    state.heard_s = state.taken_s = state.connected_s = state.current_s = now_s
     state.end = DealerEnd(address, _receiver(state.link, inbox))
     for pending in state.pending.values():
         pending.send_due_s = now_s
@@ -253,7 +259,7 @@
         case Proposed():
             _on_proposed(state, message, inbox, now_s)
         case Changes():
-            _on_changes(state, message)
+            _on_changes(state, message, inbox, now_s)
         case StatusReport():
             reply = state.asked.pop(message.sequence, None)
             if reply is not None and not reply.done():
@@ -280,23 +286,45 @@
     inbox: Inbox[ToClient],
     now_s: float,
 ) -> None:
-    if leader is None or leader == state.address:
-        pending.send_due_s = now_s + POLL_PERIOD_S
-    else:
+    if leader is not None and leader != state.address:
         _connect(state, leader, inbox, now_s)
+    elif now_s - state.connected_s >= POLL_PERIOD_S:
+        # A replica that is cut off from the others never learns of a leader.
+        _connect_next(state, inbox, now_s)
+    else:
+        pending.send_due_s = now_s + POLL_PERIOD_S
+
+
+def _on_changes(state: Client, message: Changes, inbox: Inbox[ToClient], now_s: float) -> None:
+    if message.leader is not None:
+        state.current_s = now_s
+    is_first = state.revision == NO_REVISION
+    _deliver(state, message)
+    if is_first:
+        _move_for_first_copy(state, message, inbox, now_s)
 
 
-def _on_changes(state: Client, message: Changes) -> None:
+def _deliver(state: Client, message: Changes) -> None:
     """Deliver changes, without a configuration that is older than the one delivered last."""
-    state.replica = message.replica
-    state.membership_version = message.membership_version
     configuration = message.configuration
-    if configuration is not None and not _is_newer(state, configuration):
+    if configuration is not None and configuration.revision <= state.revision:
+        configuration = None
         message = structs.replace(message, configuration=None)
-    elif configuration is not None:
+    if not state.watch(message):
+        return
+    state.replica = message.replica
+    state.membership_version = message.membership_version
+    if configuration is not None:
         state.revision = configuration.revision
-    state.watch(message)
 
 
-def _is_newer(state: Client, configuration: Configuration) -> bool:
-    return configuration.revision > state.revision
+def _move_for_first_copy(
+    state: Client, message: Changes, inbox: Inbox[ToClient], now_s: float
+) -> None:
+    """Go to the leader for the first copy and then back, so that watches are spread."""
+    home = state.addresses[state.position]
+    if state.revision == NO_REVISION:
+        if message.leader is not None and message.leader != state.address:
+            _connect(state, message.leader, inbox, now_s)
+    elif state.address != home and not state.pending:
+        _connect(state, home, inbox, now_s)
--- a/src/lycheefall/_control/messages.py
+++ b/src/lycheefall/_control/messages.py
@@ -46,8 +46,10 @@
     commit: LogIndex
     leader: Address | None
     voters: tuple[InstanceId, ...]
-    # Until when the commit index is known to be that of a leader.
+    # Until when the commit index is known to be near that of the leader.
     settled_until_s: float
+    # Until when no other leader can exist, so that no later commit is missed.
+    lease_until_s: float
 
 
 class AppliedView(Struct, frozen=True):
--- a/src/lycheefall/_control/publish.py
+++ b/src/lycheefall/_control/publish.py
@@ -68,15 +68,21 @@
             answer(message.peer, _report(state, message.message))
 
 
-def known_revision(state: Published, now_s: float) -> Revision:
-    """Return the revision in force, or 0 while this replica may lack committed entries."""
-    is_current = now_s < state.view.settled_until_s and state.applied.index >= state.view.commit
+def known_revision(state: Published, watch: Watch, now_s: float) -> Revision:
+    """Return the revision in force, or 0 while this replica may lack it.
+
+    A watcher without a revision gets its first one from a leader with a lease only: a follower
+    that was stopped can take old messages of its leader for new ones when it continues.
+    """
+    view = state.view
+    until_s = view.settled_until_s if watch.revision else view.lease_until_s
+    is_current = now_s < until_s and state.applied.index >= view.commit
     return state.applied.configuration.revision if is_current else NO_REVISION
 
 
 def changes(state: Published, watch: Watch, now_s: float) -> Changes:
     """Return what changed since a watcher's revision and membership version."""
-    revision = known_revision(state, now_s)
+    revision = known_revision(state, watch, now_s)
     is_delta = watch.replica == state.process and watch.membership_version > 0
     since = watch.membership_version if is_delta else 0
     members = state.members
--- a/src/lycheefall/_control/service.py
+++ b/src/lycheefall/_control/service.py
@@ -130,7 +130,8 @@
 
 
 def _published(settings: ControlSettings, consensus: Consensus, applied: Applied) -> Published:
-    view = ReplicaView(consensus.role, consensus.term, consensus.commit, None, (), float("-inf"))
+    never_s = float("-inf")
+    view = ReplicaView(consensus.role, consensus.term, consensus.commit, None, (), never_s, never_s)
     return Published(
         instance=settings.instance,
         process=Incarnation(uuid4().hex),
--- a/src/lycheefall/_control/step.py
+++ b/src/lycheefall/_control/step.py
@@ -15,10 +15,9 @@
     ToStep,
 )
 from lycheefall._control.sync import Sync
-from lycheefall._core.enums import ReplicaRole
 from lycheefall._core.messages.consensus import Replica, ToPeer
 from lycheefall._core.pipeline import Inbox
-from lycheefall._rules.consensus.replication import has_lease
+from lycheefall._rules.consensus import replication
 from lycheefall._rules.consensus.state import (
     Committed,
     Consensus,
@@ -97,16 +96,14 @@
 
 
 def _view(state: Consensus, now_s: float) -> ReplicaView:
-    if state.role is ReplicaRole.LEADER:
-        alive = has_lease(state, now_s)
-        settled_until_s = now_s + state.timing.lease_s if alive else now_s
-    else:
-        settled_until_s = state.heard_s + state.timing.presence_s
+    lease_until_s = replication.lease_until_s(state, now_s)
+    heard_until_s = state.heard_s + state.timing.presence_s
     return ReplicaView(
         state.role,
         state.term,
         state.commit,
         None if state.leader is None else state.leader.client_address,
         tuple(each.id.instance for each in voters(state)),
-        settled_until_s if state.settled else float("-inf"),
+        max(lease_until_s, heard_until_s) if state.settled else float("-inf"),
+        lease_until_s if state.settled else float("-inf"),
     )
--- a/src/lycheefall/_rules/consensus/replication.py
+++ b/src/lycheefall/_rules/consensus/replication.py
@@ -55,9 +55,14 @@
     Voters refuse to vote for the election timeout after a message of the leader, so no other
     leader can exist while this holds.
     """
+    return now_s < lease_until_s(state, now_s)
+
+
+def lease_until_s(state: Consensus, now_s: float) -> float:
+    """Return the time at which the lease ends."""
     if state.role is not ReplicaRole.LEADER:
-        return False
-    return now_s - _quorum_acked_s(state, now_s) < state.timing.lease_s
+        return float("-inf")
+    return _quorum_acked_s(state, now_s) + state.timing.lease_s
 
 
 def _quorum_acked_s(state: Consensus, now_s: float) -> float:
--- a/tests/processes/scaffold.py
+++ b/tests/processes/scaffold.py
@@ -14,9 +14,18 @@
 from pathlib import Path
 
 from lycheefall._control.client import ControlClient, new_client, run_client
-from lycheefall._core.ids import Address, Revision
-from lycheefall._core.messages.control import ApplyFile, Changes, FileResult, StatusReport
+from lycheefall._core.ids import Address, Incarnation, Revision
+from lycheefall._core.messages.control import (
+    ApplyFile,
+    Changes,
+    FileResult,
+    StatusQuery,
+    StatusReport,
+    Watch,
+)
 from lycheefall._rules.replicated.revisions import digest_of
+from lycheefall._wire.codec import decode_from_control, encode
+from lycheefall._wire.zmq_ends import DealerEnd
 
 TESTS = Path(__file__).resolve().parents[1]
 START_TIMEOUT_S = 10.0
@@ -215,6 +224,7 @@
             "voters": voters,
             "data_folder": str(spec.folder),
             "snapshot_entries": self.snapshot_entries,
+            "timing": self.timing,
         }
         return subprocess.Popen(
             [sys.executable, "-m", "processes.replica", json.dumps(fields)],
@@ -255,7 +265,7 @@
 
 @contextlib.asynccontextmanager
 async def client_of(
-    addresses: tuple[Address, ...], watch: Callable[[Changes], None] = lambda changes: None
+    addresses: tuple[Address, ...], watch: Callable[[Changes], bool] = lambda changes: True
 ) -> AsyncIterator[ControlClient]:
     """Run a control client for a test."""
     client = new_client()
@@ -273,6 +283,16 @@
     return ApplyFile(Revision(replaces), digest_of(text), text)
 
 
+def collector(seen: list[Changes]) -> Callable[[Changes], bool]:
+    """Return a watch function that keeps everything."""
+
+    def keep(changes: Changes) -> bool:
+        seen.append(changes)
+        return True
+
+    return keep
+
+
 async def apply_file(
     client: ControlClient, replaces: int, number: int, timeout_s: float = 5.0
 ) -> FileResult:
@@ -282,11 +302,38 @@
     return result
 
 
-async def status_of(address: Address, timeout_s: float = 2.0) -> StatusReport:
+async def ask(
+    address: Address, message: StatusQuery | Watch, timeout_s: float = 2.0
+) -> StatusReport | Changes:
+    """Ask exactly this replica; a client would follow it to the leader."""
+    reply: asyncio.Future[StatusReport | Changes] = asyncio.get_running_loop().create_future()
+
+    def receive(payload: bytes) -> None:
+        if not reply.done():
+            reply.set_result(decode_from_control(payload))
+
+    end = DealerEnd(address, receive)
+    try:
+        async with asyncio.timeout(timeout_s):
+            while not end.send(encode(message)):  # noqa: ASYNC110 - no event tells of it
+                await asyncio.sleep(POLL_S)
+            return await reply
+    finally:
+        end.close()
+
+
+async def status_of(address: Address) -> StatusReport:
     """Return the status of one replica."""
-    async with client_of((address,)) as client:
-        await asyncio.sleep(POLL_S)
-        return await client.status(timeout_s)
+    report = await ask(address, StatusQuery(1))
+    assert isinstance(report, StatusReport)
+    return report
+
+
+async def watched(address: Address, revision: int) -> Changes:
+    """Return what one replica answers a watcher that has this revision."""
+    changes = await ask(address, Watch(1, Revision(revision), Incarnation(""), 0))
+    assert isinstance(changes, Changes)
+    return changes
 
 
 async def leader_of(made: Cluster, names: tuple[str, ...], timeout_s: float = 5.0) -> str:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -9,7 +9,7 @@
 from lycheefall._core.ids import DataCentreId, InstanceId
 from lycheefall._core.messages.control import Changes
 from processes.replica import parse_number
-from processes.scaffold import apply_file, client_of, eventually, free_addresses
+from processes.scaffold import apply_file, client_of, collector, eventually, free_addresses
 
 
 def settings_of_three(folder: Path) -> list[ControlSettings]:
@@ -41,7 +41,7 @@
         try:
             async with (
                 client_of(tuple(each.client_listen for each in replicas)) as client,
-                client_of((replicas[2].client_listen,), seen.append),
+                client_of((replicas[2].client_listen,), collector(seen)),
             ):
                 result = await apply_file(client, 0, 7)
                 assert (result.code, result.revision) == (ResultCode.OK, 1)
--- /dev/null
+++ b/tests/test_history.py
@@ -0,0 +1,33 @@
+"""Tests of the linearizability checker that the process tests use."""
+
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.ids import Digest, Revision
+from lycheefall._core.messages.control import ApplyFile, FileResult
+from processes.history import Call, is_linearizable
+
+
+def call(begin_s: float, end_s: float, replaces: int, own: str, revision: int, winner: str) -> Call:
+    """Return an answered call; it was accepted if the winner is its own digest."""
+    code = ResultCode.OK if own == winner else ResultCode.FILE_CONFLICT
+    command = ApplyFile(Revision(replaces), Digest(own), own)
+    return Call(command, begin_s, end_s, FileResult(code, Revision(revision), Digest(winner)))
+
+
+class TestHistory:
+    def test_good(self) -> None:
+        """Guards against a checker that refuses a correct history."""
+        assert is_linearizable(
+            [call(0, 2, 0, "a", 1, "a"), call(1, 3, 0, "b", 1, "a"), call(3, 4, 1, "c", 2, "c")]
+        )
+
+    def test_two_winners(self) -> None:
+        """Guards against two accepted files under one number."""
+        assert not is_linearizable([call(0, 1, 0, "a", 1, "a"), call(0, 1, 0, "b", 1, "b")])
+
+    def test_winner_from_the_future(self) -> None:
+        """Guards against a conflict with a file that was not sent yet."""
+        assert not is_linearizable([call(0, 1, 0, "b", 1, "a"), call(2, 3, 0, "a", 1, "a")])
+
+    def test_lost_revision(self) -> None:
+        """Guards against an accepted file that a later answer does not know."""
+        assert not is_linearizable([call(0, 1, 0, "a", 1, "a"), call(2, 3, 1, "c", 0, "")])
--- /dev/null
+++ b/tests/test_publish.py
@@ -0,0 +1,116 @@
+"""Tests of membership and of the answers to watches."""
+
+from msgspec import structs
+
+from lycheefall._control.membership import on_announce, remove_silent
+from lycheefall._control.messages import AppliedView, ReplicaView
+from lycheefall._control.publish import Published, changes
+from lycheefall._core.configuration import Configuration
+from lycheefall._core.enums import MemberState, ReplicaRole, UpstreamKind
+from lycheefall._core.ids import (
+    Address,
+    DataCentreId,
+    Incarnation,
+    InstanceId,
+    LogIndex,
+    PoolId,
+    Revision,
+    Term,
+    UpstreamId,
+)
+from lycheefall._core.messages.control import Changes, Watch
+from lycheefall._core.messages.membership import Announce, UpstreamMember
+
+MEMBER = UpstreamMember(
+    UpstreamId("u"),
+    InstanceId("i"),
+    DataCentreId("cork-a"),
+    PoolId("p"),
+    UpstreamKind.SERVICE,
+    Address("127.0.0.1:1"),
+    Incarnation("one"),
+    MemberState.READY,
+    8,
+)
+
+
+def published(settled_until_s: float = 100.0, lease_until_s: float = 100.0) -> Published:
+    """Return a replica's view with revision 3 in force."""
+    view = ReplicaView(
+        ReplicaRole.LEADER, Term(1), LogIndex(5), None, (), settled_until_s, lease_until_s
+    )
+    applied = AppliedView(LogIndex(5), Configuration(revision=Revision(3)), 0)
+    return Published(instance=InstanceId("a"), process=Incarnation("p"), view=view, applied=applied)
+
+
+def watch(state: Published, revision: int = 3, version: int = 0, now_s: float = 0.0) -> Changes:
+    """Return the answer to a watch."""
+    return changes(state, Watch(1, Revision(revision), Incarnation("p"), version), now_s)
+
+
+class TestRevision:
+    def test_change_is_delivered_once(self) -> None:
+        """Guards against a configuration that is sent with every poll."""
+        assert watch(published(), 2).configuration is not None
+        assert watch(published(), 3).configuration is None
+
+    def test_stale_replica_knows_nothing(self) -> None:
+        """Guards against an isolated replica that gives out what it held."""
+        answer = watch(published(settled_until_s=1.0), 2, now_s=1.0)
+        assert (answer.revision, answer.configuration) == (0, None)
+
+    def test_first_copy_needs_a_lease(self) -> None:
+        """Guards against a first copy from a follower."""
+        state = published(lease_until_s=0.0)
+        assert watch(state, 0).configuration is None
+        assert watch(state, 1).configuration is not None
+
+    def test_entries_not_yet_applied(self) -> None:
+        """Guards against a revision from before the committed one."""
+        state = published()
+        state.view = structs.replace(state.view, commit=LogIndex(6))
+        assert watch(state, 2).configuration is None
+
+
+class TestMembership:
+    def test_delta(self) -> None:
+        """Guards against a change that a watcher misses, or gets with every poll."""
+        state = published()
+        on_announce(state.members, Announce(MEMBER, 1), 0.0)
+        first = watch(state)
+        assert (first.full, first.members) == (True, (MEMBER,))
+        on_announce(state.members, Announce(MEMBER, 2), 0.5)
+        assert watch(state, version=first.membership_version).members == ()
+        draining = structs.replace(MEMBER, state=MemberState.DRAINING)
+        on_announce(state.members, Announce(draining, 3), 0.6)
+        second = watch(state, version=first.membership_version)
+        assert (second.full, second.members) == (False, (draining,))
+
+    def test_silent_member_is_removed(self) -> None:
+        """Guards against new work for a member without heartbeats."""
+        state = published()
+        on_announce(state.members, Announce(MEMBER, 1), 0.0)
+        version = watch(state).membership_version
+        remove_silent(state.members, 1.0)
+        assert watch(state, version=version).removed_upstreams == ()
+        remove_silent(state.members, 1.1)
+        assert watch(state, version=version).removed_upstreams == ("u",)
+        on_announce(state.members, Announce(MEMBER, 2), 1.2)
+        assert watch(state, version=version).members == (MEMBER,)
+
+    def test_late_heartbeat(self) -> None:
+        """Guards against a late heartbeat that brings back an older state."""
+        state = published()
+        draining = structs.replace(MEMBER, state=MemberState.DRAINING)
+        on_announce(state.members, Announce(draining, 2), 0.0)
+        on_announce(state.members, Announce(MEMBER, 1), 0.1)
+        assert watch(state).members == (draining,)
+
+    def test_replaced_incarnation(self) -> None:
+        """Guards against a heartbeat of a process that was replaced."""
+        state = published()
+        on_announce(state.members, Announce(MEMBER, 9), 0.0)
+        restarted = structs.replace(MEMBER, incarnation=Incarnation("two"))
+        on_announce(state.members, Announce(restarted, 1), 0.1)
+        on_announce(state.members, Announce(MEMBER, 10), 0.2)
+        assert watch(state).members == (restarted,)
