--- a/src/lycheefall/_control/client.py
+++ b/src/lycheefall/_control/client.py
@@ -52,12 +52,6 @@
     reply: asyncio.Future[Result]
 
 
-class Forget(Struct, frozen=True):
-    """Stop sending a command whose caller gave up."""
-
-    command_id: CommandId
-
-
 class Ask(Struct, frozen=True):
     """Ask the connected replica for its status."""
 
@@ -71,7 +65,7 @@
     message: FromControl
 
 
-ToClient = Poll | Submit | Forget | Ask | Received | Announce
+ToClient = Poll | Submit | Ask | Received | Announce
 
 
 class Pending(Struct, eq=False):
@@ -126,8 +120,6 @@
                 return await reply
         except TimeoutError:
             raise ControlUnavailable(f"no result of {chosen} within {timeout_s} s") from None
-        finally:
-            self.inbox.offer(Forget(chosen))
 
     async def status(self, timeout_s: float) -> StatusReport:
         """Return the status of the replica that is connected."""
@@ -185,8 +177,6 @@
             pending = Pending(message.command, message.reply, now_s)
             state.pending[message.command_id] = pending
             _send_command(state, message.command_id, pending, now_s)
-        case Forget():
-            state.pending.pop(message.command_id, None)
         case Ask():
             state.sequence += 1
             state.asked[state.sequence] = message.reply
@@ -203,6 +193,8 @@
     is_silent = now_s - state.heard_s > SILENT_AFTER_S
     if is_down or is_silent or now_s - state.current_s > STALE_AFTER_S:
         _connect_next(state, inbox, now_s)
+    # The reply of a caller that gave up is cancelled.
+    state.pending = {key: each for key, each in state.pending.items() if not each.reply.done()}
     for command_id, pending in state.pending.items():
         if now_s >= pending.send_due_s:
             _send_command(state, command_id, pending, now_s)
