Let the entry and the agent refuse changes that their inbox has no room for

Cause: the watch of the control client asks whether a change was taken, so that it is delivered again; the entry and the agent did not say.

Change: both return False when an inbox is full. mypy failed before and passes after; the whole-path test passes.

--- a/src/lycheefall/_agent/service.py
+++ b/src/lycheefall/_agent/service.py
@@ -162,16 +162,18 @@
 
 def _on_changes(
     settings: AgentSettings, announcer: Announcer, inbox: Inbox[ToCheck]
-) -> Callable[[Changes], None]:
+) -> Callable[[Changes], bool]:
     entries: dict[str, Address] = {}
 
-    def on_changes(changes: Changes) -> None:
+    def on_changes(changes: Changes) -> bool:
         if changes.configuration is not None:
-            inbox.offer(ConfigurationSeen(changes.configuration))
+            if not inbox.offer(ConfigurationSeen(changes.configuration)):
+                return False
             log(Event.CONFIGURATION_IN_FORCE, revision=changes.configuration.revision)
         # Entries that control no longer lists are kept: control may be the part that is cut off.
         entries.update(_announce_addresses(changes.members))
         announcer.send_to(set(settings.control) | set(entries.values()))
+        return True
 
     return on_changes
 
--- a/src/lycheefall/_entry/service.py
+++ b/src/lycheefall/_entry/service.py
@@ -171,11 +171,12 @@
             self.links.disconnect(message.upstream)
         self.dispatch.offer(message)
 
-    def on_changes(self, changes: Changes) -> None:
-        """Take what control says has changed."""
-        if changes.configuration is not None:
-            self._configure(changes.configuration)
+    def on_changes(self, changes: Changes) -> bool:
+        """Take what control says has changed; False when there was no room for it."""
+        if changes.configuration is not None and not self._configure(changes.configuration):
+            return False
         self._learn_entries(changes)
+        return True
 
     def present(self, state: MemberState) -> None:
         """Announce this entry with a state."""
@@ -195,14 +196,16 @@
         """Return the entries that a team may use."""
         return choose_entries(self.directory, team)
 
-    def _configure(self, configuration: Configuration) -> None:
+    def _configure(self, configuration: Configuration) -> bool:
+        changed = ConfigurationChanged(configuration)
+        if not (self.queue.offer(changed) and self.dispatch.offer(changed)):
+            return False
         self.acceptor.catalogue.publish(build_catalogue(configuration))
         put_in_force(self.directory, configuration.directory)
-        self.queue.offer(ConfigurationChanged(configuration))
-        self.dispatch.offer(ConfigurationChanged(configuration))
         if not self.acceptor.draining:
             self.present(MemberState.READY)
         log(Event.CONFIGURATION_IN_FORCE, revision=configuration.revision)
+        return True
 
     def _learn_entries(self, changes: Changes) -> None:
         if changes.full:
