Drain a ZeroMQ socket after a failed send as well

Cause: a failed send consumes the event of a message that has arrived, just as a successful one does, but the drain was scheduled only after success.

Change: the drain is scheduled in a finally clause. The new test lets a message arrive while the loop does not run and then sends to an unknown peer.

Before: the new test fails. After: it passes (20 messages in turn).

--- a/src/lycheefall/_wire/zmq_ends.py
+++ b/src/lycheefall/_wire/zmq_ends.py
@@ -68,7 +68,9 @@
             self._socket.send_multipart(parts, zmq.NOBLOCK)
         except zmq.ZMQError:
             return False
-        self._schedule()
+        finally:
+            # A send that fails consumes the event of a received message as well.
+            self._schedule()
         return True
 
     def close(self) -> None:
--- a/tests/processes/scaffold.py
+++ b/tests/processes/scaffold.py
@@ -315,7 +315,7 @@
     end = DealerEnd(address, receive)
     try:
         async with asyncio.timeout(timeout_s):
-            while not end.send(encode(message)):  # noqa: ASYNC110 - no event tells of it
+            while not end.send(encode(message)):
                 await asyncio.sleep(POLL_S)
             return await reply
     finally:
--- a/tests/test_zmq_ends.py
+++ b/tests/test_zmq_ends.py
@@ -1,6 +1,7 @@
 """Tests of the ZeroMQ ends."""
 
 import asyncio
+import select
 import socket
 
 import pytest
@@ -49,6 +50,27 @@
         assert not dealer.send(b"lost")
         dealer.close()
 
+    async def test_message_before_a_failed_send(self) -> None:
+        """Guards against a received message that waits since a failed send took its event."""
+        address = free_address()
+        received: list[bytes] = []
+        router = RouterEnd(address, lambda peer, payload: received.append(payload))
+        dealer = DealerEnd(address, lambda payload: None)
+        while not dealer.send(b"first"):
+            await asyncio.sleep(0.01)
+        while not received:
+            await asyncio.sleep(0.01)
+        for number in range(20):
+            assert dealer.send(b"%d" % number)
+            # The message arrives while the loop does not run.
+            select.select([], [], [], 0.005)
+            assert not router.send(b"unknown peer", b"lost")
+            async with asyncio.timeout(1.0):
+                while received[-1] != b"%d" % number:
+                    await asyncio.sleep(0)
+        dealer.close()
+        router.close()
+
     async def test_port_in_use(self) -> None:
         """Guards against a second process that starts on a taken port."""
         address = free_address()
