Add the public modules, a log line for each routing decision, and counters

Cause: nothing outside the underscore modules could be imported by name; the entry logged only the ends of requests, and its statsd setting had no effect.

--- a/src/lycheefall/_agent/service.py
+++ b/src/lycheefall/_agent/service.py
@@ -26,12 +26,12 @@
 from lycheefall._control.client import new_client, run_client
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.configuration import Limits
-from lycheefall._core.enums import MemberState
+from lycheefall._core.enums import AttemptState, MemberState
 from lycheefall._core.events import Event
 from lycheefall._core.ids import Address, Incarnation
 from lycheefall._core.log import log, warn
 from lycheefall._core.messages.control import Changes
-from lycheefall._core.messages.dispatch import Dispatch, Refused, ToEntry
+from lycheefall._core.messages.dispatch import Dispatch, Refused, Resolved, ToEntry
 from lycheefall._core.messages.membership import EntryMember, Member, UpstreamMember
 from lycheefall._core.pipeline import Inbox, run_owner, tick
 from lycheefall._core.process import new_incarnation, run_until
@@ -136,7 +136,7 @@
     def emit(message: FromCheck) -> None:
         match message:
             case ToPeer():
-                _log_refusal(message.message)
+                _log_check(message.message)
                 send(message.peer, message.message)
             case Forward():
                 attempts.start(message)
@@ -150,14 +150,12 @@
     return emit
 
 
-def _log_refusal(message: ToEntry) -> None:
+def _log_check(message: ToEntry) -> None:
     if isinstance(message, Refused):
-        log(
-            Event.ATTEMPT_REFUSED,
-            request=message.request,
-            attempt=message.attempt,
-            code=int(message.code),
-        )
+        code = message.code
+        log(Event.ATTEMPT_REFUSED, request=message.request, attempt=message.attempt, code=int(code))
+    elif isinstance(message, Resolved) and message.state is AttemptState.RELEASED:
+        log(Event.ATTEMPT_RELEASED, request=message.request, attempt=message.attempt)
 
 
 def _on_changes(
--- /dev/null
+++ b/src/lycheefall/_entry/decisions.py
@@ -0,0 +1,79 @@
+"""Write one log line for each routing decision of an entry, and count it."""
+
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.events import Event
+from lycheefall._core.log import log
+from lycheefall._core.messages.dispatch import Cancel, Dispatch
+from lycheefall._core.messages.entry import DispatchClaimed, ReplyEnd, ToLink
+from lycheefall._operate.metrics import Count
+
+
+def log_link_message(message: ToLink, count: Count) -> None:
+    """Log an attempt that is dispatched or cancelled."""
+    sent = message.message
+    if isinstance(sent, Dispatch):
+        _log_dispatch(message, sent, count)
+    elif isinstance(sent, Cancel):
+        count("cancels", 1)
+        log(
+            Event.REQUEST_CANCELLED,
+            request=sent.request,
+            attempt=sent.attempt,
+            upstream=message.upstream,
+        )
+
+
+def _log_dispatch(message: ToLink, dispatch: Dispatch, count: Count) -> None:
+    event = _event_of(dispatch)
+    count(f"attempts.{event.name.lower()}", 1)
+    log(
+        event,
+        request=dispatch.request,
+        attempt=dispatch.attempt,
+        upstream=message.upstream,
+        priority=dispatch.priority,
+        kind=dispatch.kind.value,
+        resumed_tokens=len(dispatch.resume_tokens),
+        alone=dispatch.alone,
+    )
+
+
+def _event_of(dispatch: Dispatch) -> Event:
+    if dispatch.resume_tokens:
+        return Event.STREAM_RESUMED
+    return Event.REQUEST_ROUTED if dispatch.attempt == 1 else Event.ATTEMPT_RETRIED
+
+
+def log_claim(claimed: DispatchClaimed, count: Count) -> None:
+    """Log a claim that is committed."""
+    event = Event.CLAIM_GRANTED if claimed.attempt == 1 else Event.CLAIM_REASSIGNED
+    count(f"claims.{event.name.lower()}", 1)
+    log(
+        event,
+        request=claimed.request,
+        key=claimed.token.key,
+        team=claimed.token.team,
+        attempt=claimed.attempt,
+        upstream=claimed.upstream,
+    )
+
+
+def log_end(end: ReplyEnd, count: Count) -> None:
+    """Log the end of a request."""
+    count(f"answers.{int(end.code)}", 1)
+    log(
+        _end_event(end.code),
+        request=end.request,
+        code=int(end.code),
+        upstream=end.upstream,
+        attempts=end.attempts,
+        detail=end.detail,
+    )
+
+
+def _end_event(code: ResultCode) -> Event:
+    if code is ResultCode.REPLAYED:
+        return Event.CLAIM_REPLAYED
+    if code is ResultCode.FINGERPRINT_REFUSED:
+        return Event.FINGERPRINT_REFUSED
+    return Event.REQUEST_REFUSED if code >= ResultCode.BAD_JSON else Event.REQUEST_ANSWERED
--- a/src/lycheefall/_entry/service.py
+++ b/src/lycheefall/_entry/service.py
@@ -23,6 +23,7 @@
     CallEnded,
     Capacity,
     ConfigurationChanged,
+    DispatchClaimed,
     EntriesSeen,
     FramesRead,
     FromBooking,
@@ -46,10 +47,12 @@
 from lycheefall._core.process import new_incarnation, run_until
 from lycheefall._entry.accept import Acceptor, build_application
 from lycheefall._entry.catalogue import build_catalogue
+from lycheefall._entry.decisions import log_claim, log_end, log_link_message
 from lycheefall._entry.links import Links
 from lycheefall._entry.queue import QueueState, step_queue
 from lycheefall._entry.settings import EntrySettings
 from lycheefall._entry.upstreams import UpstreamTable, receive_announce, step_upstreams
+from lycheefall._operate.metrics import Count, Metrics, ignore_counts
 from lycheefall._rules.bookings import BookingsState, step_bookings
 from lycheefall._rules.call_state import CallsState
 from lycheefall._rules.calls import step_calls
@@ -68,6 +71,7 @@
 
 INBOX_MESSAGES = 50_000
 TICK_S = 0.05
+METRICS_PREFIX = "lycheefall.entry"
 # Control has a new leader within 2 s of losing one; a proposal is repeated until then.
 PROPOSAL_TIMEOUT_S = 4.0
 
@@ -80,6 +84,7 @@
         "announcer",
         "bookings",
         "client",
+        "count",
         "directory",
         "dispatch",
         "incarnation",
@@ -92,8 +97,9 @@
         "upstreams",
     )
 
-    def __init__(self, settings: EntrySettings) -> None:
+    def __init__(self, settings: EntrySettings, count: Count) -> None:
         self.settings = settings
+        self.count = count
         self.incarnation = new_incarnation()
         self.joins: Inbox[Submit | Abandon | ReplyEnd] = Inbox(INBOX_MESSAGES)
         self.queue: Inbox[ToQueue] = Inbox(INBOX_MESSAGES)
@@ -134,6 +140,7 @@
         """Pass on what the dispatch filter emits."""
         match message:
             case ToLink():
+                log_link_message(message, self.count)
                 self.links.send(message.upstream, message.message)
             case ReplyTokens():
                 self.acceptor.reply(message)
@@ -152,8 +159,10 @@
             task = asyncio.create_task(self._propose(message))
             self.proposals.add(task)
             task.add_done_callback(self.proposals.discard)
-        else:
-            self.dispatch.offer(message)
+            return
+        if isinstance(message, DispatchClaimed):
+            log_claim(message, self.count)
+        self.dispatch.offer(message)
 
     async def _propose(self, proposal: ProposeFor) -> None:
         try:
@@ -222,14 +231,7 @@
 
     def _answer(self, end: ReplyEnd) -> None:
         self.acceptor.reply(end)
-        event = Event.REQUEST_REFUSED if end.code >= ResultCode.BAD_JSON else Event.REQUEST_ANSWERED
-        log(
-            event,
-            request=end.request,
-            code=int(end.code),
-            upstream=end.upstream,
-            attempts=end.attempts,
-        )
+        log_end(end, self.count)
 
 
 async def run_entry(
@@ -238,7 +240,8 @@
     on_ready: Callable[[], None] = lambda: None,
 ) -> None:
     """Run an entry until it is told to stop and its requests have ended."""
-    parts = Parts(settings)
+    metrics = Metrics(settings.statsd, METRICS_PREFIX) if settings.statsd else None
+    parts = Parts(settings, metrics.count if metrics else ignore_counts)
     parts.present(MemberState.STARTING)
     parts.announcer.send_to(set(settings.control))
     announcements = RouterEnd(settings.announce_listen, receive_announce(parts.upstreams.offer))
@@ -267,6 +270,7 @@
             parts.announcer.run(),
             run_client(parts.client, settings.control, parts.on_changes),
             _drain(stop, parts, runner, drained),
+            *([metrics.run()] if metrics else []),
         )
     finally:
         await runner.cleanup()
--- a/src/lycheefall/_entry/upstreams.py
+++ b/src/lycheefall/_entry/upstreams.py
@@ -5,6 +5,7 @@
 import msgspec
 from msgspec import Struct
 
+from lycheefall._core.enums import MemberState
 from lycheefall._core.events import Event
 from lycheefall._core.ids import UpstreamId
 from lycheefall._core.log import log, warn
@@ -43,11 +44,23 @@
     if known is not None and _is_late(known, member, message.sequence):
         return state, []
     state.heard[member.upstream] = Heard(member, message.sequence, now_s)
-    if known is None:
-        log(Event.UPSTREAM_SEEN, upstream=member.upstream, address=member.address)
+    _log_change(member, known.member.state if known else None)
     return state, [UpstreamHeard(member, message.sequence)]
 
 
+_STATE_EVENTS = {
+    MemberState.DRAINING: Event.UPSTREAM_DRAINING,
+    MemberState.FAILED: Event.UPSTREAM_FAILED,
+}
+
+
+def _log_change(member: UpstreamMember, before: MemberState | None) -> None:
+    if member.state is before:
+        return
+    event = _STATE_EVENTS.get(member.state, Event.UPSTREAM_SEEN)
+    log(event, upstream=member.upstream, address=member.address, state=member.state.value)
+
+
 def _is_late(known: Heard, member: UpstreamMember, sequence: int) -> bool:
     return known.member.incarnation == member.incarnation and sequence <= known.sequence
 
--- a/src/lycheefall/_operate/cli.py
+++ b/src/lycheefall/_operate/cli.py
@@ -7,7 +7,9 @@
 
 import defopt
 
+from lycheefall._core.events import Event
 from lycheefall._core.exceptions import LycheefallError
+from lycheefall._core.log import warn
 from lycheefall._operate import commands
 from lycheefall._operate.settings import environment_flags
 
@@ -34,6 +36,7 @@
         )
     except LycheefallError as error:
         print(f"lycheefall: {error}", file=sys.stderr)
+        warn(Event.START_FAILED, code=int(error.code), detail=error.detail)
         raise SystemExit(1) from error
 
 
--- /dev/null
+++ b/src/lycheefall/agent.py
@@ -0,0 +1,6 @@
+"""An agent as a task."""
+
+from lycheefall._agent.service import run_agent
+from lycheefall._agent.settings import AgentSettings
+
+__all__ = ["AgentSettings", "run_agent"]
--- /dev/null
+++ b/src/lycheefall/configuration.py
@@ -0,0 +1,27 @@
+"""Configuration files and their accepted form."""
+
+from lycheefall._core.configuration import (
+    Configuration,
+    Directory,
+    Group,
+    Limits,
+    Pool,
+    Priority,
+    Route,
+    Team,
+)
+from lycheefall._operate.configuration_file import digest_of, parse_configuration, replaces_of
+
+__all__ = [
+    "Configuration",
+    "Directory",
+    "Group",
+    "Limits",
+    "Pool",
+    "Priority",
+    "Route",
+    "Team",
+    "digest_of",
+    "parse_configuration",
+    "replaces_of",
+]
--- /dev/null
+++ b/src/lycheefall/control.py
@@ -0,0 +1,14 @@
+"""A control replica as a task, and the client of control."""
+
+from lycheefall._control.client import ControlClient, new_client, run_client
+from lycheefall._control.service import run_control
+from lycheefall._control.settings import ControlSettings, Voter
+
+__all__ = [
+    "ControlClient",
+    "ControlSettings",
+    "Voter",
+    "new_client",
+    "run_client",
+    "run_control",
+]
--- /dev/null
+++ b/src/lycheefall/entry.py
@@ -0,0 +1,6 @@
+"""An entry as a task."""
+
+from lycheefall._entry.service import run_entry
+from lycheefall._entry.settings import EntrySettings
+
+__all__ = ["EntrySettings", "run_entry"]
--- /dev/null
+++ b/src/lycheefall/exceptions.py
@@ -0,0 +1,33 @@
+"""Errors with a result code."""
+
+from lycheefall._core.codes import ResultCode, http_status, run_state
+from lycheefall._core.exceptions import (
+    ControlUnavailable,
+    DataFolderUnusable,
+    DiskFull,
+    FileFieldError,
+    FileReferenceError,
+    FileSyntaxError,
+    LogDamaged,
+    LycheefallError,
+    PortInUse,
+    RequestRefused,
+    SettingInvalid,
+)
+
+__all__ = [
+    "ControlUnavailable",
+    "DataFolderUnusable",
+    "DiskFull",
+    "FileFieldError",
+    "FileReferenceError",
+    "FileSyntaxError",
+    "LogDamaged",
+    "LycheefallError",
+    "PortInUse",
+    "RequestRefused",
+    "ResultCode",
+    "SettingInvalid",
+    "http_status",
+    "run_state",
+]
--- /dev/null
+++ b/src/lycheefall/rules.py
@@ -0,0 +1,42 @@
+"""Decisions as deterministic functions, to embed without a daemon."""
+
+from lycheefall._rules.admission import AdmissionState, Admitted, Item, Outcome, Refused
+from lycheefall._rules.choice import Wish, choose, own_upstreams
+from lycheefall._rules.directory import EntriesAnswer, EntryDirectory
+from lycheefall._rules.fairness import FairQueue
+from lycheefall._rules.limits import UpstreamLimit
+from lycheefall._rules.retries import HedgeTimes, RetryAdvice, RetryBudgets
+from lycheefall._rules.routing import (
+    Ask,
+    Picker,
+    least_requests,
+    random_choice,
+    two_choices,
+    weighted_two_choices,
+)
+from lycheefall._rules.upstreams import Table
+
+__all__ = [
+    "AdmissionState",
+    "Admitted",
+    "Ask",
+    "EntriesAnswer",
+    "EntryDirectory",
+    "FairQueue",
+    "HedgeTimes",
+    "Item",
+    "Outcome",
+    "Picker",
+    "Refused",
+    "RetryAdvice",
+    "RetryBudgets",
+    "Table",
+    "UpstreamLimit",
+    "Wish",
+    "choose",
+    "least_requests",
+    "own_upstreams",
+    "random_choice",
+    "two_choices",
+    "weighted_two_choices",
+]
