Name the environment variables in the help, and test the settings

Cause: the help of a subcommand did not name the variable of each flag, and no test held the errors of settings.

--- a/src/lycheefall/_operate/cli.py
+++ b/src/lycheefall/_operate/cli.py
@@ -1,17 +1,19 @@
 """The command line: one command, `lycheefall`, with a subcommand for each program."""
 
+import functools
 import inspect
 import sys
 from collections.abc import Callable
 from typing import Any
 
 import defopt
+import structlog
 
 from lycheefall._core.events import Event
 from lycheefall._core.exceptions import LycheefallError
 from lycheefall._core.log import warn
 from lycheefall._operate import commands
-from lycheefall._operate.settings import environment_flags
+from lycheefall._operate.settings import environment_flags, environment_name
 
 COMMANDS: tuple[Callable[..., None], ...] = (
     commands.entry,
@@ -30,16 +32,32 @@
     given = sys.argv[1:] if arguments is None else arguments
     try:
         defopt.run(
-            {command.__name__: command for command in COMMANDS},
+            {command.__name__: with_variables(command) for command in COMMANDS},
             argv=with_environment(given),
             no_negated_flags=True,
         )
     except LycheefallError as error:
         print(f"lycheefall: {error}", file=sys.stderr)
-        warn(Event.START_FAILED, code=int(error.code), detail=error.detail)
+        if structlog.is_configured():
+            warn(Event.START_FAILED, code=int(error.code), detail=error.detail)
         raise SystemExit(1) from error
 
 
+def with_variables(command: Callable[..., None]) -> Callable[..., None]:
+    """Name the environment variable of each setting in the help of a subcommand."""
+
+    @functools.wraps(command)
+    def documented(*arguments: Any, **settings: Any) -> None:
+        command(*arguments, **settings)
+
+    text = inspect.getdoc(command) or ""
+    for each in _settings(command):
+        start = f":param {each.name}: "
+        text = text.replace(start, f"{start}[{environment_name(each.name)}] ")
+    documented.__doc__ = text
+    return documented
+
+
 def with_environment(arguments: list[str]) -> list[str]:
     """Add the settings that environment variables give to the arguments of a subcommand."""
     name = next((each for each in arguments if not each.startswith("-")), "")
