Keep members by one rule in control and in entries

Cause: the membership rule stood three times: in _rules/membership.py, in a small version in _control and in the entry's table of heartbeats. Control's version counted each change of load as a change of membership, so every poll of a watcher carried all members.

Before: with 19 agents and 4 entries each answer to a watch carried up to 23 members.

--- a/src/lycheefall/_control/publish.py
+++ b/src/lycheefall/_control/publish.py
@@ -1,23 +1,21 @@
 """Filter that owns the membership and answers watches and status queries."""
 
 from collections.abc import Callable
-from typing import TypeVar
 
 from msgspec import Struct, field
 
-from lycheefall._control.membership import (
-    Members,
-    members_since,
-    on_announce,
-    remove_silent,
-)
 from lycheefall._control.messages import AppliedView, ClientMessage, ReplicaView, ToPublish
-from lycheefall._core.ids import NO_REVISION, Incarnation, InstanceId, Revision
+from lycheefall._core.ids import NO_REVISION, Incarnation, InstanceId, Revision, UpstreamId
 from lycheefall._core.messages.control import Changes, FromControl, StatusQuery, StatusReport, Watch
 from lycheefall._core.messages.membership import Announce
 from lycheefall._core.pipeline import Inbox
+from lycheefall._rules import membership
+from lycheefall._rules.membership import MemberKey, MemberKind, MembershipState, Sweep
 
-T = TypeVar("T")
+# A member is left out after this time without a heartbeat.
+SILENT_AFTER_S = 1.0
+# Version of a watcher whose copy does not come from this process.
+_NO_VERSION = -1
 
 
 class Published(Struct, eq=False, kw_only=True):
@@ -28,7 +26,7 @@
     process: Incarnation
     view: ReplicaView
     applied: AppliedView
-    members: Members = field(default_factory=Members)
+    members: MembershipState = field(default_factory=lambda: membership.initial(SILENT_AFTER_S))
 
 
 async def run_publish(
@@ -59,12 +57,12 @@
 ) -> None:
     match message.message:
         case Announce():
-            on_announce(state.members, message.message, now_s)
+            membership.step(state.members, message.message, now_s)
         case Watch():
-            remove_silent(state.members, now_s)
+            membership.step(state.members, Sweep(), now_s)
             answer(message.peer, changes(state, message.message, now_s))
         case StatusQuery():
-            remove_silent(state.members, now_s)
+            membership.step(state.members, Sweep(), now_s)
             answer(message.peer, _report(state, message.message))
 
 
@@ -83,25 +81,25 @@
 def changes(state: Published, watch: Watch, now_s: float) -> Changes:
     """Return what changed since a watcher's revision and membership version."""
     revision = known_revision(state, watch, now_s)
-    is_delta = watch.replica == state.process and watch.membership_version > 0
-    since = watch.membership_version if is_delta else 0
-    members = state.members
+    is_known = watch.replica == state.process and watch.membership_version > 0
+    since = watch.membership_version if is_known else _NO_VERSION
+    delta = membership.changes_since(state.members, since)
     return Changes(
         watch.sequence,
         state.process,
         state.view.leader,
         revision,
         state.applied.configuration if revision > watch.revision else None,
-        members.version,
-        not is_delta,
-        members_since(members, since),
-        _removed(members.removed_upstreams, since) if is_delta else (),
-        _removed(members.removed_entries, since) if is_delta else (),
+        delta.version,
+        delta.full,
+        delta.members,
+        tuple(UpstreamId(name) for name in _names(delta.removed, MemberKind.UPSTREAM)),
+        tuple(InstanceId(name) for name in _names(delta.removed, MemberKind.ENTRY)),
     )
 
 
-def _removed(removed: dict[T, int], since: int) -> tuple[T, ...]:
-    return tuple(name for name, version in removed.items() if version > since)
+def _names(keys: tuple[MemberKey, ...], kind: MemberKind) -> list[str]:
+    return [key.name for key in keys if key.kind is kind]
 
 
 def _report(state: Published, query: StatusQuery) -> StatusReport:
@@ -116,6 +114,6 @@
         state.view.voters,
         configuration.revision,
         configuration.digest,
-        members_since(state.members, 0),
+        membership.changes_since(state.members, _NO_VERSION).members,
         state.applied.claims,
     )
--- a/src/lycheefall/_entry/service.py
+++ b/src/lycheefall/_entry/service.py
@@ -51,8 +51,9 @@
 from lycheefall._entry.links import Links
 from lycheefall._entry.queue import QueueState, step_queue
 from lycheefall._entry.settings import EntrySettings
-from lycheefall._entry.upstreams import UpstreamTable, receive_announce, step_upstreams
+from lycheefall._entry.upstreams import FORGET_S, receive_announce, step_upstreams
 from lycheefall._operate.metrics import Count, Metrics, ignore_counts
+from lycheefall._rules import membership
 from lycheefall._rules.bookings import BookingsState, step_bookings
 from lycheefall._rules.call_state import CallsState
 from lycheefall._rules.calls import step_calls
@@ -261,7 +262,12 @@
                 step_bookings,
                 parts.from_bookings,
             ),
-            run_owner(parts.upstreams, UpstreamTable(), step_upstreams, parts.from_upstreams),
+            run_owner(
+                parts.upstreams,
+                membership.initial(FORGET_S),
+                step_upstreams,
+                parts.from_upstreams,
+            ),
             tick(parts.queue, Tick(), TICK_S),
             tick(parts.dispatch, Tick(), TICK_S),
             tick(parts.bookings, Tick(), TICK_S),
