Use the resume rule of streams for all answers of an entry

Cause: calls.py had its own copy of the rule for frames and ends, and after a gap it resumed elsewhere without cancelling the attempt that still ran. Change: a call holds a StreamState; calls.py acts on the effects of _rules/streams.py, and a gap cancels the attempt. Conclusion: the rule stands once, and a lost frame leaves no work behind.

--- a/src/lycheefall/_rules/call_state.py
+++ b/src/lycheefall/_rules/call_state.py
@@ -21,6 +21,7 @@
 from lycheefall._rules.choice import choose as choose_from
 from lycheefall._rules.retries import RetryBudgets
 from lycheefall._rules.routing import Picker
+from lycheefall._rules.streams import StreamState
 from lycheefall._rules.upstreams import AttemptKey, Table
 
 # Frames that may wait for one caller to read them.
@@ -40,13 +41,18 @@
     # Where the table of upstreams counts the call; times it was counted.
     occupied: AttemptKey | None = None
     occupations: int = 0
-    tokens: list[str] = field(default_factory=list)
+    stream: StreamState | None = None
     unread_frames: int = 0
     tried: set[UpstreamId] = field(default_factory=set)
     # An attempt may have run without its end being known.
     lost: bool = False
     parked_s: float | None = None
 
+    @property
+    def tokens(self) -> list[str]:
+        """Return the tokens that went to the caller."""
+        return self.stream.delivered if self.stream is not None else []
+
 
 class CallsState(Struct, eq=False):
     """Requests and upstreams of one entry."""
--- a/src/lycheefall/_rules/calls.py
+++ b/src/lycheefall/_rules/calls.py
@@ -38,7 +38,7 @@
     UpstreamHeard,
     UpstreamLeft,
 )
-from lycheefall._rules import limits, retries, upstreams
+from lycheefall._rules import limits, retries, streams, upstreams
 from lycheefall._rules.booking_calls import (
     booking_answered,
     dispatch_claimed,
@@ -143,10 +143,18 @@
     state.parked.pop(call.call.request, None)
     call.parked_s = None
     call.attempt = AttemptNumber(call.attempt + 1)
+    _begin_stream(call, now_s)
     occupy(state, call, upstream, now_s)
     return [ToLink(upstream, make_dispatch(state, call, now_s))]
 
 
+def _begin_stream(call: Call, now_s: float) -> None:
+    if call.stream is None:
+        call.stream = streams.initial(call.call.request, call.attempt)
+    else:
+        streams.step(call.stream, streams.AttemptBegun(call.attempt), now_s)
+
+
 def _park(state: CallsState, call: Call, otherwise: ResultCode, now_s: float) -> list[FromDispatch]:
     if call.parked_s is None:
         call.parked_s = now_s
@@ -179,10 +187,8 @@
     if not isinstance(message, Frame) and (call is None or is_booking(call)):
         return [BookingReply(message)]
     match message:
-        case Frame():
-            return _frame(state, message, now_s)
-        case Finished():
-            return _finished(state, message, now_s)
+        case Frame() | Finished():
+            return _streamed(state, message, now_s)
         case Refused():
             return _refused(state, source, message, now_s)
         case Started() | Resolved():
@@ -194,32 +200,41 @@
     return call if call is not None and call.attempt == attempt else None
 
 
-def _frame(state: CallsState, frame: Frame, now_s: float) -> list[FromDispatch]:
-    call = _current(state, frame.request, frame.attempt)
-    if call is None or call.occupied is None:
-        return []
-    known = len(call.tokens)
-    if frame.sequence > known:
-        return _lost(state, call, ResultCode.UPSTREAM_LOST, now_s)
-    fresh = frame.tokens[known - frame.sequence :]
-    if not fresh:
+def _streamed(state: CallsState, message: Frame | Finished, now_s: float) -> list[FromDispatch]:
+    call = state.calls.get(message.request)
+    if call is None or call.stream is None or call.occupied is None:
         return []
-    begun(state, call, now_s)
-    call.tokens.extend(fresh)
-    call.unread_frames += 1
-    return [ReplyTokens(frame.request, fresh)]
+    _, (effect,) = streams.step(call.stream, message, now_s)
+    match effect:
+        case streams.Deliver():
+            begun(state, call, now_s)
+            call.unread_frames += 1
+            return [ReplyTokens(message.request, effect.tokens)]
+        case streams.Completed():
+            return _answered(state, call, effect.finished, now_s)
+        case streams.AttemptEnded():
+            return _attempt_ended(state, call, effect, now_s)
+        case streams.Dropped():
+            return []
 
 
-def _finished(state: CallsState, finished: Finished, now_s: float) -> list[FromDispatch]:
-    call = _current(state, finished.request, finished.attempt)
-    if call is None or call.occupied is None:
-        return []
-    is_short = finished.code is ResultCode.OK and finished.token_count != len(call.tokens)
-    if finished.code is ResultCode.UPSTREAM_LOST or is_short:
-        return _lost(state, call, ResultCode.UPSTREAM_LOST, now_s)
+def _attempt_ended(
+    state: CallsState, call: Call, ended: streams.AttemptEnded, now_s: float
+) -> list[FromDispatch]:
+    """Resume after a loss; an upstream that answered with an error has the last word."""
+    finished = ended.finished
+    if finished is not None and finished.code is not ResultCode.UPSTREAM_LOST:
+        return _answered(state, call, finished, now_s)
+    # After a gap the attempt still runs.
+    cancel = _cancel(call) if ended.reason is streams.EndReason.GAP else []
+    return cancel + _lost(state, call, ResultCode.UPSTREAM_LOST, now_s)
+
+
+def _answered(
+    state: CallsState, call: Call, finished: Finished, now_s: float
+) -> list[FromDispatch]:
     if not call.tokens:
         begun(state, call, now_s)
-    failed = finished.code is not ResultCode.OK
     reply = ReplyEnd(
         request=finished.request,
         code=finished.code,
@@ -230,7 +245,7 @@
         upstream=call.upstream,
         attempts=call.attempt,
     )
-    return [reply, close(state, call, now_s, failed=failed)]
+    return [reply, close(state, call, now_s, failed=finished.code is not ResultCode.OK)]
 
 
 def _refused(
@@ -262,6 +277,8 @@
     """Try elsewhere after an attempt that may have run."""
     leave(state, call, now_s, failed=True)
     call.lost = True
+    if call.stream is not None:
+        streams.step(call.stream, streams.AttemptLost(call.attempt), now_s)
     # A stream that resumes repeats no tokens; any other retry is new work for the upstreams.
     if not call.tokens and not retries.spend(state.budgets, call.call.team):
         detail = "the upstream was lost and the retry budget is spent"
--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,109 @@
+"""Tests of what an entry does with the frames of its attempts."""
+
+from typing import Any
+
+import pytest
+
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.configuration import Route
+from lycheefall._core.enums import MemberState, RouteKind, UpstreamKind
+from lycheefall._core.messages.dispatch import Cancel, Dispatch, Finished, Frame
+from lycheefall._core.messages.entry import (
+    CallerRequest,
+    FromAgent,
+    LinkUp,
+    ReplyEnd,
+    ReplyTokens,
+    Run,
+    ToLink,
+    UpstreamHeard,
+)
+from lycheefall._core.messages.membership import Load, UpstreamMember
+from lycheefall._rules.call_state import CallsState
+from lycheefall._rules.calls import step_calls
+from lycheefall._rules.routing import weighted_two_choices
+
+ANSWER = tuple("abcdef")
+LOAD = Load(0, 0, 0, 0.0, 0.0)
+
+
+def request(name: str = "r", **changes: Any) -> CallerRequest:
+    """Return a chat request."""
+    fields: dict[str, Any] = {
+        "request": name,
+        "team": "t",
+        "priority": "p",
+        "rank": 0,
+        "route": Route(
+            name="chat", kind=RouteKind.CHAT, pools=("pool",), timeout_s=20.0, priority="p"
+        ),
+        "method": "POST",
+        "path": "/",
+        "content_type": "",
+        "body": b"{}",
+        "stream": True,
+        "model": "m",
+        "arrived_s": 0.0,
+        "deadline_s": 20.0,
+        "cost_tokens": 1,
+        "prompt_tokens": 1,
+        "fingerprint": f"print of {name}",
+    }
+    return CallerRequest(**(fields | changes))
+
+
+class Entry:
+    """The calls of one entry with three engines."""
+
+    def __init__(self) -> None:
+        self.state = CallsState("entry-0", weighted_two_choices())  # type: ignore[arg-type]
+        for number in range(3):
+            member = UpstreamMember(
+                *(f"u{number}", f"i{number}", "dc", "pool", UpstreamKind.ENGINE, "a"),  # type: ignore[arg-type]
+                *("1", MemberState.READY, 16, LOAD),  # type: ignore[arg-type]
+            )
+            self.send(UpstreamHeard(member, 1))
+            self.send(LinkUp(member.upstream, member.incarnation))
+
+    def send(self, message: Any, now_s: float = 0.0) -> list[Any]:
+        return step_calls(self.state, message, now_s)[1]
+
+    def dispatched(self, results: list[Any]) -> ToLink:
+        (link,) = [
+            each
+            for each in results
+            if isinstance(each, ToLink) and isinstance(each.message, Dispatch)
+        ]
+        return link
+
+
+class TestFrames:
+    @pytest.fixture
+    def entry(self) -> Entry:
+        return Entry()
+
+    def test_gap(self, entry: Entry) -> None:
+        """Guards against a lost frame that is skipped, and an attempt that runs on for nobody."""
+        first = entry.dispatched(entry.send(Run(request())))
+        entry.send(FromAgent(first.upstream, Frame("r", 1, 0, ANSWER[:2])))  # type: ignore[arg-type]
+        results = entry.send(FromAgent(first.upstream, Frame("r", 1, 3, ANSWER[3:])))  # type: ignore[arg-type]
+        assert ToLink(first.upstream, Cancel("r", 1)) in results  # type: ignore[arg-type]
+        second = entry.dispatched(results).message
+        assert isinstance(second, Dispatch)
+        assert (second.attempt, second.resume_tokens) == (2, ANSWER[:2])
+
+    def test_late_duplicated_and_short(self, entry: Entry) -> None:
+        """Guards against tokens of an old attempt or sent twice, and an end that comes too soon."""
+        first = entry.dispatched(entry.send(Run(request()))).upstream
+        entry.send(FromAgent(first, Frame("r", 1, 0, ANSWER[:2])))  # type: ignore[arg-type]
+        assert entry.send(FromAgent(first, Frame("r", 1, 0, ANSWER[:2]))) == []  # type: ignore[arg-type]
+        short = Finished("r", 1, ResultCode.OK, token_count=6)  # type: ignore[arg-type]
+        second = entry.dispatched(entry.send(FromAgent(first, short))).upstream
+        late = Frame("r", 1, 2, ("wrong",))  # type: ignore[arg-type]
+        assert entry.send(FromAgent(first, late)) == []
+        overlapping = Frame("r", 2, 1, ANSWER[1:])  # type: ignore[arg-type]
+        assert entry.send(FromAgent(second, overlapping)) == [ReplyTokens("r", ANSWER[2:])]  # type: ignore[arg-type]
+        whole = Finished("r", 2, ResultCode.OK, token_count=6)  # type: ignore[arg-type]
+        end = entry.send(FromAgent(second, whole))[0]
+        assert isinstance(end, ReplyEnd)
+        assert (end.code, end.attempts) == (ResultCode.OK, 2)
