Notice connections that ZeroMQ replaced; stop answers nobody takes

Cause: after a broken TCP connection ZeroMQ reconnects by itself. The agent then sends the frames of running attempts to a peer that is gone, while heartbeats go on, so a stream waited until its timeout. An agent also ran attempts on for an entry that had died. Change: Pong names the connection, and an entry takes a new name as a lost link; an agent stops an answer whose frame can't be sent. A refusal that comes after an earlier attempt was lost no longer ends as "not run".

--- a/src/lycheefall/_agent/check.py
+++ b/src/lycheefall/_agent/check.py
@@ -112,8 +112,10 @@
                 load.kv_used_ratio,
                 load.age_s + now_s - state.load_read_s,
             )
-            pong = Pong(message.sequence, state.member.incarnation, state.member.state, aged)
-            return [ToPeer(received.peer, pong)]
+            member = state.member
+            peer = received.peer
+            pong = Pong(message.sequence, member.incarnation, member.state, aged, peer)
+            return [ToPeer(peer, pong)]
 
 
 def _dispatch(state: CheckState, peer: bytes, dispatch: Dispatch, now_s: float) -> list[FromCheck]:
--- a/src/lycheefall/_agent/forward.py
+++ b/src/lycheefall/_agent/forward.py
@@ -16,8 +16,12 @@
 EVENT_STREAM = "text/event-stream"
 CONNECT_TIMEOUT_S = 1.0
 
-# Sends a message to the entry that the attempt belongs to.
-Emit = Callable[[ToEntry], None]
+# Sends a message to the entry that the attempt belongs to; False when it did not go out.
+Emit = Callable[[ToEntry], bool]
+
+
+class EntryLost(Exception):
+    """Report that a frame can't reach the entry, which then resumes the stream elsewhere."""
 
 
 class Window:
@@ -70,6 +74,8 @@
         return Refused(dispatch.request, dispatch.attempt, ResultCode.NOT_CONNECTED)
     except TimeoutError:
         return _ended(dispatch, ResultCode.TIMEOUT_AFTER_START)
+    except EntryLost:
+        return _ended(dispatch, ResultCode.CANCELLED_AFTER_START)
     except (aiohttp.ClientError, ConnectionError):
         return _ended(dispatch, ResultCode.UPSTREAM_LOST)
 
@@ -122,7 +128,8 @@
         tokens = tuple(event.token for event in events if event.token)
         if tokens:
             await window.take()
-            emit(Frame(dispatch.request, dispatch.attempt, progress.tokens, tokens))
+            if not emit(Frame(dispatch.request, dispatch.attempt, progress.tokens, tokens)):
+                raise EntryLost
             progress.tokens += len(tokens)
         progress.finish_reason = _last_reason(events) or progress.finish_reason
 
--- a/src/lycheefall/_agent/run_attempts.py
+++ b/src/lycheefall/_agent/run_attempts.py
@@ -11,7 +11,7 @@
 from lycheefall._core.ids import Address
 from lycheefall._core.messages.dispatch import Cancel, Credit, ToEntry
 
-SendToPeer = Callable[[bytes, ToEntry], None]
+SendToPeer = Callable[[bytes, ToEntry], bool]
 
 
 class Attempts:
--- a/src/lycheefall/_agent/service.py
+++ b/src/lycheefall/_agent/service.py
@@ -21,7 +21,7 @@
     ToPeer,
 )
 from lycheefall._agent.report import report_load
-from lycheefall._agent.run_attempts import Attempts
+from lycheefall._agent.run_attempts import Attempts, SendToPeer
 from lycheefall._agent.settings import AgentSettings
 from lycheefall._control.client import new_client, run_client
 from lycheefall._core.codes import ResultCode
@@ -57,8 +57,8 @@
     announcer.send_to(set(settings.control))
     router = RouterEnd(settings.listen, lambda peer, payload: _receive(peer, payload, inbox, send))
 
-    def send(peer: bytes, message: ToEntry) -> None:
-        router.send(peer, encode(message))
+    def send(peer: bytes, message: ToEntry) -> bool:
+        return router.send(peer, encode(message))
 
     attempts = Attempts(settings.upstream_address, settings.kind, send, _deliver_end(inbox))
     on_changes = _on_changes(settings, announcer, inbox)
@@ -92,16 +92,14 @@
         settings.data_centre,
         settings.pool,
         settings.kind,
-        settings.listen,
+        settings.announce_as or settings.listen,
         incarnation,
         MemberState.STARTING,
         settings.concurrency,
     )
 
 
-def _receive(
-    peer: bytes, payload: bytes, inbox: Inbox[ToCheck], send: Callable[[bytes, ToEntry], None]
-) -> None:
+def _receive(peer: bytes, payload: bytes, inbox: Inbox[ToCheck], send: SendToPeer) -> None:
     try:
         message = decode_to_agent(payload)
     except msgspec.DecodeError as error:
@@ -129,7 +127,7 @@
 
 def _emit(
     attempts: Attempts,
-    send: Callable[[bytes, ToEntry], None],
+    send: SendToPeer,
     announcer: Announcer,
     drained: asyncio.Event,
 ) -> Callable[[FromCheck], None]:
--- a/src/lycheefall/_core/messages/dispatch.py
+++ b/src/lycheefall/_core/messages/dispatch.py
@@ -138,6 +138,8 @@
     incarnation: Incarnation
     state: MemberState
     load: Load
+    # The agent's name for the connection; what it sent over an earlier one may be lost.
+    connection: bytes = b""
 
 
 ToEntry = Started | Refused | Frame | Finished | Resolved | Pong
--- a/src/lycheefall/_entry/links.py
+++ b/src/lycheefall/_entry/links.py
@@ -23,7 +23,15 @@
 class Link:
     """One connection to an agent."""
 
-    __slots__ = ("address", "end", "heard_s", "incarnation", "pinged_s", "sequence")
+    __slots__ = (
+        "address",
+        "connection",
+        "end",
+        "heard_s",
+        "incarnation",
+        "pinged_s",
+        "sequence",
+    )
 
     def __init__(self, address: Address, now_s: float) -> None:
         self.address = address
@@ -32,6 +40,7 @@
         self.pinged_s = 0.0
         self.sequence = 0
         self.incarnation: Incarnation | None = None
+        self.connection = b""
 
 
 class Links:
@@ -117,17 +126,20 @@
             return
         link.heard_s = self._clock()
         if isinstance(message, Pong):
-            self._learn(upstream, link, message.incarnation)
+            self._learn(upstream, link, message)
         self._pass(upstream, message)
 
-    def _learn(self, upstream: UpstreamId, link: Link, incarnation: Incarnation) -> None:
-        if link.incarnation == incarnation:
+    def _learn(self, upstream: UpstreamId, link: Link, pong: Pong) -> None:
+        # ZeroMQ replaces a broken connection by itself. Frames that were sent over the old one are
+        # lost, and the agent answers attempts that began there to a peer that is gone.
+        if link.incarnation == pong.incarnation and link.connection == pong.connection:
             return
         if link.incarnation is not None:
             self._deliver(LinkDown(upstream, link.incarnation))
-        link.incarnation = incarnation
+        link.incarnation = pong.incarnation
+        link.connection = pong.connection
         log(Event.LINK_OPENED, upstream=upstream, address=link.address)
-        self._deliver(LinkUp(upstream, incarnation))
+        self._deliver(LinkUp(upstream, pong.incarnation))
 
     def _pass(self, upstream: UpstreamId, message: ToEntry) -> None:
         self._deliver(FromAgent(upstream, message))
--- a/src/lycheefall/_operate/commands.py
+++ b/src/lycheefall/_operate/commands.py
@@ -132,6 +132,7 @@
     upstream_address: str,
     listen: str,
     control: str,
+    announce_as: str = "",
     concurrency: str = "16",
     drain_s: str = "60",
     log_form: str = "json",
@@ -147,6 +148,7 @@
     :param upstream_address: IP:PORT where the upstream serves HTTP
     :param listen: IP:PORT where entries connect
     :param control: client addresses of the control replicas, IP:PORT with commas between
+    :param announce_as: IP:PORT where entries connect, if it isn't the listening address
     :param concurrency: requests that the upstream runs at one time
     :param drain_s: longest wait of a shutdown for attempts that run, in seconds
     :param log_form: json or console
@@ -165,6 +167,7 @@
         control=checks.checked_addresses("control", control),
         concurrency=int(number),
         drain_s=_drain_s(drain_s),
+        announce_as=checks.checked_address("announce_as", announce_as) if announce_as else None,
     )
     run_daemon(partial(run_agent, settings))
 
--- a/src/lycheefall/_rules/calls.py
+++ b/src/lycheefall/_rules/calls.py
@@ -252,14 +252,16 @@
     state: CallsState, source: UpstreamId, refused: Refused, now_s: float
 ) -> list[FromDispatch]:
     call = _current(state, refused.request, refused.attempt)
-    if call is None or call.occupied is None:
+    # The refused copy of a duplicate is the second one; the first one started.
+    if call is None or call.occupied is None or refused.code is ResultCode.DUPLICATE_ATTEMPT:
         return []
     leave(state, call, now_s)
     _learn_refusal(state, source, refused.code, now_s)
+    # A refusal speaks of its own attempt only; an earlier one may have run.
+    code = ResultCode.UPSTREAM_LOST if call.lost else refused.code
     if retries.advise(refused.code, True) is RetryAdvice.NEVER:
-        return end(state, call, refused.code, "the agent refused the attempt", now_s)
+        return end(state, call, code, "the agent refused the attempt", now_s)
     # A refused attempt cost the upstream nothing, so it takes nothing from the retry budget.
-    code = ResultCode.UPSTREAM_LOST if call.lost else refused.code
     return _attempt(state, call, code, now_s)
 
 
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -196,8 +196,11 @@
         flags = ["lycheefall", "agent", "--instance", f"host-{upstream}"]
         flags += ["--data-centre", f"dc-{int(number) % 3}", "--upstream", upstream]
         flags += ["--pool", pool, "--kind", kind, "--control", self.control]
-        flags += ["--upstream-address", self.addresses[upstream]]
-        return [*flags, "--listen", self.addresses[f"{kind}-agent-{number}"]]
+        flags += ["--upstream-address", self._reach(upstream)]
+        listener = f"{kind}-agent-{number}"
+        if listener in self.detours:
+            flags += ["--announce-as", self.detours[listener]]
+        return [*flags, "--listen", self.addresses[listener]]
 
     def apply(self, text: str) -> subprocess.CompletedProcess[str]:
         """Apply a configuration file with the command line."""
@@ -269,3 +272,17 @@
                 return served and response.status == 200
         except aiohttp.ClientError:
             return False
+
+
+async def kill(fleet: Fleet, name: str, pause_s: float) -> None:
+    """End a process and start it again."""
+    fleet.kill(name)
+    await asyncio.sleep(pause_s)
+    fleet.start(name)
+
+
+async def freeze(fleet: Fleet, name: str, pause_s: float) -> None:
+    """Stop a process for a time."""
+    fleet.pause(name)
+    await asyncio.sleep(pause_s)
+    fleet.resume(name)
--- a/tests/processes/test_bookings_under_faults.py
+++ b/tests/processes/test_bookings_under_faults.py
@@ -11,7 +11,7 @@
 import aiohttp
 import pytest
 
-from processes.fleet import Fleet, configuration_text
+from processes.fleet import Fleet, configuration_text, freeze, kill
 from processes.test_whole_path import TEAM, time_ms
 
 SEEDS = (11, 12)
@@ -80,20 +80,6 @@
         await asyncio.sleep(0.01)
 
 
-async def kill(fleet: Fleet, name: str, pause_s: float) -> None:
-    """End a process and start it again."""
-    fleet.kill(name)
-    await asyncio.sleep(pause_s)
-    fleet.start(name)
-
-
-async def freeze(fleet: Fleet, name: str, pause_s: float) -> None:
-    """Stop a process for a time."""
-    fleet.pause(name)
-    await asyncio.sleep(pause_s)
-    fleet.resume(name)
-
-
 async def break_things(fleet: Fleet, rng: random.Random, until_s: float) -> Counter[str]:
     """Kill and freeze one process at a time."""
     loop = asyncio.get_running_loop()
