Write each event at the level that its table states

Cause: docs/events.md gives each event a level and operators are told that lines of level error are alarms, but every line was written as info or warning.

Change: _core/events.py holds the levels, log() uses them, and the test of the tables compares them.

Measured: with the levels left out, the test fails at START_FAILED, the first row with another level; with them it passes.

--- a/src/lycheefall/_agent/service.py
+++ b/src/lycheefall/_agent/service.py
@@ -29,7 +29,7 @@
 from lycheefall._core.enums import AttemptState, MemberState
 from lycheefall._core.events import Event
 from lycheefall._core.ids import Address, Incarnation
-from lycheefall._core.log import log, warn
+from lycheefall._core.log import log
 from lycheefall._core.messages.control import Changes
 from lycheefall._core.messages.dispatch import Dispatch, Refused, Resolved, ToEntry
 from lycheefall._core.messages.membership import EntryMember, Member, UpstreamMember
@@ -103,7 +103,7 @@
     try:
         message = decode_to_agent(payload)
     except msgspec.DecodeError as error:
-        warn(Event.FRAME_DROPPED, detail=str(error))
+        log(Event.FRAME_DROPPED, detail=str(error))
         return
     if inbox.offer(FromEntry(peer, message)):
         return
--- a/src/lycheefall/_core/events.py
+++ b/src/lycheefall/_core/events.py
@@ -1,6 +1,6 @@
 """Numbered log events; docs/events.md explains each one."""
 
-from enum import IntEnum
+from enum import Enum, IntEnum
 
 
 class Event(IntEnum):
@@ -53,3 +53,36 @@
     EPOCH_ABORTED = 7002
     EXPERTS_PLACED = 7003
     STEP_REFUSED = 7004
+
+
+class Level(Enum):
+    """Level of a log line."""
+
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+_LEVELS = {
+    Event.START_FAILED: Level.ERROR,
+    Event.ATTEMPT_RETRIED: Level.WARNING,
+    Event.STREAM_RESUMED: Level.WARNING,
+    Event.FRAME_DROPPED: Level.WARNING,
+    Event.UPSTREAM_FAILED: Level.ERROR,
+    Event.LINK_SILENT: Level.WARNING,
+    Event.CONTROL_LOST: Level.ERROR,
+    Event.FILE_REFUSED: Level.WARNING,
+    Event.VOTERS_CHANGED: Level.WARNING,
+    Event.LOG_TAIL_CUT: Level.WARNING,
+    Event.LOG_DAMAGED: Level.ERROR,
+    Event.DISK_FULL: Level.ERROR,
+    Event.FINGERPRINT_REFUSED: Level.ERROR,
+    Event.CRASH_SUSPECTED: Level.ERROR,
+    Event.EPOCH_ABORTED: Level.WARNING,
+    Event.STEP_REFUSED: Level.ERROR,
+}
+
+
+def level_of(event: Event) -> Level:
+    """Return the level of an event; lines of level ERROR are alarms."""
+    return _LEVELS.get(event, Level.INFO)
--- a/src/lycheefall/_core/log.py
+++ b/src/lycheefall/_core/log.py
@@ -4,16 +4,17 @@
 
 import structlog
 
-from lycheefall._core.events import Event
+from lycheefall._core.events import Event, Level, level_of
 
 _logger = structlog.get_logger()
 
 
 def log(event: Event, /, **fields: Any) -> None:
-    """Write one line for a numbered event."""
-    _logger.info(event.name.lower(), number=int(event), **fields)
-
-
-def warn(event: Event, /, **fields: Any) -> None:
-    """Write one line for a numbered event that needs attention."""
-    _logger.warning(event.name.lower(), number=int(event), **fields)
+    """Write one line for a numbered event, at the event's level."""
+    match level_of(event):
+        case Level.INFO:
+            _logger.info(event.name.lower(), number=int(event), **fields)
+        case Level.WARNING:
+            _logger.warning(event.name.lower(), number=int(event), **fields)
+        case Level.ERROR:
+            _logger.error(event.name.lower(), number=int(event), **fields)
--- a/src/lycheefall/_entry/links.py
+++ b/src/lycheefall/_entry/links.py
@@ -7,7 +7,7 @@
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.events import Event
 from lycheefall._core.ids import Address, Incarnation, UpstreamId
-from lycheefall._core.log import log, warn
+from lycheefall._core.log import log
 from lycheefall._core.messages.dispatch import Dispatch, Ping, Pong, Refused, ToAgent, ToEntry
 from lycheefall._core.messages.entry import FromAgent, LinkDown, LinkUp, ToDispatch
 from lycheefall._wire.codec import decode_to_entry, encode
@@ -104,7 +104,7 @@
 
     def _replace(self, upstream: UpstreamId, link: Link) -> None:
         if link.incarnation is not None:
-            warn(Event.LINK_SILENT, upstream=upstream, silence_s=SILENCE_S)
+            log(Event.LINK_SILENT, upstream=upstream, silence_s=SILENCE_S)
         self._lose(upstream, link)
         self._open(upstream)
 
@@ -122,7 +122,7 @@
         try:
             message = decode_to_entry(payload)
         except msgspec.DecodeError as error:
-            warn(Event.FRAME_DROPPED, upstream=upstream, detail=str(error))
+            log(Event.FRAME_DROPPED, upstream=upstream, detail=str(error))
             return
         link.heard_s = self._clock()
         if isinstance(message, Pong):
--- a/src/lycheefall/_entry/service.py
+++ b/src/lycheefall/_entry/service.py
@@ -12,7 +12,7 @@
 from lycheefall._core.events import Event
 from lycheefall._core.exceptions import ControlUnavailable, PortInUse
 from lycheefall._core.ids import Address, InstanceId, TeamId
-from lycheefall._core.log import log, warn
+from lycheefall._core.log import log
 from lycheefall._core.messages.control import Changes, ClaimResult, Failed
 from lycheefall._core.messages.entry import (
     Abandon,
@@ -319,7 +319,7 @@
             await parts.acceptor.idle.wait()
     except TimeoutError:
         cut = len(parts.acceptor.replies)
-        warn(Event.PROCESS_STOPPING, role="entry", detail=f"{cut} requests are still in flight")
+        log(Event.PROCESS_STOPPING, role="entry", detail=f"{cut} requests are still in flight")
     drained.set()
 
 
--- a/src/lycheefall/_entry/upstreams.py
+++ b/src/lycheefall/_entry/upstreams.py
@@ -7,7 +7,7 @@
 from lycheefall._core.enums import MemberState
 from lycheefall._core.events import Event
 from lycheefall._core.ids import UpstreamId
-from lycheefall._core.log import log, warn
+from lycheefall._core.log import log
 from lycheefall._core.messages.entry import Tick, UpstreamHeard, UpstreamLeft
 from lycheefall._core.messages.membership import Announce, UpstreamMember
 from lycheefall._rules import membership
@@ -59,6 +59,6 @@
         try:
             deliver(decode_announce(payload))
         except msgspec.DecodeError as error:
-            warn(Event.FRAME_DROPPED, detail=str(error))
+            log(Event.FRAME_DROPPED, detail=str(error))
 
     return receive
--- a/src/lycheefall/_operate/cli.py
+++ b/src/lycheefall/_operate/cli.py
@@ -11,7 +11,7 @@
 
 from lycheefall._core.events import Event
 from lycheefall._core.exceptions import LycheefallError
-from lycheefall._core.log import warn
+from lycheefall._core.log import log
 from lycheefall._operate import commands
 from lycheefall._operate.settings import environment_flags, environment_name
 
@@ -39,7 +39,7 @@
     except LycheefallError as error:
         print(f"lycheefall: {error}", file=sys.stderr)
         if structlog.is_configured():
-            warn(Event.START_FAILED, code=int(error.code), detail=error.detail)
+            log(Event.START_FAILED, code=int(error.code), detail=error.detail)
         raise SystemExit(1) from error
 
 
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -3,10 +3,9 @@
 from pathlib import Path
 
 from lycheefall._core.codes import ResultCode, http_status, run_state
-from lycheefall._core.events import Event
+from lycheefall._core.events import Event, level_of
 
 DOCS = Path(__file__).parent.parent / "docs"
-LEVELS = {"info", "warning", "error"}
 
 
 def rows_of(name: str) -> list[tuple[str, ...]]:
@@ -32,14 +31,13 @@
 
 class TestEvents:
     def test_rows_match_the_events(self) -> None:
-        """Guards against an event without a row."""
-        expected = [(str(int(event)), event.name) for event in Event]
-        assert [row[:2] for row in rows_of("events.md")] == expected
+        """Guards against an event without a row, or a row with another level."""
+        expected = [(str(int(event)), event.name, level_of(event).value) for event in Event]
+        assert [row[:3] for row in rows_of("events.md")] == expected
 
     def test_each_row_says_what_to_do(self) -> None:
-        """Guards against a row without a level, a meaning or an advice."""
-        for row in rows_of("events.md"):
-            assert len(row) == 5 and row[2] in LEVELS and row[3] and row[4]
+        """Guards against a row without a meaning or an advice."""
+        assert all(len(row) == 5 and row[3] and row[4] for row in rows_of("events.md"))
 
     def test_each_alarm_is_explained(self) -> None:
         """Guards against an alarm that the operators' page doesn't explain."""
