--- /dev/null
+++ b/tests/test_joins.py
@@ -0,0 +1,90 @@
+"""Tests of joining the tries of one booking at one entry."""
+
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.enums import RouteKind
+from lycheefall._core.ids import Fingerprint, IdempotencyKey, RequestId
+from lycheefall._core.messages.entry import (
+    Abandon,
+    CallerRequest,
+    OperationKey,
+    ReplyEnd,
+    Submit,
+)
+from lycheefall._rules.joins import JoinsState, Passed, step_joins
+from requests_for_tests import request, route
+
+
+def booking(name: str, key: str = "k", fingerprint: str = "same") -> CallerRequest:
+    """Return one try of a booking."""
+    return request(
+        name,
+        route=route(RouteKind.BOOKING),
+        operation=OperationKey(IdempotencyKey(key), 0),
+        fingerprint=Fingerprint(fingerprint),
+    )
+
+
+def submit(state: JoinsState, call: CallerRequest) -> list[Passed]:
+    """Return what a try leads to."""
+    return step_joins(state, Submit(call), 0.0)[1]
+
+
+def codes(passed: list[Passed]) -> dict[str, ResultCode]:
+    """Return the code of each answer."""
+    return {each.request: each.code for each in passed if isinstance(each, ReplyEnd)}
+
+
+class TestJoins:
+    def test_retries_wait_for_the_first(self) -> None:
+        """Guards against a retry that takes a slot while the first try runs."""
+        state = JoinsState()
+        first = booking("a")
+        assert submit(state, first) == [Submit(first)]
+        assert submit(state, booking("b")) == []
+        end = ReplyEnd(request=RequestId("a"), code=ResultCode.OK, body=b"booked")
+        _, passed = step_joins(state, end, 0.0)
+        assert codes(passed) == {"a": ResultCode.OK, "b": ResultCode.JOINED}
+        assert {each.body for each in passed if isinstance(each, ReplyEnd)} == {b"booked"}
+        assert submit(state, booking("c")) == [Submit(booking("c"))]
+
+    def test_failure_is_told_to_all(self) -> None:
+        """Guards against a joined retry that is told success when the first try failed."""
+        state = JoinsState()
+        submit(state, booking("a"))
+        submit(state, booking("b"))
+        end = ReplyEnd(request=RequestId("a"), code=ResultCode.OUTCOME_UNKNOWN)
+        _, passed = step_joins(state, end, 0.0)
+        assert codes(passed) == dict.fromkeys("ab", ResultCode.OUTCOME_UNKNOWN)
+
+    def test_other_request_with_the_key(self) -> None:
+        """Guards against a caller that gets the answer to another request."""
+        state = JoinsState()
+        submit(state, booking("a"))
+        assert codes(submit(state, booking("b", fingerprint="other"))) == {
+            "b": ResultCode.KEY_REUSED
+        }
+
+    def test_keys_of_teams_are_their_own(self) -> None:
+        """Guards against joining a booking of another team."""
+        state = JoinsState()
+        submit(state, booking("a"))
+        other = request("b", team="other", operation=OperationKey(IdempotencyKey("k"), 0))
+        assert submit(state, other) == [Submit(other)]
+
+    def test_abandoned_first_try(self) -> None:
+        """Guards against a follower that waits for a try that was dropped."""
+        state = JoinsState()
+        submit(state, booking("a"))
+        submit(state, booking("b"))
+        assert step_joins(state, Abandon(RequestId("a")), 0.0)[1] == []
+        assert step_joins(state, Abandon(RequestId("b")), 0.0)[1] == []
+        end = ReplyEnd(request=RequestId("a"), code=ResultCode.OK)
+        assert codes(step_joins(state, end, 0.0)[1]) == {"a": ResultCode.OK}
+
+    def test_abandoned_alone(self) -> None:
+        """Guards against a key that stays joined to a try that was dropped."""
+        state = JoinsState()
+        submit(state, booking("a"))
+        abandon = Abandon(RequestId("a"))
+        assert step_joins(state, abandon, 0.0)[1] == [abandon]
+        assert submit(state, booking("b")) == [Submit(booking("b"))]
--- /dev/null
+++ b/tests/test_queue.py
@@ -0,0 +1,84 @@
+"""Tests of the queue filter of an entry."""
+
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.configuration import Configuration, Priority, Team
+from lycheefall._core.enums import RouteKind
+from lycheefall._core.ids import IdempotencyKey, RequestId, Revision, TeamId
+from lycheefall._core.messages.entry import (
+    Abandon,
+    CallEnded,
+    Capacity,
+    ConfigurationChanged,
+    FromQueue,
+    OperationKey,
+    ReplyEnd,
+    Run,
+    Submit,
+    Tick,
+    ToQueue,
+)
+from lycheefall._entry.queue import QueueState, step_queue
+from requests_for_tests import POOL, URGENT, request, route
+
+CONFIGURATION = Configuration(
+    revision=Revision(1),
+    priorities=(Priority(name=URGENT, target_s=1.0, worth=1.0, share_ratio=0.1),),
+    teams=(Team(name=TeamId("team")),),
+    routes=(route(), route(RouteKind.BOOKING)),
+)
+
+
+def run(state: QueueState, *messages: ToQueue, now_s: float = 0.0) -> list[FromQueue]:
+    """Apply messages and return what the last one led to."""
+    results: list[FromQueue] = []
+    for message in messages:
+        _, results = step_queue(state, message, now_s)
+    return results
+
+
+def ready(slots: int) -> QueueState:
+    """Return a queue with a configuration and free slots."""
+    state = QueueState()
+    run(state, ConfigurationChanged(CONFIGURATION), Capacity(POOL, slots))
+    return state
+
+
+class TestQueue:
+    def test_release_follows_the_slots(self) -> None:
+        """Guards against more requests at the upstreams than they may run."""
+        state = ready(slots=2)
+        assert run(state, Submit(request("a"))) == [Run(request("a"))]
+        run(state, Submit(request("b")))
+        assert run(state, Submit(request("c"))) == []
+        ended = CallEnded(RequestId("a"), (POOL,), 20)
+        assert run(state, ended, now_s=0.1) == [Run(request("c"))]
+
+    def test_abandoned_request_is_not_run(self) -> None:
+        """Guards against work for a caller that has left the queue."""
+        state = ready(slots=0)
+        assert run(state, Submit(request("a")), Abandon(RequestId("a"))) == []
+        assert run(state, Capacity(POOL, 2), Tick()) == []
+
+    def test_abandoned_after_release(self) -> None:
+        """Guards against an attempt that goes on for a caller that has left."""
+        state = ready(slots=2)
+        abandon = Abandon(RequestId("a"))
+        assert run(state, Submit(request("a")), abandon) == [abandon]
+
+    def test_late_request_is_refused(self) -> None:
+        """Guards against a request that waits past its deadline."""
+        state = ready(slots=0)
+        run(state, Submit(request("a", deadline_s=0.5)))
+        (end,) = run(state, Tick(), now_s=0.6)
+        assert isinstance(end, ReplyEnd)
+        assert end.code is ResultCode.EXPIRED_BEFORE_START
+
+    def test_booking_refused_before_its_claim(self) -> None:
+        """Guards against "not run" for a booking that an earlier try may have run."""
+        state = ready(slots=0)
+        operation = OperationKey(IdempotencyKey("k"), 0)
+        booking = request("a", route=route(RouteKind.BOOKING), operation=operation, deadline_s=0.5)
+        run(state, Submit(booking))
+        (end,) = run(state, Tick(), now_s=0.6)
+        assert isinstance(end, ReplyEnd)
+        assert end.code is ResultCode.CLAIM_UNCONFIRMED
