--- a/src/lycheefall/_agent/forward.py
+++ b/src/lycheefall/_agent/forward.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 import aiohttp
 import msgspec
@@ -47,13 +48,30 @@
 
 
 class Progress:
-    """Tokens that an attempt has passed on."""
+    """What an attempt has sent to the upstream and passed on from it."""
 
-    __slots__ = ("finish_reason", "tokens")
+    __slots__ = ("finish_reason", "sent", "tokens")
 
     def __init__(self, tokens: int) -> None:
         self.tokens = tokens
         self.finish_reason = ""
+        self.sent = False
+
+
+def trace_sent() -> aiohttp.TraceConfig:
+    """Return a trace that marks the progress of a call whose request went out.
+
+    The HTTP client sends an idempotent method once more when a kept connection breaks, and an
+    error of that second try doesn't tell that the first one was sent.
+    """
+    trace = aiohttp.TraceConfig()
+
+    async def mark(session: object, context: Any, params: object) -> None:
+        if isinstance(context.trace_request_ctx, Progress):
+            context.trace_request_ctx.sent = True
+
+    trace.on_request_headers_sent.append(mark)
+    return trace
 
 
 async def forward(
@@ -66,17 +84,20 @@
 ) -> ToEntry:
     """Run one attempt within its remaining time and return the message that ends it."""
     call = _engine if kind is UpstreamKind.ENGINE else _service
+    progress = Progress(len(dispatch.resume_tokens))
     try:
         async with asyncio.timeout(dispatch.remaining_s):
-            return await call(session, upstream, dispatch, window, emit)
+            return await call(session, upstream, dispatch, window, emit, progress)
     except aiohttp.ClientConnectorError:
+        if progress.sent:
+            return _ended(dispatch, ResultCode.UPSTREAM_LOST)
         # No connection was made, so nothing was sent and nothing ran.
         return Refused(dispatch.request, dispatch.attempt, ResultCode.NOT_CONNECTED)
     except TimeoutError:
         return _ended(dispatch, ResultCode.TIMEOUT_AFTER_START)
     except EntryLost:
         return _ended(dispatch, ResultCode.CANCELLED_AFTER_START)
-    except (aiohttp.ClientError, ConnectionError):
+    except (aiohttp.ClientError, ConnectionError, msgspec.DecodeError):
         return _ended(dispatch, ResultCode.UPSTREAM_LOST)
 
 
@@ -95,8 +116,8 @@
     dispatch: Dispatch,
     window: Window,
     emit: Emit,
+    progress: Progress,
 ) -> ToEntry:
-    progress = Progress(len(dispatch.resume_tokens))
     headers = {"Content-Type": "application/json"}
     url = f"http://{upstream}{dispatch.path}"
     async with session.post(url, data=engine_body(dispatch), headers=headers) as response:
@@ -154,6 +175,7 @@
     dispatch: Dispatch,
     window: Window,
     emit: Emit,
+    progress: Progress,
 ) -> ToEntry:
     headers = {"Content-Type": dispatch.content_type or "application/octet-stream"}
     if dispatch.claim is not None:
@@ -161,7 +183,9 @@
         headers["X-Lycheefall-Team"] = dispatch.claim.team
     url = f"http://{upstream}{dispatch.path}"
     body = dispatch.body or None
-    async with session.request(dispatch.method, url, data=body, headers=headers) as response:
+    async with session.request(
+        dispatch.method, url, data=body, headers=headers, trace_request_ctx=progress
+    ) as response:
         return await _whole(dispatch, response)
 
 
--- a/src/lycheefall/_agent/run_attempts.py
+++ b/src/lycheefall/_agent/run_attempts.py
@@ -2,10 +2,11 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 import aiohttp
 
-from lycheefall._agent.forward import Window, cancelled, forward
+from lycheefall._agent.forward import Window, cancelled, forward, trace_sent
 from lycheefall._agent.messages import AttemptEnded, AttemptId, Forward
 from lycheefall._core.enums import RouteKind, UpstreamKind
 from lycheefall._core.ids import Address
@@ -30,11 +31,13 @@
         self._kind = kind
         self._send = send
         self._ended = ended
-        self._kept = aiohttp.ClientSession(connector=_connector(force_close=False))
+        self._kept = aiohttp.ClientSession(
+            connector=_connector(force_close=False), trace_configs=[trace_sent()]
+        )
         # A booking gets a new connection: a kept one may close under the call, and the HTTP
         # client would then send an idempotent method again.
         self._single = aiohttp.ClientSession(connector=_connector(force_close=True))
-        self._tasks: dict[AttemptId, asyncio.Task[None]] = {}
+        self._tasks: dict[AttemptId, asyncio.Task[ToEntry]] = {}
         self._windows: dict[AttemptId, Window] = {}
 
     def start(self, message: Forward) -> None:
@@ -42,7 +45,10 @@
         dispatch = message.dispatch
         attempt = AttemptId(dispatch.request, dispatch.attempt)
         self._windows[attempt] = Window(dispatch.credit)
-        self._tasks[attempt] = asyncio.create_task(self._run(attempt, message))
+        task = asyncio.create_task(self._call(message, self._windows[attempt]))
+        self._tasks[attempt] = task
+        # A task that is cancelled before it first runs executes nothing of its coroutine.
+        task.add_done_callback(partial(self._done, attempt, message))
 
     def steer(self, message: Cancel | Credit) -> None:
         """Pass a cancel or a credit on to the attempt, if it still runs."""
@@ -58,24 +64,25 @@
         await self._kept.close()
         await self._single.close()
 
-    async def _run(self, attempt: AttemptId, message: Forward) -> None:
+    async def _call(self, message: Forward, window: Window) -> ToEntry:
         dispatch = message.dispatch
         booking = dispatch.kind is RouteKind.BOOKING
-        try:
-            result = await forward(
-                self._single if booking else self._kept,
-                self._upstream,
-                self._kind,
-                dispatch,
-                self._windows[attempt],
-                lambda part: self._send(message.peer, part),
-            )
-            ended = AttemptEnded(message.peer, result)
-        except asyncio.CancelledError:
-            ended = cancelled(message.peer, dispatch)
+        return await forward(
+            self._single if booking else self._kept,
+            self._upstream,
+            self._kind,
+            dispatch,
+            window,
+            lambda part: self._send(message.peer, part),
+        )
+
+    def _done(self, attempt: AttemptId, message: Forward, task: asyncio.Task[ToEntry]) -> None:
         del self._tasks[attempt]
         del self._windows[attempt]
-        self._ended(ended)
+        if task.cancelled():
+            self._ended(cancelled(message.peer, message.dispatch))
+        else:
+            self._ended(AttemptEnded(message.peer, task.result()))
 
 
 def _connector(*, force_close: bool) -> aiohttp.TCPConnector:
--- a/src/lycheefall/_fakes/engine.py
+++ b/src/lycheefall/_fakes/engine.py
@@ -42,6 +42,7 @@
     ignore_address,
     json_response,
     print_ready,
+    recorder,
     serve_until,
 )
 from lycheefall._fakes.tokens import expected_tokens
@@ -70,6 +71,8 @@
     fault: Fault = Fault.NONE
     # A prompt that contains this text crashes the engine; empty for none.
     crash_marker: str = ""
+    # Prompts are appended to this file as they arrive; empty for none.
+    requests_file: str = ""
     seed: int = 1
 
 
@@ -78,8 +81,9 @@
     inbox: Inbox[ToBatch] = Inbox(_INBOX_CAPACITY)
     owner = asyncio.create_task(_run_batch(inbox, _initial_state(settings)))
     clock = asyncio.create_task(tick(inbox, TakeLoad(), settings.load_period_s))
+    application = _application(inbox, recorder(settings.requests_file))
     try:
-        await serve_until(_application(inbox), settings.listen, on_ready, owner)
+        await serve_until(application, settings.listen, on_ready, owner)
     finally:
         clock.cancel()
 
@@ -125,9 +129,9 @@
             state = receive(state, message, loop.time())
 
 
-def _application(inbox: Inbox[ToBatch]) -> web.Application:
+def _application(inbox: Inbox[ToBatch], record: Callable[[str], None]) -> web.Application:
     app = web.Application(client_max_size=_MAX_BODY_BYTES)
-    app.router.add_post("/v1/chat/completions", _chat_handler(inbox))
+    app.router.add_post("/v1/chat/completions", _chat_handler(inbox, record))
     app.router.add_get("/load", _question_handler(inbox, ReadLoad))
     app.router.add_get("/cache-events", _cache_events_handler(inbox))
     app.router.add_get("/statistics", _question_handler(inbox, ReadStatistics))
@@ -135,7 +139,7 @@
     return app
 
 
-def _chat_handler(inbox: Inbox[ToBatch]) -> Handler:
+def _chat_handler(inbox: Inbox[ToBatch], record: Callable[[str], None]) -> Handler:
     numbers = count(1)
 
     async def handle(request: web.Request) -> web.StreamResponse:
@@ -143,6 +147,7 @@
             chat = msgspec.json.decode(await request.read(), type=ChatRequest)
         except msgspec.DecodeError as error:
             return json_response({"error": str(error)}, 400)
+        record(prompt_of(chat.messages))
         async with _generation(inbox, next(numbers), chat) as replies:
             if chat.stream:
                 return await _stream(request, chat, replies)
--- a/src/lycheefall/_fakes/service.py
+++ b/src/lycheefall/_fakes/service.py
@@ -28,6 +28,7 @@
     ignore_address,
     json_response,
     print_ready,
+    recorder,
     serve_until,
 )
 
@@ -43,6 +44,8 @@
     listen: Address
     # Executions are appended to this file, one JSON object a line; empty for none.
     executions_file: str = ""
+    # Paths of lookups are appended to this file as they arrive; empty for none.
+    requests_file: str = ""
     service_s: float = 0.005
     max_running: int = 32
     slow_ratio: float = 20.0
@@ -177,7 +180,8 @@
         emit = partial(_emit, inbox, file)
         state = DeskState(settings, settings.fault)
         desk = asyncio.create_task(run_owner(inbox, state, step, emit))
-        await serve_until(_application(inbox), settings.listen, on_ready, desk)
+        application = _application(inbox, recorder(settings.requests_file))
+        await serve_until(application, settings.listen, on_ready, desk)
 
 
 def _open_for_append(path: str) -> AbstractContextManager[BinaryIO | None]:
@@ -240,13 +244,13 @@
     return LoadAnswer(state.running, len(state.waiting), 0, used, 0.0)
 
 
-def _application(inbox: Inbox[ToDesk]) -> web.Application:
+def _application(inbox: Inbox[ToDesk], record: Callable[[str], None]) -> web.Application:
     app = web.Application(client_max_size=_MAX_BODY_BYTES)
     app.router.add_get("/load", _question_handler(inbox, ReadLoad))
     app.router.add_get("/executions", _question_handler(inbox, ReadExecutions))
     app.router.add_post("/fault", fault_handler(inbox.put))
-    app.router.add_get("/{path:.*}", _request_handler(inbox))
-    app.router.add_post("/{path:.*}", _request_handler(inbox))
+    app.router.add_get("/{path:.*}", _request_handler(inbox, record))
+    app.router.add_post("/{path:.*}", _request_handler(inbox, record))
     return app
 
 
@@ -259,7 +263,7 @@
     return handle
 
 
-def _request_handler(inbox: Inbox[ToDesk]) -> Handler:
+def _request_handler(inbox: Inbox[ToDesk], record: Callable[[str], None]) -> Handler:
     async def handle(request: web.Request) -> web.Response:
         replies: Inbox[Reply] = Inbox(1)
         job = Arrive(
@@ -269,6 +273,8 @@
             request.method == "POST",
             replies.offer,
         )
+        if not job.is_booking:
+            record(job.path)
         await inbox.put(job)
         answer = await replies.get()
         return json_response(answer, 500 if isinstance(answer, Failure) else 200)
--- a/src/lycheefall/_fakes/serving.py
+++ b/src/lycheefall/_fakes/serving.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from enum import Enum
+from pathlib import Path
 
 import msgspec
 from aiohttp import web
@@ -50,6 +51,18 @@
     """Report that a fake crashed because it was told to."""
 
 
+def recorder(path: str) -> Callable[[str], None]:
+    """Return a function that appends requests to a file as JSON lines; without a path, nothing."""
+    if not path:
+        return lambda request: None
+
+    def record(request: str) -> None:
+        with Path(path).open("ab") as file:
+            file.write(msgspec.json.encode(request) + b"\n")
+
+    return record
+
+
 def ignore_address(address: Address) -> None:
     """Take the listening address and do nothing."""
 
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -1,10 +1,14 @@
 """Starts the whole system as processes: entries with control, fake upstreams and agents."""
 
 import asyncio
+import contextlib
+import json
 import os
 import signal
 import subprocess
 import sys
+from collections import Counter
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -16,6 +20,8 @@
 SOURCE = Path(__file__).resolve().parents[2] / "src"
 START_TIMEOUT_S = 30.0
 POLL_S = 0.05
+# Longer than the timeout of any route.
+CALLER_TIMEOUT_S = 25.0
 
 CONFIGURATION = """
 replaces = {replaces}
@@ -167,6 +173,7 @@
             return self._entry(int(number))
         fake = f"lycheefall._fakes.{kind}"
         flags = ["--listen", self.addresses[name], *self.fake_flags.get(name, [])]
+        flags += ["--requests-file", str(self.folder / f"{name}.requests")]
         if kind == "service":
             flags += ["--executions-file", str(self.folder / f"{name}.executions")]
         return [fake, *flags]
@@ -228,6 +235,11 @@
         files = [self.folder / f"service-{n}.executions" for n in range(self.services)]
         return [line for file in files if file.exists() for line in file.read_text().splitlines()]
 
+    def requests(self) -> Counter[str]:
+        """Return how often each prompt and each path of a lookup reached a fake."""
+        files = self.folder.glob("*.requests")
+        return Counter(json.loads(line) for file in files for line in file.open())
+
     def kill(self, name: str) -> None:
         """End a process with SIGKILL."""
         process = self.processes.pop(name)
@@ -274,6 +286,22 @@
             return False
 
 
+@contextlib.asynccontextmanager
+async def running(fleet: Fleet) -> AsyncIterator[aiohttp.ClientSession]:
+    """Run a planned fleet with an accepted file."""
+    timeout = aiohttp.ClientTimeout(total=CALLER_TIMEOUT_S)
+    connector = aiohttp.TCPConnector(limit=0)
+    fleet.start_all()
+    try:
+        applied = await asyncio.to_thread(fleet.apply, configuration_text())
+        assert applied.returncode == 0, applied.stderr
+        async with aiohttp.ClientSession(timeout=timeout, connector=connector) as session:
+            await fleet.ready(session)
+            yield session
+    finally:
+        fleet.close()
+
+
 async def kill(fleet: Fleet, name: str, pause_s: float) -> None:
     """End a process and start it again."""
     fleet.kill(name)
--- a/tests/processes/test_streams.py
+++ b/tests/processes/test_streams.py
@@ -1,7 +1,6 @@
 """Answers of chats while engines, agents and links fail in mid-stream."""
 
 import asyncio
-import contextlib
 import random
 from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -13,7 +12,7 @@
 
 from lycheefall._fakes.tokens import expected_tokens
 from processes.chats import Got, ask_chat
-from processes.fleet import Fleet, configuration_text, freeze, kill
+from processes.fleet import Fleet, freeze, kill, running
 from processes.scaffold import Forwarder
 from processes.test_whole_path import TEAM, chat_body
 
@@ -22,8 +21,6 @@
 CALLERS = 24
 ANSWER_TOKENS = 80
 ENGINES = 4
-# Longer than the timeout of a chat.
-ANSWER_TIMEOUT_S = 25.0
 
 
 @dataclass
@@ -135,22 +132,6 @@
     return sum(each["generated_tokens"] for each in counters)
 
 
-@contextlib.asynccontextmanager
-async def running(fleet: Fleet) -> AsyncIterator[aiohttp.ClientSession]:
-    """Run a planned fleet with an accepted file."""
-    timeout = aiohttp.ClientTimeout(total=ANSWER_TIMEOUT_S)
-    connector = aiohttp.TCPConnector(limit=0)
-    fleet.start_all()
-    try:
-        applied = fleet.apply(configuration_text())
-        assert applied.returncode == 0, applied.stderr
-        async with aiohttp.ClientSession(timeout=timeout, connector=connector) as session:
-            await fleet.ready(session)
-            yield session
-    finally:
-        fleet.close()
-
-
 @pytest.fixture
 async def forwarded(tmp_path: Path) -> AsyncIterator[tuple[Fleet, list[Forwarder]]]:
     """Plan a fleet with forwarders between entries and agents."""
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -7,7 +7,7 @@
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.configuration import Route
 from lycheefall._core.enums import MemberState, RouteKind, UpstreamKind
-from lycheefall._core.messages.dispatch import Cancel, Dispatch, Finished, Frame
+from lycheefall._core.messages.dispatch import Cancel, Dispatch, Finished, Frame, Refused
 from lycheefall._core.messages.entry import (
     CallerRequest,
     FromAgent,
@@ -107,3 +107,19 @@
         end = entry.send(FromAgent(second, whole))[0]
         assert isinstance(end, ReplyEnd)
         assert (end.code, end.attempts) == (ResultCode.OK, 2)
+
+    def test_refused_after_loss(self, entry: Entry) -> None:
+        """Guards against "not run" for a request whose earlier attempt may have run."""
+        first = entry.dispatched(entry.send(Run(request()))).upstream
+        lost = Finished("r", 1, ResultCode.UPSTREAM_LOST)  # type: ignore[arg-type]
+        second = entry.dispatched(entry.send(FromAgent(first, lost))).upstream
+        refused = Refused("r", 2, ResultCode.EXPIRED_BEFORE_START)  # type: ignore[arg-type]
+        end = entry.send(FromAgent(second, refused))[0]
+        assert isinstance(end, ReplyEnd)
+        assert end.code is ResultCode.UPSTREAM_LOST
+
+    def test_refused_copy(self, entry: Entry) -> None:
+        """Guards against "not run" for an attempt whose first copy runs."""
+        first = entry.dispatched(entry.send(Run(request()))).upstream
+        refused = Refused("r", 1, ResultCode.DUPLICATE_ATTEMPT)  # type: ignore[arg-type]
+        assert entry.send(FromAgent(first, refused)) == []
