--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -210,7 +210,11 @@
         flags += ["--data-centre", f"dc-{int(number) % 3}", "--upstream", upstream]
         flags += ["--pool", pool, "--kind", kind]
         flags += ["--control", self._control_for(f"{upstream}-agent")]
-        flags += ["--upstream-address", self._reach(upstream), *self.agent_flags]
+        flags += [
+            "--upstream-address",
+            self._reach(upstream, f"{upstream}-agent"),
+            *self.agent_flags,
+        ]
         listener = f"{kind}-agent-{number}"
         if listener in self.detours:
             flags += ["--announce-as", self.detours[listener]]
