--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import signal
 import subprocess
 import sys
+from collections import Counter
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -176,6 +178,7 @@
             return self._entry(int(number))
         fake = f"lycheefall._fakes.{kind}"
         flags = ["--listen", self.addresses[name], *self.fake_flags.get(name, [])]
+        flags += ["--requests-file", str(self.folder / f"{name}.requests")]
         if kind == "service":
             flags += ["--executions-file", str(self.folder / f"{name}.executions")]
         return [fake, *flags]
@@ -248,6 +251,11 @@
         file = self.folder / f"{service}.executions"
         return file.read_text().splitlines() if file.exists() else []
 
+    def requests(self) -> Counter[str]:
+        """Return how often each prompt and each path of a lookup reached a fake."""
+        files = self.folder.glob("*.requests")
+        return Counter(json.loads(line) for file in files for line in file.open())
+
     def kill(self, name: str) -> None:
         """End a process with SIGKILL."""
         process = self.processes.pop(name)
