Run a coordinator of each group in every control replica

Change: decoders for messages to and from ranks; each replica runs a coordinator for each group of the configuration in force, which proposes through a control client and asks every replica for the committed maps. The step task passes such a question on to the state machine, behind all that is committed, only while the leader's lease holds, so the answer is linearizable. [[groups]] gets store_bytes_per_s, which the placement needs. The status shows the last epoch of each group.

--- a/src/lycheefall/_control/apply.py
+++ b/src/lycheefall/_control/apply.py
@@ -4,15 +4,25 @@
 
 from msgspec import Struct, field
 
-from lycheefall._control.messages import AppliedView, Expect, Reject, ToApply, ToPublish, ToStep
+from lycheefall._control.messages import (
+    AppliedView,
+    Expect,
+    Question,
+    Reject,
+    ToApply,
+    ToPublish,
+    ToStep,
+)
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.events import Event
 from lycheefall._core.ids import CommandId, LogIndex
 from lycheefall._core.log import log, warn
 from lycheefall._core.messages.consensus import LogEntry, Membership, Snapshot, Submitted
 from lycheefall._core.messages.control import Failed, FileResult, Proposed, Result
+from lycheefall._core.messages.groups import EpochsInForce
 from lycheefall._core.pipeline import Inbox
 from lycheefall._rules.consensus.state import Committed, Compact, Restore
+from lycheefall._rules.replicated import epochs
 from lycheefall._rules.replicated.machine import Apply, Machine
 from lycheefall._wire.codec import encode
 from lycheefall._wire.consensus_codec import decode_machine
@@ -36,7 +46,7 @@
 class ApplyOutlets(Struct, frozen=True):
     """Where results, snapshots and views go."""
 
-    answer: Callable[[bytes, Proposed], None]
+    answer: Callable[[bytes, Proposed | EpochsInForce], None]
     step: Inbox[ToStep]
     publish: Inbox[ToPublish]
 
@@ -64,6 +74,9 @@
             for command_id in message.command_ids:
                 result = Failed(ResultCode.NOT_LEADER, "ask the leader", message.leader)
                 _answer(state, command_id, result, outlets)
+        case Question():
+            held = epochs.in_force(state.machine.epochs, message.question)
+            outlets.answer(message.peer, held)
         case Restore():
             restored(state, message.snapshot)
         case Committed():
@@ -129,6 +142,6 @@
 
 def view_of(state: Applied) -> AppliedView:
     """Return what watchers see of the state machine."""
-    return AppliedView(
-        state.index, state.machine.revisions.configuration, state.machine.claims.count
-    )
+    held = state.machine
+    groups = epochs.last_commits(held.epochs)
+    return AppliedView(state.index, held.revisions.configuration, held.claims.count, groups)
--- a/src/lycheefall/_control/group_coordinator.py
+++ b/src/lycheefall/_control/group_coordinator.py
@@ -60,6 +60,7 @@
     protocol: CoordinatorState
     limits: Limits
     load: GroupLoad
+    plan_period_s: float
     plan_at_s: float = 0.0
 
 
@@ -67,9 +68,12 @@
 Output = CoordinatorOutput | PlanRequest
 
 
-def initial(protocol: CoordinatorState, limits: Limits) -> Coordination:
+def initial(
+    protocol: CoordinatorState, limits: Limits, plan_period_s: float = PLAN_PERIOD_S
+) -> Coordination:
     """Return the state of a coordinator task that has just started."""
-    return Coordination(protocol, limits, group_load.initial(limits.experts, limits.ranks))
+    load = group_load.initial(limits.experts, limits.ranks)
+    return Coordination(protocol, limits, load, plan_period_s)
 
 
 def coordinate(
@@ -97,7 +101,7 @@
 def _request_plan(state: Coordination, now_s: float) -> list[Output]:
     if now_s < state.plan_at_s or not may_place(state.protocol):
         return []
-    state.plan_at_s = now_s + PLAN_PERIOD_S
+    state.plan_at_s = now_s + state.plan_period_s
     group_load.close_window(state.load)
     maps = state.protocol.maps
     in_force = maps[-1].placement if maps else None
--- a/src/lycheefall/_control/messages.py
+++ b/src/lycheefall/_control/messages.py
@@ -2,11 +2,12 @@
 
 from msgspec import Struct
 
-from lycheefall._core.configuration import Configuration
+from lycheefall._core.configuration import Configuration, Group
 from lycheefall._core.enums import ReplicaRole
 from lycheefall._core.ids import Address, CommandId, InstanceId, LogIndex, Term
 from lycheefall._core.messages.consensus import PeerMessage, Submitted
-from lycheefall._core.messages.control import StatusQuery, Watch
+from lycheefall._core.messages.control import GroupStatus, StatusQuery, Watch
+from lycheefall._core.messages.groups import AskEpochs, EpochsInForce, ToCoordinator
 from lycheefall._core.messages.membership import Announce
 from lycheefall._rules.consensus.state import Committed, Compact, Restore, Tick
 
@@ -18,7 +19,14 @@
     submitted: Submitted
 
 
-ToStep = Tick | PeerMessage | Compact | Proposal
+class Question(Struct, frozen=True):
+    """A question for the committed maps of a group, and the connection that waits for them."""
+
+    peer: bytes
+    question: AskEpochs
+
+
+ToStep = Tick | PeerMessage | Compact | Proposal | Question
 
 
 class Expect(Struct, frozen=True):
@@ -35,7 +43,7 @@
     leader: Address | None
 
 
-ToApply = Expect | Reject | Committed | Restore
+ToApply = Expect | Reject | Committed | Restore | Question
 
 
 class ReplicaView(Struct, frozen=True):
@@ -58,6 +66,7 @@
     index: LogIndex
     configuration: Configuration
     claims: int
+    groups: tuple[GroupStatus, ...] = ()
 
 
 class ClientMessage(Struct, frozen=True):
@@ -68,3 +77,19 @@
 
 
 ToPublish = ClientMessage | ReplicaView | AppliedView
+
+
+class FromRank(Struct, frozen=True):
+    """A message of a rank's agent, and the connection that it came over."""
+
+    peer: bytes
+    message: ToCoordinator
+
+
+class GroupsSeen(Struct, frozen=True):
+    """The groups of the configuration in force."""
+
+    groups: tuple[Group, ...]
+
+
+ToCoordination = FromRank | GroupsSeen | EpochsInForce
--- a/src/lycheefall/_control/publish.py
+++ b/src/lycheefall/_control/publish.py
@@ -118,4 +118,5 @@
         configuration.digest,
         members_since(state.members, 0),
         state.applied.claims,
+        groups=state.applied.groups,
     )
--- a/src/lycheefall/_control/receive.py
+++ b/src/lycheefall/_control/receive.py
@@ -5,7 +5,15 @@
 
 from msgspec import Struct, field
 
-from lycheefall._control.messages import ClientMessage, Proposal, ToPublish, ToStep
+from lycheefall._control.messages import (
+    ClientMessage,
+    FromRank,
+    Proposal,
+    Question,
+    ToCoordination,
+    ToPublish,
+    ToStep,
+)
 from lycheefall._core.ids import Address, InstanceId
 from lycheefall._core.messages.consensus import (
     LinkPing,
@@ -15,6 +23,15 @@
     ToPeer,
 )
 from lycheefall._core.messages.control import FromControl, Propose
+from lycheefall._core.messages.groups import (
+    AskEpochs,
+    FromReplica,
+    LinkTest,
+    LinkTested,
+    Prepared,
+    PrepareRefused,
+    RankReport,
+)
 from lycheefall._core.pipeline import Inbox
 from lycheefall._wire.codec import DecodeError, decode_to_control, encode
 from lycheefall._wire.consensus_codec import decode_to_peer
@@ -51,6 +68,7 @@
     peer_listen: Address,
     step: Inbox[ToStep],
     publish: Inbox[ToPublish],
+    coordination: Inbox[ToCoordination],
 ) -> None:
     """Listen for clients and replicas; received messages go to the inboxes, or are dropped."""
 
@@ -59,11 +77,18 @@
             message = decode_to_control(payload)
         except DecodeError:
             return
-        if isinstance(message, Propose):
-            submitted = Submitted(message.command_id, message.command)
-            step.offer(Proposal(peer, submitted))
-        else:
-            publish.offer(ClientMessage(peer, message))
+        match message:
+            case Propose():
+                submitted = Submitted(message.command_id, message.command)
+                step.offer(Proposal(peer, submitted))
+            case AskEpochs():
+                step.offer(Question(peer, message))
+            case Prepared() | PrepareRefused() | RankReport():
+                coordination.offer(FromRank(peer, message))
+            case LinkTest():
+                answer(state, peer, LinkTested())
+            case _:
+                publish.offer(ClientMessage(peer, message))
 
     def from_peer(peer: bytes, payload: bytes) -> None:
         try:
@@ -108,7 +133,7 @@
             _link(state, instance, address).end.send(payload)
 
 
-def answer(state: Sockets, peer: bytes, message: FromControl) -> None:
+def answer(state: Sockets, peer: bytes, message: FromControl | FromReplica) -> None:
     """Answer a client; the answer is lost if its connection is closed."""
     if state.clients is not None:
         state.clients.send(peer, encode(message))
--- a/src/lycheefall/_control/service.py
+++ b/src/lycheefall/_control/service.py
@@ -11,9 +11,11 @@
 
 from lycheefall._control import receive
 from lycheefall._control.apply import Applied, ApplyOutlets, restored, run_apply, view_of
+from lycheefall._control.coordination import run_coordination
 from lycheefall._control.messages import (
     ReplicaView,
     ToApply,
+    ToCoordination,
     ToPublish,
     ToStep,
 )
@@ -24,7 +26,7 @@
 from lycheefall._control.sync import Sync, syncing
 from lycheefall._core.events import Event
 from lycheefall._core.exceptions import DiskFull, LogDamaged
-from lycheefall._core.ids import Incarnation
+from lycheefall._core.ids import Address, Incarnation
 from lycheefall._core.log import alarm, warn
 from lycheefall._core.messages.consensus import Replica
 from lycheefall._core.pipeline import Inbox, tick
@@ -36,6 +38,7 @@
 STEP_INBOX_MESSAGES = 10_000
 APPLY_INBOX_MESSAGES = 10_000
 PUBLISH_INBOX_MESSAGES = 10_000
+COORDINATION_INBOX_MESSAGES = 10_000
 TICK_PERIOD_S = 0.025
 _SEED_BITS = 64
 
@@ -44,6 +47,7 @@
     step: Inbox[ToStep]
     apply: Inbox[ToApply]
     publish: Inbox[ToPublish]
+    coordination: Inbox[ToCoordination]
 
 
 async def run_control(settings: ControlSettings, parse: Parse) -> None:
@@ -78,7 +82,10 @@
 async def _run_filters(settings: ControlSettings, parse: Parse, loaded: Loaded, sync: Sync) -> None:
     loop = asyncio.get_running_loop()
     inboxes = _Inboxes(
-        Inbox(STEP_INBOX_MESSAGES), Inbox(APPLY_INBOX_MESSAGES), Inbox(PUBLISH_INBOX_MESSAGES)
+        Inbox(STEP_INBOX_MESSAGES),
+        Inbox(APPLY_INBOX_MESSAGES),
+        Inbox(PUBLISH_INBOX_MESSAGES),
+        Inbox(COORDINATION_INBOX_MESSAGES),
     )
     consensus = _consensus(settings, loaded, loop.time())
     applied = _applied(settings, parse, loaded)
@@ -91,7 +98,12 @@
     step_outlets = StepOutlets(send, greet, inboxes.apply, inboxes.publish)
     apply_outlets = ApplyOutlets(answer, inboxes.step, inboxes.publish)
     receive.open_sockets(
-        sockets, settings.client_listen, settings.peer_listen, inboxes.step, inboxes.publish
+        sockets,
+        settings.client_listen,
+        settings.peer_listen,
+        inboxes.step,
+        inboxes.publish,
+        inboxes.coordination,
     )
     settings.on_ready()
     try:
@@ -100,6 +112,9 @@
             run_apply(applied, inboxes.apply, apply_outlets),
             run_publish(published, inboxes.publish, answer, loop.time),
             receive.run_links(sockets),
+            run_coordination(
+                inboxes.coordination, _client_addresses(settings), answer, settings.plan_period_s
+            ),
             tick(inboxes.step, Tick(), TICK_PERIOD_S),
         )
     finally:
@@ -119,6 +134,12 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
+def _client_addresses(settings: ControlSettings) -> tuple[Address, ...]:
+    """Return where the replicas serve clients, this one first."""
+    others = [each for each in settings.voters if each.instance != settings.instance]
+    return (settings.client_listen, *(each.client_address for each in others))
+
+
 def _consensus(settings: ControlSettings, loaded: Loaded, now_s: float) -> Consensus:
     me = Replica(loaded.identity, settings.peer_listen, settings.client_listen)
     return initial(
--- a/src/lycheefall/_control/settings.py
+++ b/src/lycheefall/_control/settings.py
@@ -5,6 +5,7 @@
 
 from msgspec import Struct
 
+from lycheefall._control.group_coordinator import PLAN_PERIOD_S
 from lycheefall._core.ids import Address, DataCentreId, InstanceId
 from lycheefall._rules.consensus.state import Timing
 
@@ -37,3 +38,5 @@
     timing: Timing = Timing()
     # A snapshot is taken after this many entries.
     snapshot_entries: int = DEFAULT_SNAPSHOT_ENTRIES
+    # Time between two plans of the placement of a group.
+    plan_period_s: float = PLAN_PERIOD_S
--- a/src/lycheefall/_control/step.py
+++ b/src/lycheefall/_control/step.py
@@ -8,6 +8,7 @@
 from lycheefall._control.messages import (
     Expect,
     Proposal,
+    Question,
     Reject,
     ReplicaView,
     ToApply,
@@ -75,6 +76,7 @@
         _log_snapshots(outputs)
         for output in effects:
             await _emit(state, output, outlets)
+        await _ask_applied(state, batch, outlets, now())
         outlets.publish.offer(_view(state, now()))
 
 
@@ -86,7 +88,7 @@
     for message in batch:
         if isinstance(message, Proposal):
             proposals.append(message)
-        else:
+        elif not isinstance(message, Question):
             outputs += step(state, message, now_s)[1]
     if proposals:
         commands = tuple(each.submitted for each in proposals)
@@ -138,6 +140,22 @@
             await outlets.apply.put(output)
 
 
+async def _ask_applied(
+    state: Consensus, batch: list[ToStep], outlets: StepOutlets, now_s: float
+) -> None:
+    """Pass questions on behind all that is committed, while no other leader can exist.
+
+    The state machine takes its inbox in order, so its answer holds every commit that was
+    acknowledged before the question came. A replica without a lease doesn't answer; the asker
+    asks every replica, and asks again.
+    """
+    if not state.settled or not replication.has_lease(state, now_s):
+        return
+    for message in batch:
+        if isinstance(message, Question):
+            await outlets.apply.put(message)
+
+
 def _view(state: Consensus, now_s: float) -> ReplicaView:
     lease_until_s = replication.lease_until_s(state, now_s)
     heard_until_s = state.heard_s + state.timing.presence_s
--- a/src/lycheefall/_core/configuration.py
+++ b/src/lycheefall/_core/configuration.py
@@ -89,6 +89,8 @@
     experts: int
     slots_per_rank: int
     expert_bytes: int
+    # What the weight store delivers to the whole group.
+    store_bytes_per_s: float = 1e9
     fence: FenceMode = FenceMode.REFUSES
 
 
--- a/src/lycheefall/_core/messages/control.py
+++ b/src/lycheefall/_core/messages/control.py
@@ -247,6 +247,14 @@
     sequence: int
 
 
+class GroupStatus(Struct, frozen=True, array_like=True):
+    """The last committed epoch of a group, and the step that it begins with."""
+
+    group: GroupId
+    epoch: MapEpoch
+    first_step: StepNumber
+
+
 class StatusReport(Struct, frozen=True, array_like=True, tag=56):
     """What one replica knows."""
 
@@ -262,6 +270,7 @@
     members: tuple[Member, ...]
     claims: int
     text: str = ""
+    groups: tuple[GroupStatus, ...] = ()
 
 
 ToControl = Announce | Propose | Watch | StatusQuery
--- a/src/lycheefall/_core/messages/groups.py
+++ b/src/lycheefall/_core/messages/groups.py
@@ -159,5 +159,16 @@
     experts: tuple[ExpertId, ...]
 
 
+class LinkTest(Struct, frozen=True, array_like=True, tag=77):
+    """Test the connection to a control replica."""
+
+
+class LinkTested(Struct, frozen=True, array_like=True, tag=78):
+    """Answer a test of the connection."""
+
+
 ToRank = PrepareEpoch | AbortEpoch | Permit | EpochsInForce
 ToCoordinator = Prepared | PrepareRefused | RankReport
+# Between the agent of a rank, or a coordinator that asks, and every control replica.
+ToReplica = ToCoordinator | AskEpochs | LinkTest
+FromReplica = ToRank | LinkTested
--- a/src/lycheefall/_operate/configuration_checks.py
+++ b/src/lycheefall/_operate/configuration_checks.py
@@ -52,6 +52,7 @@
         "experts": _AT_LEAST_ONE,
         "slots_per_rank": _AT_LEAST_ONE,
         "expert_bytes": _AT_LEAST_ONE,
+        "store_bytes_per_s": _POSITIVE,
     },
 }
 _NAMED_ARRAYS = ("priorities", "teams", "pools", "routes", "groups")
--- a/src/lycheefall/_operate/status.py
+++ b/src/lycheefall/_operate/status.py
@@ -13,6 +13,10 @@
         f"configuration: revision {report.revision}, digest {report.digest}",
         f"claims: {report.claims}",
     ]
+    lines += [
+        f"group {each.group}: epoch {each.epoch} from step {each.first_step}"
+        for each in report.groups
+    ]
     return "\n".join(lines + [_member(member) for member in _ordered(report.members)])
 
 
--- a/src/lycheefall/_rules/replicated/epochs.py
+++ b/src/lycheefall/_rules/replicated/epochs.py
@@ -4,7 +4,7 @@
 
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.ids import FencingNumber, GroupId, MapEpoch, StepNumber
-from lycheefall._core.messages.control import CommitEpoch, EpochInForce, EpochResult
+from lycheefall._core.messages.control import CommitEpoch, EpochInForce, EpochResult, GroupStatus
 from lycheefall._core.messages.groups import AskEpochs, EpochsInForce
 
 # Lock-step ranks need the map in use and the next one; the others answer late resends.
@@ -63,6 +63,12 @@
     return EpochsInForce(question.group, epochs.fencing, maps, question.asker)
 
 
+def last_commits(state: EpochsState) -> tuple[GroupStatus, ...]:
+    """Return the last commit of each group that has one."""
+    last = [each.commits[-1] for each in state.groups.values() if each.commits]
+    return tuple(GroupStatus(each.group, each.epoch, each.first_step) for each in last)
+
+
 def _follows(command: CommitEpoch, group: GroupEpochs) -> bool:
     before = _result(ResultCode.OK, group)
     return command.epoch == before.epoch + 1 and command.first_step > before.first_step
