Test configuration files with racing operators and a restart of everything

Cause: no run with separate processes showed when an accepted file is in force, that a race has one winner, or that nothing goes back after a restart.

Change: tests/processes/test_configuration_processes.py. Ports of tests lie below those of outgoing connections: in one run a chosen port was taken before its process listened (6001).

Conclusion: accepted files are in force within 2 s and nothing reverts here.

--- a/tests/processes/scaffold.py
+++ b/tests/processes/scaffold.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -29,15 +30,20 @@
 TESTS = Path(__file__).resolve().parents[1]
 START_TIMEOUT_S = 10.0
 POLL_S = 0.02
+# Below the ports that the system gives to outgoing connections, which would take a chosen one
+# before its process listens.
+PORTS = range(15_000, 32_000)
 
 
 def free_addresses(count: int) -> list[Address]:
     """Return loopback addresses with ports that are free now and different."""
-    with contextlib.ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in probes:
-            probe.bind(("127.0.0.1", 0))
-        return [Address(f"127.0.0.1:{probe.getsockname()[1]}") for probe in probes]
+    found: set[int] = set()
+    while len(found) < count:
+        port = random.SystemRandom().choice(PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            found.add(port)
+    return [Address(f"127.0.0.1:{port}") for port in found]
 
 
 @dataclass
--- a/tests/processes/test_configuration_processes.py
+++ b/tests/processes/test_configuration_processes.py
@@ -20,7 +20,7 @@
 IN_FORCE_S = 2.0
 CHANGES = 100
 RACERS = 6
-SNAPSHOT_ROUNDS = 6
+SNAPSHOT_ROUNDS = 30
 RESTART_TIMEOUT_S = 30.0
 ACCEPTED = "OK (1000)"
 CONFLICT = "(5000)"
