Find silent connections of announcements, and ask again for lost results

And a flow whose connection was lost asked its agent once; the agent sent the later result to the lost connection, so the booking was answered 4000 at its deadline although its result was known.

Change: announcing sockets use the heartbeats of ZeroMQ (0.25 s, silence 1 s); a flow that lost its connection asks every 0.5 s until the result is there.

Before and after: tests/processes/test_silent_links.py, in a scratch copy without the heartbeats 2 failed (entry-3 missing from the directory, engine-0 from the status); before the second change test_agent failed, (504, 4000) for the booking. After: 3 passed, in two runs (control: 2 passed, agent: 1 passed in 23.48 s).

Conclusion: a silent connection is found within 2 s in these cases. The connection from an agent to an entry's announce address has the same socket but no own test.

--- a/src/lycheefall/_rules/claim_flow.py
+++ b/src/lycheefall/_rules/claim_flow.py
@@ -243,7 +243,7 @@
     if resolved.state is AttemptState.UNSEEN:
         # The agent has a new incarnation, and the earlier one may have started the attempt.
         return _record(flow, None, Answer(ResultCode.OUTCOME_UNKNOWN))
-    flow.link_lost = False
+    # The agent sends the result over the lost connection, so it is asked again until it has one.
     flow.resolve_at_s = now_s + TAKEOVER_AFTER_S
     return []
 
@@ -252,6 +252,7 @@
     if flow.stage is not Stage.RUNNING or flow.held is None or flow.held.upstream != lost.upstream:
         return []
     flow.link_lost = True
+    flow.resolve_at_s = 0.0
     return [_send_resolve(flow, flow.held)]
 
 
@@ -264,7 +265,8 @@
     match flow.stage:
         case Stage.JOINED:
             return effects + (_end(flow) if flow.answered else _wait(flow, wake, now_s))
-        case Stage.RUNNING if flow.link_lost and flow.held is not None:
+        case Stage.RUNNING if flow.link_lost and now_s >= flow.resolve_at_s:
+            assert flow.held is not None
             return [*effects, _send_resolve(flow, flow.held)]
         case Stage.RECORDING if not flow.awaits_reply:
             return effects + _send_outcome(flow)
--- a/src/lycheefall/_wire/announcer.py
+++ b/src/lycheefall/_wire/announcer.py
@@ -32,7 +32,7 @@
         for address in self._ends.keys() - addresses:
             self._ends.pop(address).close()
         for address in addresses - self._ends.keys():
-            self._ends[address] = DealerEnd(address, _ignore)
+            self._ends[address] = DealerEnd(address, _ignore, replaces_silent=True)
 
     async def run(self) -> None:
         """Send a heartbeat once a period and at each change of state."""
--- a/src/lycheefall/_wire/zmq_ends.py
+++ b/src/lycheefall/_wire/zmq_ends.py
@@ -17,6 +17,10 @@
 # A drain hands over to the event loop after this many messages, so that timers still run.
 DRAIN_BATCH_MESSAGES = 256
 
+# Heartbeats of ZeroMQ and the silence after which it replaces a connection.
+HEARTBEAT_MS = 250
+SILENCE_MS = 1_000
+
 
 def _new_socket(kind: int) -> zmq.Socket[bytes]:
     socket: zmq.Socket[bytes] = zmq.Context.instance().socket(kind)
@@ -116,8 +120,18 @@
 
     __slots__ = ("_reader", "_receive")
 
-    def __init__(self, address: Address, receive: Callable[[bytes], None]) -> None:
+    def __init__(
+        self,
+        address: Address,
+        receive: Callable[[bytes], None],
+        *,
+        replaces_silent: bool = False,
+    ) -> None:
         socket = _new_socket(zmq.DEALER)
+        if replaces_silent:
+            # For a conversation without answers, whose owner can't notice the silence itself.
+            socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+            socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, SILENCE_MS)
         socket.connect(f"tcp://{address}")
         self._receive = receive
         self._reader = _Reader(socket, self._deliver)
--- /dev/null
+++ b/tests/processes/test_silent_links.py
@@ -0,0 +1,94 @@
+"""Connections that go silent for good while new ones work."""
+
+import asyncio
+import contextlib
+import re
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+from processes.callers import booking, long_stream, short_chat, statistics
+from processes.fleet import Fleet, configuration_text, running
+from processes.scaffold import Forwarder
+from processes.test_whole_path import TEAM
+
+# Bound of the targets table for a silent connection.
+FOUND_S = 2.0
+ENTRY = 3
+LONG_TOKENS = 300
+# Longer than the bound, so that the booking runs while its connection is silent.
+SLOW_SERVICE_S = 3.0
+
+
+@contextlib.asynccontextmanager
+async def forwarded(fleet: Fleet, *listeners: str) -> AsyncIterator[list[Forwarder]]:
+    """Let other processes reach the listeners through forwarders."""
+    async with contextlib.AsyncExitStack() as stack:
+        links = []
+        for name in listeners:
+            target = name.rpartition(":")[2]
+            link = Forwarder(fleet.addresses[target])
+            await link.open()
+            stack.push_async_callback(link.close)
+            fleet.detours[name] = link.address
+            links.append(link)
+        yield links
+
+
+def silence(links: list[Forwarder]) -> None:
+    """Make all connections that are open now silent."""
+    for link in links:
+        link.silence_open_connections()
+
+
+class TestSilentLinks:
+    async def test_agent(self, tmp_path: Path) -> None:
+        """Guards against requests that wait for a silent agent, and bookings that run twice."""
+        fleet = Fleet(tmp_path, engines=1, services=1)
+        fleet.fake_flags["service-0"] = ["--service-s", str(SLOW_SERVICE_S)]
+        fleet.plan()
+        names = ("engine-agent-0", "service-agent-0")
+        async with forwarded(fleet, *names) as links, running(fleet) as session:
+            stream = asyncio.create_task(long_stream(fleet, session, ENTRY, "long", LONG_TOKENS))
+            booked = asyncio.create_task(booking(fleet, session, ENTRY, "silent"))
+            await asyncio.sleep(0.5)
+            silence(links)
+            async with asyncio.timeout(FOUND_S):
+                answer = await short_chat(fleet, session, ENTRY, "asked in silence")
+            assert answer == (200, "1000")
+            assert (await stream).is_whole
+            assert await booked == (200, "1000")
+            assert len(fleet.executions()) == 1
+
+    async def test_control_of_entry(self, tmp_path: Path) -> None:
+        """Guards against bookings that wait for a silent connection to control."""
+        fleet = Fleet(tmp_path, engines=1, services=1)
+        fleet.plan()
+        names = [f"entry-{ENTRY}:client-{n}" for n in range(fleet.replicas)]
+        async with forwarded(fleet, *names) as links, running(fleet) as session:
+            silence(links)
+            async with asyncio.timeout(FOUND_S):
+                answer = await booking(fleet, session, ENTRY, "silent")
+            assert answer == (200, "1000")
+            assert len(fleet.executions()) == 1
+            await asyncio.sleep(FOUND_S)
+            async with session.get(fleet.url(0, "/v1/entries"), headers=TEAM) as response:
+                named = (await response.json())["addresses"]
+            assert fleet.addresses[f"entry-{ENTRY}"] in named
+
+    async def test_control_of_agent(self, tmp_path: Path) -> None:
+        """Guards against an agent that does not hear of a drain, or that control forgets."""
+        fleet = Fleet(tmp_path, engines=2, services=1)
+        fleet.plan()
+        names = [f"engine-0-agent:client-{n}" for n in range(fleet.replicas)]
+        async with forwarded(fleet, *names) as links, running(fleet) as session:
+            silence(links)
+            text = configuration_text(1, engine_drain=("engine-0",))
+            applied = await asyncio.to_thread(fleet.apply, text)
+            assert applied.returncode == 0, applied.stderr
+            await asyncio.sleep(FOUND_S)
+            before = (await statistics(fleet, session, "engine-0"))["submitted"]
+            answers = [await short_chat(fleet, session, n % 4, f"drained {n}") for n in range(40)]
+            assert set(answers) == {(200, "1000")}
+            assert (await statistics(fleet, session, "engine-0"))["submitted"] == before
+            status = await asyncio.to_thread(fleet.command, "status", "--control", fleet.control)
+            assert re.search("engine-0.*draining", status.stdout), status.stdout
