--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -15,7 +15,7 @@
 import aiohttp
 
 from lycheefall._core.ids import Address
-from processes.scaffold import free_addresses
+from processes.scaffold import Forwarder, free_addresses
 
 SOURCE = Path(__file__).resolve().parents[2] / "src"
 START_TIMEOUT_S = 30.0
@@ -329,3 +329,18 @@
             yield session
         finally:
             fleet.close()
+
+
+@contextlib.asynccontextmanager
+async def forwarded(fleet: Fleet, *listeners: str) -> AsyncIterator[list[Forwarder]]:
+    """Let other processes reach the listeners through forwarders."""
+    async with contextlib.AsyncExitStack() as stack:
+        links = []
+        for name in listeners:
+            target = name.rpartition(":")[2]
+            link = Forwarder(fleet.addresses[target])
+            await link.open()
+            stack.push_async_callback(link.close)
+            fleet.detours[name] = link.address
+            links.append(link)
+        yield links
--- a/tests/processes/test_bookings_under_faults.py
+++ b/tests/processes/test_bookings_under_faults.py
@@ -1,7 +1,11 @@
-"""Bookings by callers that retry without pause while processes are killed and frozen."""
+"""Bookings by callers that retry without pause while processes and connections fail.
+
+`scripts/soak` repeats the histories with other seeds.
+"""
 
 import asyncio
 import json
+import os
 import random
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -11,10 +15,11 @@
 import aiohttp
 import pytest
 
-from processes.fleet import Fleet, configuration_text, freeze, kill
+from processes.fleet import Fleet, forwarded, freeze, kill, running
+from processes.scaffold import Forwarder
 from processes.test_whole_path import TEAM, time_ms
 
-SEEDS = (11, 12)
+SEEDS = [int(seed) for seed in os.environ.get("LYCHEEFALL_TEST_SEEDS", "11 12").split()]
 RUN_S = 12.0
 CALLERS = 16
 TRY_TIMEOUT_S = 1.0
@@ -80,16 +85,47 @@
         await asyncio.sleep(0.01)
 
 
-async def break_things(fleet: Fleet, rng: random.Random, until_s: float) -> Counter[str]:
-    """Kill and freeze one process at a time."""
+Fault = Callable[[Fleet, str, float], Awaitable[None]]
+
+
+async def kill_quorum(fleet: Fleet, name: str, pause_s: float) -> None:
+    """End two of the three entries with control replicas and start them again."""
+    pair = ("entry-0", f"entry-{1 + len(name) % 2}")
+    for each in pair:
+        fleet.kill(each)
+    await asyncio.sleep(pause_s)
+    for each in pair:
+        fleet.start(each)
+
+
+def link_faults(links: list[Forwarder], rng: random.Random) -> dict[str, Fault]:
+    """Return the faults of connections between entries and agents."""
+
+    async def cut(fleet: Fleet, name: str, pause_s: float) -> None:
+        rng.choice(links).cut()
+
+    async def silence(fleet: Fleet, name: str, pause_s: float) -> None:
+        rng.choice(links).silence_open_connections()
+
+    async def delay(fleet: Fleet, name: str, pause_s: float) -> None:
+        link = rng.choice(links)
+        link.block(forth=rng.random() < 0.7, back=rng.random() < 0.7)
+        await asyncio.sleep(pause_s)
+        link.heal()
+
+    return {"cut": cut, "silence": silence, "delay": delay}
+
+
+async def break_things(
+    fleet: Fleet, links: list[Forwarder], rng: random.Random, until_s: float
+) -> Counter[str]:
+    """Break one process or connection at a time."""
     loop = asyncio.get_running_loop()
     entries = [f"entry-{n}" for n in range(4)]
     services = [f"service-{n}" for n in range(3)]
     names = entries + services + [f"{name}-agent" for name in services]
-    faults: dict[str, Callable[[Fleet, str, float], Awaitable[None]]] = {
-        "kill": kill,
-        "freeze": freeze,
-    }
+    faults: dict[str, Fault] = {"kill": kill, "freeze": freeze, "kill quorum": kill_quorum}
+    faults |= link_faults(links, rng)
     done: Counter[str] = Counter()
     while loop.time() < until_s:
         kind = rng.choice(sorted(faults))
@@ -99,7 +135,7 @@
     return done
 
 
-async def run_history(fleet: Fleet, seed: int) -> History:
+async def run_history(fleet: Fleet, links: list[Forwarder], seed: int) -> History:
     """Run callers and faults side by side."""
     rng = random.Random(seed)
     history = History()
@@ -107,7 +143,6 @@
     timeout = aiohttp.ClientTimeout(total=TRY_TIMEOUT_S)
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(timeout=timeout, connector=connector) as session:
-        await fleet.ready(session)
         end_s = loop.time() + RUN_S
 
         async def caller(number: int) -> None:
@@ -117,7 +152,7 @@
                 history.operations.append(operation)
                 await book(fleet, session, operation, own)
 
-        faults = asyncio.create_task(break_things(fleet, rng, end_s))
+        faults = asyncio.create_task(break_things(fleet, links, rng, end_s))
         await asyncio.gather(*(caller(number) for number in range(CALLERS)))
         print(f"seed {seed}: faults {dict(await faults)}")
     await asyncio.sleep(SETTLE_S)
@@ -130,14 +165,10 @@
         """Guards against a booking that runs twice, or that ran although "not run" was told."""
         fleet = Fleet(tmp_path, engines=1, services=3)
         fleet.plan()
-        fleet.start_all()
-        try:
-            applied = fleet.apply(configuration_text())
-            assert applied.returncode == 0, applied.stderr
-            history = await run_history(fleet, seed)
+        names = [f"service-agent-{n}" for n in range(fleet.services)]
+        async with forwarded(fleet, *names) as links, running(fleet):
+            history = await run_history(fleet, links, seed)
             executions = Counter(json.loads(line)["key"] for line in fleet.executions())
-        finally:
-            fleet.close()
         told = Counter(run for each in history.operations for run, _ in each.answers)
         print(f"seed {seed}: {len(history.operations)} keys, answers {dict(told)}")
         assert history.violations(executions) == []
--- a/tests/processes/test_leaving.py
+++ b/tests/processes/test_leaving.py
@@ -1,7 +1,6 @@
 """Upstreams that leave under load, with control reachable, cut off or gone."""
 
 import asyncio
-import contextlib
 import subprocess
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -10,8 +9,8 @@
 import pytest
 
 from processes.callers import LongAnswer, long_stream, short_load, statistics
-from processes.fleet import Fleet, configuration_text, running
-from processes.scaffold import Forwarder, eventually
+from processes.fleet import Fleet, configuration_text, forwarded, running
+from processes.scaffold import eventually
 
 # Bound of the targets table for new work to a leaving upstream.
 LEAVING_S = 2.0
@@ -101,13 +100,8 @@
         Three entries reach control; the fourth is cut off from it before the order.
         """
         fleet = planned(tmp_path)
-        links = [Forwarder(fleet.addresses[f"client-{n}"]) for n in range(fleet.replicas)]
-        async with contextlib.AsyncExitStack() as stack:
-            for number, link in enumerate(links):
-                await link.open()
-                stack.push_async_callback(link.close)
-                fleet.detours[f"entry-{PLAIN_ENTRY}:client-{number}"] = link.address
-            session = await stack.enter_async_context(running(fleet))
+        names = [f"entry-{PLAIN_ENTRY}:client-{n}" for n in range(fleet.replicas)]
+        async with forwarded(fleet, *names) as links, running(fleet) as session:
             for link in links:
                 link.block()
             await check_leaving(fleet, session, order, range(4))
--- a/tests/processes/test_silent_links.py
+++ b/tests/processes/test_silent_links.py
@@ -1,13 +1,11 @@
 """Connections that go silent for good while new ones work."""
 
 import asyncio
-import contextlib
 import re
-from collections.abc import AsyncIterator
 from pathlib import Path
 
 from processes.callers import booking, long_stream, short_chat, statistics
-from processes.fleet import Fleet, configuration_text, running
+from processes.fleet import Fleet, configuration_text, forwarded, running
 from processes.scaffold import Forwarder
 from processes.test_whole_path import TEAM
 
@@ -19,21 +17,6 @@
 SLOW_SERVICE_S = 3.0
 
 
-@contextlib.asynccontextmanager
-async def forwarded(fleet: Fleet, *listeners: str) -> AsyncIterator[list[Forwarder]]:
-    """Let other processes reach the listeners through forwarders."""
-    async with contextlib.AsyncExitStack() as stack:
-        links = []
-        for name in listeners:
-            target = name.rpartition(":")[2]
-            link = Forwarder(fleet.addresses[target])
-            await link.open()
-            stack.push_async_callback(link.close)
-            fleet.detours[name] = link.address
-            links.append(link)
-        yield links
-
-
 def silence(links: list[Forwarder]) -> None:
     """Make all connections that are open now silent."""
     for link in links:
