Time a plan by processor time

Change: it counts processor time; the bound stays. It is as strict on the plan itself and no longer on what else the machine does.

--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -76,8 +76,8 @@
         taken = []
         for seed in range(5):
             before = fresh(LIMITS, zipf(seed), EVEN)
-            start = time.perf_counter()
+            start = time.process_time()
             plan(LIMITS, zipf(seed + 100), [2.0, *EVEN[1:]], before)
-            taken.append(time.perf_counter() - start)
+            taken.append(time.process_time() - start)
         print(f"plan: median {statistics.median(taken) * 1000:.1f} ms of {len(taken)}")
         assert statistics.median(taken) < 0.1
