Measure three ways to connect two processes

Change: bench/transport.py repeats them as a benchmark; bench/slopes.py holds the least-squares line, processor time and memory of processes for the benches of capacity.

--- /dev/null
+++ b/bench/transport.py
@@ -0,0 +1,154 @@
+"""Round trips a second of three ways to connect two processes.
+
+Run: PYTHONPATH=src:tests:. python -m bench.transport
+One client and one server process, 64 requests in flight, bodies of 300 bytes.
+"""
+
+import asyncio
+import statistics
+import sys
+import time
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+import uvloop
+import zmq
+import zmq.asyncio
+from aiohttp import web
+
+from bench.slopes import ROUNDS, end, processor_s, start
+from lycheefall._core.ids import Address
+from lycheefall._wire.zmq_ends import DealerEnd, RouterEnd
+from processes.scaffold import free_addresses
+
+IN_FLIGHT = 64
+BODY = b"x" * 300
+SECONDS = 2.0
+
+Client = Callable[[Address, float], Awaitable[int]]
+
+
+def main() -> None:
+    """Print a row for each way, or serve one way when it is named in the arguments."""
+    if len(sys.argv) > 1:
+        uvloop.run(SERVERS[sys.argv[1]](Address(sys.argv[2])))
+        return
+    print("way, round trips/s (median of rounds), server processor us each")
+    rounds: dict[str, list[tuple[float, float]]] = {name: [] for name in SERVERS}
+    # The ways take turns, so that a busy machine slows all alike.
+    for _ in range(ROUNDS):
+        for name in SERVERS:
+            rounds[name].append(_measure(name))
+    for name, results in rounds.items():
+        rates, costs = zip(*results, strict=True)
+        listed = ", ".join(f"{rate:.0f}" for rate in rates)
+        rate, cost_us = statistics.median(rates), statistics.median(costs)
+        print(f"{name}: {rate:.0f} of {listed}; {cost_us:.1f} us", flush=True)
+
+
+def _measure(name: str) -> tuple[float, float]:
+    (address,) = free_addresses(1)
+    server = start("bench.transport", name, address)
+    try:
+        time.sleep(1.0)
+        before_s = processor_s(server.pid)
+        count = uvloop.run(CLIENTS[name](address, time.perf_counter() + SECONDS))
+        return count / SECONDS, (processor_s(server.pid) - before_s) / count * 1e6
+    finally:
+        end(server)
+
+
+async def serve_http(address: Address) -> None:
+    """Echo bodies by aiohttp."""
+
+    async def echo(request: web.Request) -> web.Response:
+        return web.Response(body=await request.read())
+
+    application = web.Application()
+    application.router.add_post("/", echo)
+    runner = web.AppRunner(application, access_log=None)
+    await runner.setup()
+    host, _, port = address.rpartition(":")
+    await web.TCPSite(runner, host, int(port)).start()
+    await asyncio.Event().wait()
+
+
+async def call_http(address: Address, end_s: float) -> int:
+    """Call by aiohttp until the time is over."""
+    counts = [0] * IN_FLIGHT
+    async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
+
+        async def caller(number: int) -> None:
+            while time.perf_counter() < end_s:
+                async with session.post(f"http://{address}/", data=BODY) as response:
+                    await response.read()
+                counts[number] += 1
+
+        await asyncio.gather(*(caller(number) for number in range(IN_FLIGHT)))
+    return sum(counts)
+
+
+async def serve_zmq(address: Address) -> None:
+    """Echo messages by zmq.asyncio."""
+    socket = zmq.asyncio.Context.instance().socket(zmq.ROUTER)
+    socket.bind(f"tcp://{address}")
+    while True:
+        await socket.send_multipart(await socket.recv_multipart())
+
+
+async def call_zmq(address: Address, end_s: float) -> int:
+    """Call by zmq.asyncio until the time is over."""
+    context = zmq.asyncio.Context()
+    socket = context.socket(zmq.DEALER)
+    socket.connect(f"tcp://{address}")
+    for _ in range(IN_FLIGHT):
+        await socket.send(BODY)
+    count = 0
+    while time.perf_counter() < end_s:
+        await socket.recv()
+        await socket.send(BODY)
+        count += 1
+    context.destroy(linger=0)
+    return count
+
+
+async def serve_descriptor(address: Address) -> None:
+    """Echo messages by the sockets of lycheefall."""
+    server = RouterEnd(address, lambda peer, payload: server.send(peer, payload))
+    await asyncio.Event().wait()
+
+
+async def call_descriptor(address: Address, end_s: float) -> int:
+    """Call by the sockets of lycheefall until the time is over."""
+    count = 0
+
+    def receive(payload: bytes) -> None:
+        nonlocal count
+        count += 1
+        client.send(BODY)
+
+    client = DealerEnd(address, receive)
+    sent = 0
+    while sent < IN_FLIGHT:
+        sent += client.send(BODY)
+        # A send fails until the connection is there.
+        await asyncio.sleep(0.001)
+    await asyncio.sleep(max(0.0, end_s - time.perf_counter()))
+    client.close()
+    return count
+
+
+SERVERS: dict[str, Callable[[Address], Awaitable[None]]] = {
+    "aiohttp": serve_http,
+    "zmq.asyncio": serve_zmq,
+    "descriptor": serve_descriptor,
+}
+CLIENTS: dict[str, Client] = {
+    "aiohttp": call_http,
+    "zmq.asyncio": call_zmq,
+    "descriptor": call_descriptor,
+}
+
+
+if __name__ == "__main__":
+    main()
