--- /dev/null
+++ b/bench/request_slopes.py
@@ -0,0 +1,143 @@
+"""Processor time of an entry and an agent for each request and each streamed token.
+
+Run: PYTHONPATH=src:tests:. python -m bench.request_slopes
+One entry without control, one agent and fake for each kind of upstream; a token is one frame.
+"""
+
+import asyncio
+import statistics
+import tempfile
+import time
+from pathlib import Path
+
+import aiohttp
+import uvloop
+from msgspec import Struct
+
+from bench.slopes import ROUNDS, Point, processor_s, resident_mb, shares, show
+from lycheefall._core.codes import ResultCode
+from processes.fleet import Fleet, configuration_text
+
+CHAT = "/v1/chat/completions"
+LOOKUP = "/v1/services/counter/balances/17"
+TOKENS = (1, 16, 64, 128)
+IN_FLIGHT = 16
+SECONDS = 3.0
+# An entry may refuse requests early while it learns the rate of an upstream.
+REFUSED_PAUSE_S = 0.05
+TEAM = {"X-Lycheefall-Team": "team-1"}
+ENTRY = "entry-1"
+
+
+class Cost(Struct, frozen=True):
+    """Requests a second and the processor time of a request, by role."""
+
+    per_s: float
+    refused_per_s: float
+    entry_us: float
+    agent_us: float
+
+
+def main() -> None:
+    """Print points and slopes; each size has processes of its own, so that limits start anew."""
+    lookups = _with_fleet(0)
+    _show_lookups(lookups)
+    chats = {tokens: _with_fleet(tokens) for tokens in TOKENS}
+    for role in ("entry", "agent"):
+        points = [
+            Point(tokens, tuple(getattr(each, f"{role}_us") for each in rounds))
+            for tokens, rounds in chats.items()
+        ]
+        show(f"{role}, one chat", "streamed tokens", "us", points)
+    for tokens, rounds in chats.items():
+        rates = ", ".join(f"{each.per_s:.0f} ({each.refused_per_s:.1f})" for each in rounds)
+        print(f"  {tokens} tokens: {rates} chats/s (refused) with {IN_FLIGHT} in flight")
+
+
+def _with_fleet(tokens: int) -> list[Cost]:
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Fleet(Path(folder), engines=1, services=1, entries=2, replicas=1)
+        fleet.fake_flags = {
+            "engine-0": [
+                *("--base-step-s", "0.002", "--sequence-step-s", "0"),
+                *("--prefill-token-s", "0", "--max-running", "256"),
+            ],
+            "service-0": ["--service-s", "0.0", "--max-running", "256"],
+        }
+        fleet.agent_flags = ["--concurrency", "256"]
+        fleet.plan()
+        fleet.start_all()
+        try:
+            return uvloop.run(_run(fleet, tokens))
+        finally:
+            fleet.close()
+
+
+async def _run(fleet: Fleet, tokens: int) -> list[Cost]:
+    applied = await asyncio.to_thread(fleet.apply, configuration_text(teams=570))
+    assert applied.returncode == 0, applied.stderr
+    agent = "engine-0-agent" if tokens else "service-0-agent"
+    async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
+        await fleet.ready(session)
+        pids = [fleet.processes[name].pid for name in (ENTRY, agent)]
+        shared = await asyncio.to_thread(shares, pids, 1.0)
+        idle = [statistics.median(each) for each in shared]
+        costs = [await _measure(fleet, session, pids, tokens, idle) for _ in range(ROUNDS)]
+        memory = ", ".join(f"{resident_mb(pid):.0f}" for pid in pids)
+        print(f"{tokens} tokens: memory of entry and agent {memory} MB, idle cores {idle}")
+    return costs
+
+
+def _show_lookups(rounds: list[Cost]) -> None:
+    for role in ("entry", "agent"):
+        costs = sorted(getattr(each, f"{role}_us") for each in rounds)
+        print(f"{role}, one lookup: median {costs[1]:.0f} us of {costs[0]:.0f} to {costs[-1]:.0f}")
+    print(f"  lookups/s: {', '.join(f'{each.per_s:.0f}' for each in rounds)}", flush=True)
+
+
+async def _measure(
+    fleet: Fleet,
+    session: aiohttp.ClientSession,
+    pids: list[int],
+    tokens: int,
+    idle: list[float],
+) -> Cost:
+    """Return the cost of requests without what the processes spend when idle."""
+    before = [processor_s(pid) for pid in pids]
+    count, refused, end_s = 0, 0, time.perf_counter() + SECONDS
+
+    async def caller(number: int) -> None:
+        nonlocal count, refused
+        while time.perf_counter() < end_s:
+            if await _call(fleet, session, tokens, f"{number}-{count}"):
+                count += 1
+            else:
+                refused += 1
+
+    await asyncio.gather(*(caller(number) for number in range(IN_FLIGHT)))
+    spent = [processor_s(pid) - b for pid, b in zip(pids, before, strict=True)]
+    entry_us, agent_us = (
+        (each - SECONDS * cores) / count * 1e6 for each, cores in zip(spent, idle, strict=True)
+    )
+    return Cost(count / SECONDS, refused / SECONDS, entry_us, agent_us)
+
+
+async def _call(fleet: Fleet, session: aiohttp.ClientSession, tokens: int, prompt: str) -> bool:
+    if not tokens:
+        async with session.get(fleet.url(1, LOOKUP), headers=TEAM) as response:
+            await response.read()
+    else:
+        messages = [{"role": "user", "content": f"prompt {prompt} " + "x" * 200}]
+        body = {"model": "m", "messages": messages, "max_tokens": tokens, "stream": True}
+        async with session.post(fleet.url(1, CHAT), json=body, headers=TEAM) as response:
+            await response.read()
+    if response.status == 200:
+        return True
+    code = int(response.headers["X-Lycheefall-Code"])
+    assert ResultCode.NOT_READY <= code < ResultCode.NOT_READY + 1_000, code
+    await asyncio.sleep(REFUSED_PAUSE_S)
+    return False
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/state_slopes.py
@@ -0,0 +1,215 @@
+"""Bytes, memory and time of the state that roles hold, at sizes up to the one to design for.
+
+Run: PYTHONPATH=src:tests:. python -m bench.state_slopes
+Everything runs in one process without sockets. Times are processor time.
+"""
+
+import gc
+import time
+import tracemalloc
+from collections.abc import Callable, Iterator, Sequence
+from functools import partial
+from itertools import count as count_from
+from logging import ERROR
+
+import structlog
+
+from bench.bench_claims import fill
+from bench.rules_cost import admission_run, table_of
+from bench.slopes import ROUNDS, Point, show
+from lycheefall._control.membership import on_announce, remove_silent
+from lycheefall._control.messages import AppliedView, ReplicaView
+from lycheefall._control.publish import Published, changes
+from lycheefall._core.configuration import Configuration
+from lycheefall._core.enums import MemberState, ReplicaRole, UpstreamKind
+from lycheefall._core.ids import (
+    Address,
+    DataCentreId,
+    Incarnation,
+    InstanceId,
+    LogIndex,
+    PoolId,
+    Revision,
+    Term,
+    UpstreamId,
+)
+from lycheefall._core.messages.control import Changes, Watch
+from lycheefall._core.messages.membership import Announce, EntryMember, Load, Member, UpstreamMember
+from lycheefall._entry.catalogue import build_catalogue
+from lycheefall._entry.upstreams import UpstreamTable, step_upstreams
+from lycheefall._operate.configuration_file import parse_configuration
+from lycheefall._rules.replicated import machine
+from lycheefall._wire.codec import decode_from_control, encode
+from processes.fleet import configuration_text
+
+MEMBERS = (123, 410, 820, 1_230)
+TEAMS = (10, 190, 380, 570)
+UPSTREAMS = (20, 100, 400, 820)
+CLAIMS = (10_000, 20_000, 40_000)
+CALLS = 20
+FOREVER_S = float("inf")
+SEEN_S = 0.0
+
+
+def main() -> None:
+    """Print points and slopes."""
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(ERROR))
+    watch_answers()
+    configurations()
+    claims()
+    entry_state()
+
+
+def cost_us(call: Callable[[], object], calls: int = CALLS) -> tuple[float, ...]:
+    """Return the processor time of a call in each round."""
+    rounds = []
+    for _ in range(ROUNDS):
+        start_s = time.process_time()
+        for _ in range(calls):
+            call()
+        rounds.append((time.process_time() - start_s) / calls * 1e6)
+    return tuple(rounds)
+
+
+def held_mb(make: Callable[[], object]) -> tuple[float]:
+    """Return the memory that an object holds, as the allocator counts it."""
+    gc.collect()
+    tracemalloc.start()
+    kept = make()
+    gc.collect()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return (size / 1e6,)
+
+
+def member(number: int, load: Load) -> Member:
+    """Return an agent, or an entry for each third member."""
+    name, here, run = f"member-{number}", DataCentreId("cork-a"), Incarnation(f"{number:016x}")
+    address = Address(f"10.1.{number // 250}.{number % 250}:7000")
+    if number % 3 == 2:
+        return EntryMember(InstanceId(name), here, address, address, run, MemberState.READY)
+    pool, kind = PoolId("assistant-pool"), UpstreamKind.ENGINE
+    ids = (UpstreamId(name), InstanceId(f"host-{name}"), here)
+    return UpstreamMember(*ids, pool, kind, address, run, MemberState.READY, 16, load)
+
+
+def published(count: int) -> Published:
+    """Return what a replica publishes with this many members."""
+    view = ReplicaView(
+        ReplicaRole.LEADER, Term(1), LogIndex(1), Address("10.1.1.1:1"), (), FOREVER_S, FOREVER_S
+    )
+    applied = AppliedView(LogIndex(1), Configuration(revision=Revision(1)), 0)
+    state = Published(
+        instance=InstanceId("c"), process=Incarnation("p"), view=view, applied=applied
+    )
+    for number in range(count):
+        on_announce(state.members, Announce(member(number, Load()), 1), SEEN_S)
+    return state
+
+
+def watch_answers() -> None:
+    """Measure the answer to one watch: nothing changed, or the load of all agents."""
+    same: list[Point] = []
+    full: list[Point] = []
+    received: list[Point] = []
+    sizes: list[Point] = []
+    for count in MEMBERS:
+        state = published(count)
+        ends = Incarnation("p")
+        nothing = Watch(1, Revision(1), ends, state.members.version)
+        everything = Watch(1, Revision(1), Incarnation(""), 0)
+        same.append(Point(count, cost_us(partial(answer, state, nothing))))
+        full.append(Point(count, cost_us(partial(answer, state, everything))))
+        payload = answer(state, everything)
+        received.append(Point(count, cost_us(partial(decode_from_control, payload))))
+        sizes.append(Point(count, (len(payload),)))
+    show("replica, a watch without changes", "members", "us", same)
+    show("replica, a watch that gets every member", "members", "us", full)
+    show("watcher, decoding every member", "members", "us", received)
+    show("payload with every member", "members", "bytes", sizes)
+    print(f"  a watch asks with {len(encode(nothing))} bytes")
+    for number in (0, 2):
+        beat = Announce(member(number, Load(9, 9, 9_999, 0.5, 0.25)), 100_000)
+        print(f"  heartbeat of {type(beat.member).__name__}: {len(encode(beat))} bytes")
+
+
+def answer(state: Published, watch: Watch) -> bytes:
+    """Answer a watch as the replica does."""
+    remove_silent(state.members, SEEN_S)
+    return encode(changes(state, watch, SEEN_S))
+
+
+def configurations() -> None:
+    """Measure a file and its delivery against the number of teams."""
+    sizes, sent, parsing, coding, decoding, using = ([] for _ in range(6))
+    for teams in TEAMS:
+        text = configuration_text(0, teams)
+        parsed = parse_configuration(text, Revision(1))
+        payload = deliver(parsed)
+        sizes.append(Point(teams, (len(text),)))
+        sent.append(Point(teams, (len(payload),)))
+        parsing.append(Point(teams, cost_us(partial(parse_configuration, text, Revision(1)), 3)))
+        coding.append(Point(teams, cost_us(partial(deliver, parsed))))
+        decoding.append(Point(teams, cost_us(partial(decode_from_control, payload))))
+        using.append(Point(teams, cost_us(partial(build_catalogue, parsed))))
+    show("configuration file", "teams", "bytes", sizes)
+    show("delivery to one watcher", "teams", "bytes", sent)
+    show("replica, parsing the file", "teams", "us", parsing)
+    show("replica, encoding one delivery", "teams", "us", coding)
+    show("watcher, decoding one delivery", "teams", "us", decoding)
+    show("entry, catalogue of the file", "teams", "us", using)
+
+
+def deliver(configuration: Configuration) -> bytes:
+    """Encode the answer that brings a configuration and nothing else."""
+    ends = Incarnation("p")
+    return encode(Changes(1, ends, None, Revision(1), configuration, 1, False, (), (), ()))
+
+
+def claims() -> None:
+    """Measure memory and snapshot of answered claims."""
+    memory, snapshot, encoding = [], [], []
+    for count in CLAIMS:
+        memory.append(Point(count, held_mb(partial(fill, count))))
+        whole = machine.initial()
+        whole.claims = fill(count)
+        snapshot.append(Point(count, (len(encode(whole)) / 1e6,)))
+        encoding.append(Point(count, tuple(us / 1000 for us in cost_us(partial(encode, whole), 1))))
+    show("claims", "claims", "MB", memory)
+    show("snapshot", "claims", "MB", snapshot)
+    show("replica, encoding a snapshot", "claims", "ms", encoding)
+
+
+def entry_state() -> None:
+    """Measure what the rules of an entry hold and the cost of hearing an announcement."""
+    _memory("fair queues with ten waiting requests a team", "teams", TEAMS, admission_run)
+    _memory("routing table with 200 prefixes an upstream", "upstreams", UPSTREAMS, table_of)
+    hearing = []
+    for count in UPSTREAMS:
+        table = UpstreamTable(heard={})
+        beats = [agent_member(number) for number in range(count)]
+        sequence = count_from(1)
+        # The first announcement of an upstream writes a log line.
+        _hear(table, beats, sequence)
+        hearing.append(Point(count, cost_us(partial(_hear, table, beats, sequence), 1)))
+    show("entry, one announcement of every upstream", "upstreams", "us", hearing)
+
+
+def agent_member(number: int) -> Member:
+    """Return an agent as it announces itself."""
+    return member(number * 3, Load(9, 9, 9_999, 0.5, 0.25))
+
+
+def _hear(table: UpstreamTable, members: Sequence[Member], sequence: Iterator[int]) -> None:
+    number = next(sequence)
+    for each in members:
+        step_upstreams(table, Announce(each, number), SEEN_S)
+
+
+def _memory(name: str, unit: str, sizes: Sequence[int], make: Callable[[int], object]) -> None:
+    show(name, unit, "MB", [Point(size, held_mb(partial(make, size))) for size in sizes])
+
+
+if __name__ == "__main__":
+    main()
