--- a/src/lycheefall/_control/group_coordinator.py
+++ b/src/lycheefall/_control/group_coordinator.py
@@ -3,12 +3,12 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-import structlog
 from msgspec import Struct
 
 from lycheefall._core.events import Event
 from lycheefall._core.exceptions import ControlUnavailable
 from lycheefall._core.ids import RankId
+from lycheefall._core.log import log
 from lycheefall._core.messages.control import Command, Result
 from lycheefall._core.messages.groups import AskEpochs, Placement, RankReport, ToRank
 from lycheefall._core.pipeline import Inbox, run_owner, tick
@@ -36,8 +36,6 @@
 
 Propose = Callable[[Command, float], Awaitable[Result]]
 
-_log = structlog.get_logger()
-
 
 class PlanRequest(Struct, frozen=True):
     """Ask for a plan; made outside the task, since it takes tens of milliseconds."""
@@ -59,6 +57,7 @@
     protocol: CoordinatorState
     limits: Limits
     load: GroupLoad
+    plan_period_s: float
     plan_at_s: float = 0.0
 
 
@@ -66,9 +65,12 @@
 Output = CoordinatorOutput | PlanRequest
 
 
-def initial(protocol: CoordinatorState, limits: Limits) -> Coordination:
+def initial(
+    protocol: CoordinatorState, limits: Limits, plan_period_s: float = PLAN_PERIOD_S
+) -> Coordination:
     """Return the state of a coordinator task that has just started."""
-    return Coordination(protocol, limits, group_load.initial(limits.experts, limits.ranks))
+    load = group_load.initial(limits.experts, limits.ranks)
+    return Coordination(protocol, limits, load, plan_period_s)
 
 
 def coordinate(
@@ -96,7 +98,7 @@
 def _request_plan(state: Coordination, now_s: float) -> list[Output]:
     if now_s < state.plan_at_s or not may_place(state.protocol):
         return []
-    state.plan_at_s = now_s + PLAN_PERIOD_S
+    state.plan_at_s = now_s + state.plan_period_s
     group_load.close_window(state.load)
     maps = state.protocol.maps
     in_force = maps[-1].placement if maps else None
@@ -162,9 +164,8 @@
     made = await asyncio.to_thread(
         plan, state.limits, request.load, request.slowness, request.in_force
     )
-    _log.info(
-        "experts placed",
-        event_code=int(Event.EXPERTS_PLACED),
+    log(
+        Event.EXPERTS_PLACED,
         group=state.protocol.group,
         epoch=epoch_in_force(state.protocol),
         moves=made.moves,
@@ -178,9 +179,8 @@
 
 
 def _write(state: Coordination, note: Note) -> None:
-    _log.info(
-        note.event.name.lower().replace("_", " "),
-        event_code=int(note.event),
+    log(
+        note.event,
         group=state.protocol.group,
         epoch=note.epoch,
         step=note.step,
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -1,10 +1,14 @@
 """Starts the whole system as processes: entries with control, fake upstreams and agents."""
 
 import asyncio
+import contextlib
+import json
 import os
 import signal
 import subprocess
 import sys
+from collections import Counter
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -112,7 +116,8 @@
     # Extra flags of every agent.
     agent_flags: list[str] = field(default_factory=list)
     addresses: dict[str, Address] = field(default_factory=dict)
-    # Other processes reach these instead of the real address, by process name.
+    # Other processes reach these instead of the real address, by listener ("client-0"), or by
+    # process and listener ("entry-3:client-0") if only one process takes the detour.
     detours: dict[str, Address] = field(default_factory=dict)
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
     commands: dict[str, list[str]] = field(default_factory=dict)
@@ -132,7 +137,10 @@
     @property
     def control(self) -> str:
         """Return the client addresses of the replicas as a flag's value."""
-        return ",".join(self._reach(f"client-{n}") for n in range(self.replicas))
+        return self._control_for("operator")
+
+    def _control_for(self, process: str) -> str:
+        return ",".join(self._reach(f"client-{n}", process) for n in range(self.replicas))
 
     @property
     def upstream_names(self) -> list[str]:
@@ -141,8 +149,9 @@
             f"service-{n}" for n in range(self.services)
         ]
 
-    def _reach(self, name: str) -> Address:
-        return self.detours.get(name, self.addresses[name])
+    def _reach(self, listener: str, process: str) -> Address:
+        shared = self.detours.get(listener, self.addresses[listener])
+        return self.detours.get(f"{process}:{listener}", shared)
 
     def start_all(self) -> None:
         """Start every process."""
@@ -169,13 +178,15 @@
             return self._entry(int(number))
         fake = f"lycheefall._fakes.{kind}"
         flags = ["--listen", self.addresses[name], *self.fake_flags.get(name, [])]
+        flags += ["--requests-file", str(self.folder / f"{name}.requests")]
         if kind == "service":
             flags += ["--executions-file", str(self.folder / f"{name}.executions")]
         return [fake, *flags]
 
     def _entry(self, number: int) -> list[str]:
         flags = ["lycheefall", "entry", "--instance", f"entry-{number}"]
-        flags += ["--data-centre", f"dc-{number % 3}", "--control", self.control]
+        flags += ["--data-centre", f"dc-{number % 3}"]
+        flags += ["--control", self._control_for(f"entry-{number}")]
         flags += ["--listen", self.addresses[f"entry-{number}"]]
         flags += ["--announce-listen", self.addresses[f"announce-{number}"], "--drain-s", "20"]
         if number >= self.replicas:
@@ -197,9 +208,17 @@
         pool = {"engine": "assistant-pool", "service": "counter-app"}[kind]
         flags = ["lycheefall", "agent", "--instance", f"host-{upstream}"]
         flags += ["--data-centre", f"dc-{int(number) % 3}", "--upstream", upstream]
-        flags += ["--pool", pool, "--kind", kind, "--control", self.control]
-        flags += ["--upstream-address", self.addresses[upstream], *self.agent_flags]
-        return [*flags, "--listen", self.addresses[f"{kind}-agent-{number}"]]
+        flags += ["--pool", pool, "--kind", kind]
+        flags += ["--control", self._control_for(f"{upstream}-agent")]
+        flags += [
+            "--upstream-address",
+            self._reach(upstream, f"{upstream}-agent"),
+            *self.agent_flags,
+        ]
+        listener = f"{kind}-agent-{number}"
+        if listener in self.detours:
+            flags += ["--announce-as", self.detours[listener]]
+        return [*flags, "--listen", self.addresses[listener]]
 
     def apply(self, text: str) -> subprocess.CompletedProcess[str]:
         """Apply a configuration file with the command line."""
@@ -224,8 +243,18 @@
 
     def executions(self) -> list[str]:
         """Return the lines that the fake services wrote, one for each execution."""
-        files = [self.folder / f"service-{n}.executions" for n in range(self.services)]
-        return [line for file in files if file.exists() for line in file.read_text().splitlines()]
+        names = [f"service-{n}" for n in range(self.services)]
+        return [line for name in names for line in self.executions_of(name)]
+
+    def executions_of(self, service: str) -> list[str]:
+        """Return the lines that one fake service wrote."""
+        file = self.folder / f"{service}.executions"
+        return file.read_text().splitlines() if file.exists() else []
+
+    def requests(self) -> Counter[str]:
+        """Return how often each prompt and each path of a lookup reached a fake."""
+        files = self.folder.glob("*.requests")
+        return Counter(json.loads(line) for file in files for line in file.open())
 
     def kill(self, name: str) -> None:
         """End a process with SIGKILL."""
@@ -271,3 +300,32 @@
                 return served and response.status == 200
         except aiohttp.ClientError:
             return False
+
+
+async def kill(fleet: Fleet, name: str, pause_s: float) -> None:
+    """End a process and start it again."""
+    fleet.kill(name)
+    await asyncio.sleep(pause_s)
+    fleet.start(name)
+
+
+async def freeze(fleet: Fleet, name: str, pause_s: float) -> None:
+    """Stop a process for a time."""
+    fleet.pause(name)
+    await asyncio.sleep(pause_s)
+    fleet.resume(name)
+
+
+@contextlib.asynccontextmanager
+async def running(fleet: Fleet) -> AsyncIterator[aiohttp.ClientSession]:
+    """Run a planned fleet with an accepted file; yield a session for its callers."""
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        try:
+            fleet.start_all()
+            applied = await asyncio.to_thread(fleet.apply, configuration_text())
+            assert applied.returncode == 0, applied.stdout + applied.stderr
+            await fleet.ready(session)
+            yield session
+        finally:
+            fleet.close()
