--- a/bench/state_slopes.py
+++ b/bench/state_slopes.py
@@ -17,7 +17,6 @@
 from bench.bench_claims import fill
 from bench.rules_cost import admission_run, table_of
 from bench.slopes import ROUNDS, Point, show
-from lycheefall._control.membership import on_announce, remove_silent
 from lycheefall._control.messages import AppliedView, ReplicaView
 from lycheefall._control.publish import Published, changes
 from lycheefall._core.configuration import Configuration
@@ -36,8 +35,10 @@
 from lycheefall._core.messages.control import Changes, Watch
 from lycheefall._core.messages.membership import Announce, EntryMember, Load, Member, UpstreamMember
 from lycheefall._entry.catalogue import build_catalogue
-from lycheefall._entry.upstreams import UpstreamTable, step_upstreams
+from lycheefall._entry.upstreams import FORGET_S, step_upstreams
 from lycheefall._operate.configuration_file import parse_configuration
+from lycheefall._rules import membership
+from lycheefall._rules.membership import MembershipState, Sweep
 from lycheefall._rules.replicated import machine
 from lycheefall._wire.codec import decode_from_control, encode
 from processes.fleet import configuration_text
@@ -104,12 +105,12 @@
         instance=InstanceId("c"), process=Incarnation("p"), view=view, applied=applied
     )
     for number in range(count):
-        on_announce(state.members, Announce(member(number, Load()), 1), SEEN_S)
+        membership.step(state.members, Announce(member(number, Load()), 1), SEEN_S)
     return state
 
 
 def watch_answers() -> None:
-    """Measure the answer to one watch: nothing changed, or the load of all agents."""
+    """Measure the answer to one watch: nothing changed, or a full copy."""
     same: list[Point] = []
     full: list[Point] = []
     received: list[Point] = []
@@ -136,7 +137,7 @@
 
 def answer(state: Published, watch: Watch) -> bytes:
     """Answer a watch as the replica does."""
-    remove_silent(state.members, SEEN_S)
+    membership.step(state.members, Sweep(), SEEN_S)
     return encode(changes(state, watch, SEEN_S))
 
 
@@ -187,7 +188,7 @@
     _memory("routing table with 200 prefixes an upstream", "upstreams", UPSTREAMS, table_of)
     hearing = []
     for count in UPSTREAMS:
-        table = UpstreamTable(heard={})
+        table = membership.initial(FORGET_S)
         beats = [agent_member(number) for number in range(count)]
         sequence = count_from(1)
         # The first announcement of an upstream writes a log line.
@@ -201,7 +202,7 @@
     return member(number * 3, Load(9, 9, 9_999, 0.5, 0.25))
 
 
-def _hear(table: UpstreamTable, members: Sequence[Member], sequence: Iterator[int]) -> None:
+def _hear(table: MembershipState, members: Sequence[Member], sequence: Iterator[int]) -> None:
     number = next(sequence)
     for each in members:
         step_upstreams(table, Announce(each, number), SEEN_S)
