--- a/bench/claim_slopes.py
+++ b/bench/claim_slopes.py
@@ -153,11 +153,19 @@
     every = [each for rounds in trials.values() for each in rounds]
     print(f"  log bytes a booking: {statistics.median(each.log_bytes for each in every):.0f}")
     print(f"  client us a booking: {statistics.median(each.client_us for each in every):.0f}")
-    leader = [Point(each.bookings_per_s, (each.leader_cores,)) for each in every]
-    show(f"leader of {replicas}", "bookings/s", "core", leader)
+    _show_cost(f"leader of {replicas}, one booking", trials, "leader_cores")
     if replicas > 1:
-        others = [Point(each.bookings_per_s, (each.follower_cores,)) for each in every]
-        show(f"follower of {replicas}", "bookings/s", "core", others)
+        _show_cost(f"follower of {replicas}, one booking", trials, "follower_cores")
+
+
+def _show_cost(name: str, trials: dict[int, list[Trial]], field: str) -> None:
+    """Fit the cost of a booking; the slope is that of a sync and the intercept the rest."""
+    points = []
+    for rounds in trials.values():
+        syncs = statistics.median(2 / each.commands_per_sync for each in rounds)
+        costs = tuple(getattr(each, field) / each.bookings_per_s * 1e6 for each in rounds)
+        points.append(Point(syncs, costs))
+    show(name, "syncs a booking", "us", points)
 
 
 if __name__ == "__main__":
--- a/bench/system.py
+++ b/bench/system.py
@@ -12,7 +12,7 @@
 from bench.slopes import end, start
 from lycheefall._core.ids import NO_REVISION, Address, Revision
 from lycheefall._core.messages.control import ApplyFile, FileResult
-from lycheefall._rules.replicated.revisions import digest_of
+from lycheefall._operate.configuration_file import digest_of
 from processes.fleet import configuration_text
 from processes.scaffold import client_of, free_addresses
 
