Wait until servers listen before the benches of capacity measure them

Cause: on a busy machine a server was not up after 1 s, and a window held its start. Change: bench/transport.py reads the line that tells of the listening server, and the heartbeats of bench/control_slopes.py start once the replica has accepted a file. Conclusion: windows hold no start of a process.

--- a/bench/control_slopes.py
+++ b/bench/control_slopes.py
@@ -41,6 +41,8 @@
     for count in ANNOUNCERS:
         with tempfile.TemporaryDirectory() as folder, replicas(Path(folder), 1) as running:
             process, address = running[0]
+            # The replica answers, so its start is over.
+            uvloop.run(apply_teams((address,), teams=10))
             with crowd(agents=count, announce_to=[address], load_changes=changes):
                 time.sleep(SETTLE_S)
                 (cores,) = shares([process.pid], WINDOW_S)
--- a/bench/system.py
+++ b/bench/system.py
@@ -22,7 +22,8 @@
 @contextlib.contextmanager
 def replicas(folder: Path, count: int) -> Iterator[list[tuple[subprocess.Popen[bytes], Address]]]:
     """Run control replicas with the addresses at which they are asked."""
-    clients, peers = free_addresses(2 * count)[:count], free_addresses(count)
+    ports = free_addresses(2 * count)
+    clients, peers = ports[:count], ports[count:]
     voters = ",".join(f"c-{n}={peers[n]}/{clients[n]}" for n in range(count))
     running = []
     try:
--- a/bench/transport.py
+++ b/bench/transport.py
@@ -50,7 +50,8 @@
     (address,) = free_addresses(1)
     server = start("bench.transport", name, address)
     try:
-        time.sleep(1.0)
+        assert server.stdout is not None
+        assert server.stdout.readline() == b"ready\n"
         before_s = processor_s(server.pid)
         count = uvloop.run(CLIENTS[name](address, time.perf_counter() + SECONDS))
         return count / SECONDS, (processor_s(server.pid) - before_s) / count * 1e6
@@ -70,6 +71,7 @@
     await runner.setup()
     host, _, port = address.rpartition(":")
     await web.TCPSite(runner, host, int(port)).start()
+    print("ready", flush=True)
     await asyncio.Event().wait()
 
 
@@ -92,6 +94,7 @@
     """Echo messages by zmq.asyncio."""
     socket = zmq.asyncio.Context.instance().socket(zmq.ROUTER)
     socket.bind(f"tcp://{address}")
+    print("ready", flush=True)
     while True:
         await socket.send_multipart(await socket.recv_multipart())
 
@@ -115,6 +118,7 @@
 async def serve_descriptor(address: Address) -> None:
     """Echo messages by the sockets of lycheefall."""
     server = RouterEnd(address, lambda peer, payload: server.send(peer, payload))
+    print("ready", flush=True)
     await asyncio.Event().wait()
 
 
