--- a/bench/group_slopes.py
+++ b/bench/group_slopes.py
@@ -46,6 +46,8 @@
     coordinator: group_steps.CoordinatorState
     log: epochs.EpochsState
     now_s: float = 0.0
+    # Processor time of the coordinator's rule.
+    coordinator_s: float = 0.0
     queue: deque[tuple[int, object]] = field(default_factory=deque)
     messages: Counter[str] = field(default_factory=Counter)
     sizes: Counter[str] = field(default_factory=Counter)
@@ -85,16 +87,19 @@
 
 def protocol() -> None:
     """Measure messages, bytes and processor time of one group."""
-    rates, bytes_per_s, cores = [], [], []
+    rates, bytes_per_s, cores, alone = [], [], [], []
     for limits in LIMITS:
         runs = [_run(limits) for _ in range(ROUNDS)]
         group = runs[0][0]
         rates.append(Point(limits.ranks, (group.messages.total() / SECONDS,)))
         bytes_per_s.append(Point(limits.ranks, (group.sizes.total() / SECONDS,)))
         cores.append(Point(limits.ranks, tuple(each[1] / SECONDS for each in runs)))
+        own = tuple(each.coordinator_s / SECONDS for each, _ in runs)
+        alone.append(Point(limits.ranks, own))
     show("messages of a group", "ranks", "messages/s", rates)
     show("payload of a group", "ranks", "bytes/s", bytes_per_s)
     show("rules of coordinator and ranks", "ranks", "core", cores)
+    show("rule of the coordinator", "ranks", "core", alone)
     print(f"at {RANKS[-1]} ranks: message, count in {SECONDS} s, bytes each")
     for name, count in group.messages.most_common():
         print(f"  {name}: {count}, {group.sizes[name] / count:.0f}")
@@ -109,6 +114,7 @@
     _start(group, first)
     group.messages.clear()
     group.sizes.clear()
+    group.coordinator_s = 0.0
     start_s = time.process_time()
     for turn in range(SECONDS * TURNS_PER_S):
         if turn == SECONDS * TURNS_PER_S // 2:
@@ -157,7 +163,9 @@
 
 def _tell(group: Group, place: int, message: object) -> None:
     if place == COORDINATOR:
+        start_s = time.process_time()
         outputs = group_steps.step(group.coordinator, message, group.now_s)[1]
+        group.coordinator_s += time.process_time() - start_s
     else:
         outputs = rank_steps.step(group.ranks[place], message, group.now_s)[1]
     for output in outputs:
