--- a/tests/processes/scaffold.py
+++ b/tests/processes/scaffold.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -29,15 +30,20 @@
 TESTS = Path(__file__).resolve().parents[1]
 START_TIMEOUT_S = 10.0
 POLL_S = 0.02
+# Below the ports that the system gives to outgoing connections, which would take a chosen one
+# before its process listens.
+PORTS = range(15_000, 32_000)
 
 
 def free_addresses(count: int) -> list[Address]:
     """Return loopback addresses with ports that are free now and different."""
-    with contextlib.ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in probes:
-            probe.bind(("127.0.0.1", 0))
-        return [Address(f"127.0.0.1:{probe.getsockname()[1]}") for probe in probes]
+    found: set[int] = set()
+    while len(found) < count:
+        port = random.SystemRandom().choice(PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            found.add(port)
+    return [Address(f"127.0.0.1:{port}") for port in found]
 
 
 @dataclass
@@ -46,6 +52,8 @@
 
     target: Address
     address: Address | None = None
+    # From the first message with these bytes on, answers are held.
+    lose_answers_to: bytes = b""
     server: asyncio.Server | None = None
     forth: asyncio.Event = field(default_factory=asyncio.Event)
     back: asyncio.Event = field(default_factory=asyncio.Event)
@@ -100,20 +108,32 @@
             writer.close()
             return
         self.writers += [writer, far_writer]
-        for source, sink, gate in (
-            (reader, far_writer, self.forth),
-            (far_reader, writer, self.back),
+        for source, sink, gate, seen in (
+            (reader, far_writer, self.forth, self._seen),
+            (far_reader, writer, self.back, _ignore),
         ):
-            task = asyncio.ensure_future(_pump(source, sink, gate))
+            task = asyncio.ensure_future(_pump(source, sink, gate, seen))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
+    def _seen(self, data: bytes) -> None:
+        if self.lose_answers_to and self.lose_answers_to in data:
+            self.block(forth=False)
+
+
+def _ignore(data: bytes) -> None:
+    return None
+
 
 async def _pump(
-    source: asyncio.StreamReader, sink: asyncio.StreamWriter, gate: asyncio.Event
+    source: asyncio.StreamReader,
+    sink: asyncio.StreamWriter,
+    gate: asyncio.Event,
+    seen: Callable[[bytes], None],
 ) -> None:
     with contextlib.suppress(OSError):
         while data := await source.read(65_536):
+            seen(data)
             await gate.wait()
             sink.write(data)
             await sink.drain()
