Let a request that crashes upstreams take two of them at most

Cause: crashes were neither noticed by agents nor recorded by entries, and nobody told the entries which fingerprints are suspects or refused. Agents run suspects one after another from a bounded queue. A suspect takes nothing from the retry budget. learn_refusal and late_code moved to their states' files.

--- a/src/lycheefall/_agent/check.py
+++ b/src/lycheefall/_agent/check.py
@@ -3,6 +3,8 @@
 The agent is the authority on its own drain: it refuses new work whatever an entry believes.
 """
 
+from collections import deque
+
 from msgspec import Struct, field, structs
 
 from lycheefall._agent.messages import (
@@ -49,6 +51,15 @@
 SILENT_LOAD_QUERIES = 2
 # Results of bookings that are kept for entries that lost their connection.
 KEPT_RESULTS = 10_000
+# Suspects that may wait to run alone; an upstream's concurrency is of this order.
+WAITING_ALONE = 64
+
+
+class Waiting(Struct, frozen=True):
+    """A suspect that waits to run alone."""
+
+    forward: Forward
+    deadline_s: float
 
 
 class CheckState(Struct):
@@ -64,8 +75,8 @@
     running: dict[AttemptId, Dispatch] = field(default_factory=dict)
     # Results of claimed attempts, for flows that ask after a lost connection.
     finished: dict[ClaimToken, Finished] = field(default_factory=dict)
-    # A suspect that waits until nothing else runs.
-    waiting_alone: Forward | None = None
+    # Suspects that wait until nothing else runs, with the times at which they must have started.
+    waiting_alone: deque[Waiting] = field(default_factory=deque)
     alone: AttemptId | None = None
 
 
@@ -91,7 +102,7 @@
             _set_draining(state, now_s)
             return state, _present(state, state.member.load) + _drained(state)
         case Tick():
-            return state, _start_alone(state) + _drained(state)
+            return state, _start_alone(state, now_s) + _drained(state)
 
 
 def _from_entry(state: CheckState, received: FromEntry, now_s: float) -> list[FromCheck]:
@@ -100,7 +111,7 @@
         case Dispatch():
             return _dispatch(state, received.peer, message, now_s)
         case Cancel() | Credit():
-            return [Steer(message)]
+            return _cancel_waiting(state, message, now_s) or [Steer(message)]
         case Resolve():
             return _resolve(state, received.peer, message, now_s)
         case Ping():
@@ -119,7 +130,7 @@
 
 
 def _dispatch(state: CheckState, peer: bytes, dispatch: Dispatch, now_s: float) -> list[FromCheck]:
-    code = _refusal(state)
+    code = _refusal(state, dispatch)
     if code is not ResultCode.OK:
         return [ToPeer(peer, _refuse(state, dispatch, code, now_s))]
     state.attempts, (effect,) = attempts.step(state.attempts, dispatch, now_s)
@@ -127,17 +138,20 @@
         return [ToPeer(peer, effect)]
     forward = Forward(peer, dispatch)
     if dispatch.alone and state.running:
-        state.waiting_alone = forward
+        state.waiting_alone.append(Waiting(forward, now_s + dispatch.remaining_s))
         return []
     return _start(state, forward)
 
 
-def _refusal(state: CheckState) -> ResultCode:
+def _refusal(state: CheckState, dispatch: Dispatch) -> ResultCode:
     if state.member.state is MemberState.DRAINING:
         return ResultCode.UPSTREAM_DRAINING
     if state.member.state is not MemberState.READY:
         return ResultCode.NOT_READY
-    if state.alone is not None or state.waiting_alone is not None:
+    if dispatch.alone:
+        is_full = len(state.waiting_alone) >= WAITING_ALONE
+        return ResultCode.UPSTREAM_BUSY if is_full else ResultCode.OK
+    if state.alone is not None or state.waiting_alone:
         return ResultCode.UPSTREAM_BUSY
     if len(state.running) >= state.member.concurrency * (1 + BACKLOG_RATIO):
         return ResultCode.UPSTREAM_BUSY
@@ -167,12 +181,35 @@
     return [ToPeer(forward.peer, Started(attempt.request, attempt.attempt)), forward]
 
 
-def _start_alone(state: CheckState) -> list[FromCheck]:
-    forward = state.waiting_alone
-    if forward is None or state.running:
-        return []
-    state.waiting_alone = None
-    return _start(state, forward)
+def _start_alone(state: CheckState, now_s: float) -> list[FromCheck]:
+    """Start the next suspect that is in time, if nothing runs."""
+    results: list[FromCheck] = []
+    while state.waiting_alone and not state.running:
+        waiting = state.waiting_alone.popleft()
+        remaining_s = waiting.deadline_s - now_s
+        if remaining_s <= 0:
+            results.append(_drop(state, waiting, ResultCode.EXPIRED_BEFORE_START, now_s))
+            continue
+        dispatch = structs.replace(waiting.forward.dispatch, remaining_s=remaining_s)
+        results += _start(state, Forward(waiting.forward.peer, dispatch))
+    return results
+
+
+def _cancel_waiting(state: CheckState, message: Cancel | Credit, now_s: float) -> list[FromCheck]:
+    for waiting in state.waiting_alone:
+        dispatch = waiting.forward.dispatch
+        same = (dispatch.request, dispatch.attempt) == (message.request, message.attempt)
+        if same and isinstance(message, Cancel):
+            state.waiting_alone.remove(waiting)
+            return [_drop(state, waiting, ResultCode.CANCELLED_BEFORE_START, now_s)]
+    return []
+
+
+def _drop(state: CheckState, waiting: Waiting, code: ResultCode, now_s: float) -> ToPeer:
+    dispatch = waiting.forward.dispatch
+    refused = Refused(dispatch.request, dispatch.attempt, code)
+    state.attempts, _ = attempts.step(state.attempts, _as_finished(refused), now_s)
+    return ToPeer(waiting.forward.peer, refused)
 
 
 def _ended(state: CheckState, ended: AttemptEnded, now_s: float) -> list[FromCheck]:
@@ -186,7 +223,7 @@
     state.attempts, _ = attempts.step(state.attempts, finished, now_s)
     if dispatch is not None and dispatch.claim is not None:
         _keep(state, dispatch.claim, finished)
-    return [ToPeer(ended.peer, result), *_start_alone(state), *_drained(state)]
+    return [ToPeer(ended.peer, result), *_start_alone(state, now_s), *_drained(state)]
 
 
 def _as_finished(result: Finished | Refused) -> Finished:
@@ -246,5 +283,5 @@
 
 
 def _drained(state: CheckState) -> list[FromCheck]:
-    idle = not state.running and state.waiting_alone is None
+    idle = not state.running and not state.waiting_alone
     return [Drained()] if state.stopping and idle else []
--- a/src/lycheefall/_agent/messages.py
+++ b/src/lycheefall/_agent/messages.py
@@ -20,8 +20,6 @@
 
     peer: bytes
     result: ToEntry
-    # True when the upstream went down under the attempt.
-    crashed: bool = False
 
 
 class LoadRead(Struct, frozen=True):
--- a/src/lycheefall/_agent/service.py
+++ b/src/lycheefall/_agent/service.py
@@ -60,7 +60,9 @@
     def send(peer: bytes, message: ToEntry) -> bool:
         return router.send(peer, encode(message))
 
-    attempts = Attempts(settings.upstream_address, settings.kind, send, _deliver_end(inbox))
+    attempts = Attempts(
+        incarnation, settings.upstream_address, settings.kind, send, _deliver_end(inbox)
+    )
     on_changes = _on_changes(settings, announcer, inbox)
     retention_s = Limits().key_retention_s
     state = CheckState(
--- a/src/lycheefall/_control/apply.py
+++ b/src/lycheefall/_control/apply.py
@@ -11,6 +11,7 @@
 from lycheefall._core.messages.control import Failed, Proposed, Result
 from lycheefall._core.pipeline import Inbox
 from lycheefall._rules.consensus.state import Committed, Compact, Restore
+from lycheefall._rules.replicated import suspects
 from lycheefall._rules.replicated.machine import Apply, Machine
 from lycheefall._wire.codec import encode
 from lycheefall._wire.consensus_codec import decode_machine
@@ -110,4 +111,12 @@
 
 def view_of(state: Applied) -> AppliedView:
     """Return what watchers see of the state machine."""
-    return AppliedView(state.index, state.machine.revisions.configuration, 0)
+    crashes = state.machine.suspects
+    return AppliedView(
+        state.index,
+        state.machine.revisions.configuration,
+        0,
+        crashes.version,
+        suspects.suspects(crashes),
+        suspects.refused(crashes),
+    )
--- a/src/lycheefall/_control/client.py
+++ b/src/lycheefall/_control/client.py
@@ -95,6 +95,7 @@
     revision: Revision = NO_REVISION
     replica: Incarnation = Incarnation("")
     membership_version: int = 0
+    suspects_version: int = 0
     pending: dict[CommandId, Pending] = field(default_factory=dict)
     asked: dict[int, asyncio.Future[StatusReport]] = field(default_factory=dict)
 
@@ -205,7 +206,13 @@
 
 def _send_watch(state: Client) -> bool:
     state.sequence += 1
-    watch = Watch(state.sequence, state.revision, state.replica, state.membership_version)
+    watch = Watch(
+        state.sequence,
+        state.revision,
+        state.replica,
+        state.membership_version,
+        state.suspects_version,
+    )
     return _send(state, watch)
 
 
@@ -306,6 +313,7 @@
         return
     state.replica = message.replica
     state.membership_version = message.membership_version
+    state.suspects_version = max(state.suspects_version, message.suspects_version)
     if configuration is not None:
         state.revision = configuration.revision
 
--- a/src/lycheefall/_control/messages.py
+++ b/src/lycheefall/_control/messages.py
@@ -4,7 +4,7 @@
 
 from lycheefall._core.configuration import Configuration
 from lycheefall._core.enums import ReplicaRole
-from lycheefall._core.ids import Address, CommandId, InstanceId, LogIndex, Term
+from lycheefall._core.ids import Address, CommandId, Fingerprint, InstanceId, LogIndex, Term
 from lycheefall._core.messages.consensus import PeerMessage, Submitted
 from lycheefall._core.messages.control import StatusQuery, Watch
 from lycheefall._core.messages.membership import Announce
@@ -58,6 +58,9 @@
     index: LogIndex
     configuration: Configuration
     claims: int
+    suspects_version: int = 0
+    suspects: tuple[Fingerprint, ...] = ()
+    refused: tuple[Fingerprint, ...] = ()
 
 
 class ClientMessage(Struct, frozen=True):
--- a/src/lycheefall/_control/publish.py
+++ b/src/lycheefall/_control/publish.py
@@ -5,7 +5,14 @@
 from msgspec import Struct, field
 
 from lycheefall._control.messages import AppliedView, ClientMessage, ReplicaView, ToPublish
-from lycheefall._core.ids import NO_REVISION, Incarnation, InstanceId, Revision, UpstreamId
+from lycheefall._core.ids import (
+    NO_REVISION,
+    Fingerprint,
+    Incarnation,
+    InstanceId,
+    Revision,
+    UpstreamId,
+)
 from lycheefall._core.messages.control import Changes, FromControl, StatusQuery, StatusReport, Watch
 from lycheefall._core.messages.membership import Announce
 from lycheefall._core.pipeline import Inbox
@@ -95,9 +102,19 @@
         delta.members,
         tuple(UpstreamId(name) for name in _names(delta.removed, MemberKind.UPSTREAM)),
         tuple(InstanceId(name) for name in _names(delta.removed, MemberKind.ENTRY)),
+        *_crashes(state.applied, watch),
     )
 
 
+def _crashes(
+    applied: AppliedView, watch: Watch
+) -> tuple[int, tuple[Fingerprint, ...] | None, tuple[Fingerprint, ...] | None]:
+    # The version is part of the replicated state, so those of all replicas compare.
+    if applied.suspects_version <= watch.suspects_version:
+        return watch.suspects_version, None, None
+    return applied.suspects_version, applied.refused, applied.suspects
+
+
 def _names(keys: tuple[MemberKey, ...], kind: MemberKind) -> list[str]:
     return [key.name for key in keys if key.kind is kind]
 
--- a/src/lycheefall/_core/messages/dispatch.py
+++ b/src/lycheefall/_core/messages/dispatch.py
@@ -107,6 +107,13 @@
     tokens: tuple[str, ...]
 
 
+class Crash(Struct, frozen=True, array_like=True):
+    """A run of the upstream that ended under an attempt, and what the attempt asked for."""
+
+    upstream_incarnation: Incarnation
+    fingerprint: Fingerprint
+
+
 class Finished(Struct, frozen=True, array_like=True, tag=14):
     """End an attempt that started."""
 
@@ -119,8 +126,8 @@
     finish_reason: str = ""
     # Number of tokens in the whole answer, so that a lost frame is detected.
     token_count: int = 0
-    # The upstream went down while it ran this attempt.
-    crashed: bool = False
+    # Given when the upstream went down while it ran this attempt.
+    crash: Crash | None = None
 
 
 class Resolved(Struct, frozen=True, array_like=True, tag=15):
--- a/src/lycheefall/_core/messages/entry.py
+++ b/src/lycheefall/_core/messages/entry.py
@@ -6,6 +6,7 @@
 from lycheefall._core.configuration import Configuration, Route
 from lycheefall._core.ids import (
     AttemptNumber,
+    FencingNumber,
     Fingerprint,
     IdempotencyKey,
     Incarnation,
@@ -186,6 +187,45 @@
     upstream: UpstreamId
 
 
+class CrashSeen(Struct, frozen=True):
+    """Record the crash that ended an attempt before anything else is done about it."""
+
+    upstream: UpstreamId
+    finished: Finished
+
+
+class CrashRecorded(Struct, frozen=True):
+    """Answer CrashSeen with the fingerprints that are refused; None if control was unavailable."""
+
+    seen: CrashSeen
+    refused: frozenset[Fingerprint] | None
+
+
+class LeaseWanted(Struct, frozen=True):
+    """Take the lease under which a suspect may be in flight."""
+
+    request: RequestId
+    fingerprint: Fingerprint
+    duration_s: float
+
+
+class LeaseAnswered(Struct, frozen=True):
+    """Answer LeaseWanted with the number of the grant; None without one."""
+
+    request: RequestId
+    fingerprint: Fingerprint
+    fencing: FencingNumber | None
+
+
+class SuspectEnded(Struct, frozen=True):
+    """Give a lease back, and clear a suspect that finished well."""
+
+    request: RequestId
+    fingerprint: Fingerprint
+    fencing: FencingNumber
+    is_clear: bool
+
+
 class EntriesSeen(Struct, frozen=True):
     """Incarnations of the entries that control lists."""
 
@@ -275,6 +315,8 @@
     | EntriesSeen
     | ConfigurationChanged
     | FingerprintsChanged
+    | CrashRecorded
+    | LeaseAnswered
     | FramesRead
     | DispatchClaimed
     | Repick
@@ -305,4 +347,7 @@
     | BookingPicked
     | BookingReply
     | BookingLinkLost
+    | CrashSeen
+    | LeaseWanted
+    | SuspectEnded
 )
--- a/src/lycheefall/_entry/service.py
+++ b/src/lycheefall/_entry/service.py
@@ -1,7 +1,7 @@
 """Join the filters of an entry, from the caller's request to the answer."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 
 from aiohttp import web
 
@@ -23,17 +23,21 @@
     CallEnded,
     Capacity,
     ConfigurationChanged,
+    CrashSeen,
     DispatchClaimed,
     EntriesSeen,
+    FingerprintsChanged,
     FramesRead,
     FromBooking,
     FromDispatch,
     FromQueue,
+    LeaseWanted,
     Proposed,
     ProposeFor,
     ReplyEnd,
     ReplyTokens,
     Submit,
+    SuspectEnded,
     Tick,
     ToBooking,
     ToDispatch,
@@ -51,6 +55,7 @@
 from lycheefall._entry.links import Links
 from lycheefall._entry.queue import QueueState, step_queue
 from lycheefall._entry.settings import EntrySettings
+from lycheefall._entry.suspects import end_suspect, record_crash, take_lease
 from lycheefall._entry.upstreams import FORGET_S, receive_announce, step_upstreams
 from lycheefall._operate.metrics import Count, Metrics, ignore_counts
 from lycheefall._rules import membership
@@ -153,18 +158,32 @@
                 self.bookings.offer(message)
             case CallEnded() | Capacity():
                 self.queue.offer(message)
+            case CrashSeen() | LeaseWanted() | SuspectEnded():
+                self._spawn(self._carry(message))
 
     def from_bookings(self, message: FromBooking) -> None:
         """Pass on what the flows of bookings emit."""
         if isinstance(message, ProposeFor):
-            task = asyncio.create_task(self._propose(message))
-            self.proposals.add(task)
-            task.add_done_callback(self.proposals.discard)
+            self._spawn(self._propose(message))
             return
         if isinstance(message, DispatchClaimed):
             log_claim(message, self.count)
         self.dispatch.offer(message)
 
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self.proposals.add(task)
+        task.add_done_callback(self.proposals.discard)
+
+    async def _carry(self, message: CrashSeen | LeaseWanted | SuspectEnded) -> None:
+        match message:
+            case CrashSeen():
+                await self.dispatch.put(await record_crash(self.client, message))
+            case LeaseWanted():
+                await self.dispatch.put(await take_lease(self.client, message))
+            case SuspectEnded():
+                await end_suspect(self.client, message)
+
     async def _propose(self, proposal: ProposeFor) -> None:
         try:
             result = await self.client.propose(proposal.command, PROPOSAL_TIMEOUT_S)
@@ -185,6 +204,8 @@
         """Take what control says has changed; False when there was no room for it."""
         if changes.configuration is not None and not self._configure(changes.configuration):
             return False
+        if changes.suspects is not None and not self._suspect(changes):
+            return False
         self._learn_entries(changes)
         return True
 
@@ -217,6 +238,10 @@
         log(Event.CONFIGURATION_IN_FORCE, revision=configuration.revision)
         return True
 
+    def _suspect(self, changes: Changes) -> bool:
+        suspects, refused = frozenset(changes.suspects or ()), frozenset(changes.refused or ())
+        return self.dispatch.offer(FingerprintsChanged(suspects, refused))
+
     def _learn_entries(self, changes: Changes) -> None:
         if changes.full:
             self.members.clear()
--- /dev/null
+++ b/src/lycheefall/_entry/suspects.py
@@ -0,0 +1,74 @@
+"""Carry the commands about suspects to control."""
+
+from lycheefall._control.client import ControlClient
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.events import Event
+from lycheefall._core.exceptions import ControlUnavailable
+from lycheefall._core.ids import Incarnation
+from lycheefall._core.log import warn
+from lycheefall._core.messages.control import (
+    AcquireLease,
+    ClearSuspects,
+    Command,
+    CrashResult,
+    LeaseResult,
+    RecordCrash,
+    RenewLease,
+    Result,
+)
+from lycheefall._core.messages.entry import (
+    CrashRecorded,
+    CrashSeen,
+    LeaseAnswered,
+    LeaseWanted,
+    SuspectEnded,
+)
+from lycheefall._rules.suspect_routing import suspect_lease
+
+TIMEOUT_S = 4.0
+# There is no command that ends a lease, so its rest is made this short.
+ENDED_LEASE_S = 0.001
+
+
+async def record_crash(client: ControlClient, seen: CrashSeen) -> CrashRecorded:
+    """Record the crash that ended an attempt."""
+    crash = seen.finished.crash
+    assert crash is not None
+    warn(
+        Event.CRASH_SUSPECTED,
+        upstream=seen.upstream,
+        request=seen.finished.request,
+        fingerprint=crash.fingerprint,
+        crash=crash.upstream_incarnation,
+    )
+    command = RecordCrash(seen.upstream, crash.upstream_incarnation, (crash.fingerprint,))
+    result = await _propose(client, command)
+    refused = frozenset(result.refused) if isinstance(result, CrashResult) else None
+    return CrashRecorded(seen, refused)
+
+
+async def take_lease(client: ControlClient, wanted: LeaseWanted) -> LeaseAnswered:
+    """Acquire the lease of a suspect for one request."""
+    name = suspect_lease(wanted.fingerprint)
+    # Two copies through one entry are two holders.
+    command = AcquireLease(name, Incarnation(wanted.request), wanted.duration_s)
+    result = await _propose(client, command)
+    is_held = isinstance(result, LeaseResult) and result.code is ResultCode.OK
+    fencing = result.fencing if is_held and isinstance(result, LeaseResult) else None
+    return LeaseAnswered(wanted.request, wanted.fingerprint, fencing)
+
+
+async def end_suspect(client: ControlClient, ended: SuspectEnded) -> None:
+    """Clear a suspect that finished well, and give its lease back."""
+    if ended.is_clear:
+        await _propose(client, ClearSuspects((ended.fingerprint,)))
+    name = suspect_lease(ended.fingerprint)
+    holder = Incarnation(ended.request)
+    await _propose(client, RenewLease(name, holder, ended.fencing, ENDED_LEASE_S))
+
+
+async def _propose(client: ControlClient, command: Command) -> Result | None:
+    try:
+        return await client.propose(command, TIMEOUT_S)
+    except ControlUnavailable:
+        return None
--- a/src/lycheefall/_rules/call_state.py
+++ b/src/lycheefall/_rules/call_state.py
@@ -6,6 +6,7 @@
 from lycheefall._core.configuration import Configuration, Limits
 from lycheefall._core.ids import (
     AttemptNumber,
+    FencingNumber,
     Fingerprint,
     Incarnation,
     InstanceId,
@@ -15,7 +16,13 @@
     UpstreamId,
 )
 from lycheefall._core.messages.dispatch import Dispatch
-from lycheefall._core.messages.entry import CallEnded, CallerRequest, FromDispatch, ReplyEnd
+from lycheefall._core.messages.entry import (
+    CallEnded,
+    CallerRequest,
+    FromDispatch,
+    ReplyEnd,
+    SuspectEnded,
+)
 from lycheefall._rules import upstreams
 from lycheefall._rules.choice import Wish
 from lycheefall._rules.choice import choose as choose_from
@@ -47,6 +54,13 @@
     # An attempt may have run without its end being known.
     lost: bool = False
     parked_s: float | None = None
+    # The attempt ended with a crash that is being recorded.
+    crashing: bool = False
+    # Grant of the lease of a suspect, and when to ask for it next.
+    lease: FencingNumber | None = None
+    lease_due_s: float = 0.0
+    # A suspect finished well.
+    is_clear: bool = False
 
     @property
     def tokens(self) -> list[str]:
@@ -72,6 +86,11 @@
     budgets: RetryBudgets = field(default_factory=lambda: RetryBudgets(Limits().retry_ratio))
     suspects: frozenset[Fingerprint] = frozenset()
     refused: frozenset[Fingerprint] = frozenset()
+    # When this entry learned of each suspect, and when it recorded one itself.
+    suspected_s: dict[Fingerprint, float] = field(default_factory=dict)
+    recorded_s: dict[Fingerprint, float] = field(default_factory=dict)
+    # Leases to give back at the next tick.
+    suspects_ended: list[SuspectEnded] = field(default_factory=list)
 
 
 def table_of(state: CallsState, upstream: UpstreamId) -> Table | None:
@@ -165,5 +184,14 @@
     request = call.call
     del state.calls[request.request]
     state.parked.pop(request.request, None)
+    if call.lease is not None:
+        ended = SuspectEnded(request.request, request.fingerprint, call.lease, call.is_clear)
+        state.suspects_ended.append(ended)
     cost_tokens = request.prompt_tokens + max(1, len(call.tokens))
     return CallEnded(request.request, request.route.pools, cost_tokens)
+
+
+def late_code(call: Call) -> ResultCode:
+    """Return the code of a call that ran into its timeout."""
+    may_have_run = call.lost or call.occupied is not None
+    return ResultCode.TIMEOUT_AFTER_START if may_have_run else ResultCode.EXPIRED_BEFORE_START
--- a/src/lycheefall/_rules/calls.py
+++ b/src/lycheefall/_rules/calls.py
@@ -1,7 +1,6 @@
 """Decide what an entry does with each released request: pick, dispatch, retry, resume, end."""
 
 from lycheefall._core.codes import ResultCode
-from lycheefall._core.enums import MemberState
 from lycheefall._core.ids import AttemptNumber, RequestId, UpstreamId
 from lycheefall._core.messages.dispatch import (
     Cancel,
@@ -20,12 +19,15 @@
     BookingReply,
     CallerRequest,
     ConfigurationChanged,
+    CrashRecorded,
+    CrashSeen,
     DispatchClaimed,
     EntriesSeen,
     FingerprintsChanged,
     FramesRead,
     FromAgent,
     FromDispatch,
+    LeaseAnswered,
     LinkDown,
     LinkUp,
     Repick,
@@ -38,7 +40,7 @@
     UpstreamHeard,
     UpstreamLeft,
 )
-from lycheefall._rules import limits, retries, streams, upstreams
+from lycheefall._rules import retries, streams, suspect_calls, upstreams
 from lycheefall._rules.booking_calls import (
     booking_answered,
     dispatch_claimed,
@@ -53,6 +55,7 @@
     choose,
     close,
     end,
+    late_code,
     leave,
     make_dispatch,
     occupy,
@@ -61,6 +64,7 @@
 from lycheefall._rules.known_upstreams import (
     capacities,
     configure,
+    learn_refusal,
     link_down,
     link_up,
     upstream_heard,
@@ -72,6 +76,7 @@
 MAX_ATTEMPTS = 4
 # A call waits this long for an upstream that can take it.
 PARK_S = 2.0
+REFUSED_DETAIL = "this request has crashed upstreams and is refused for now"
 
 
 def step_calls(
@@ -98,9 +103,11 @@
         case ConfigurationChanged():
             return state, configure(state, message.configuration)
         case FingerprintsChanged():
-            state.suspects = message.suspects
-            state.refused = message.refused
-            return state, []
+            return state, _stop(state, suspect_calls.take(state, message, now_s), now_s)
+        case CrashRecorded():
+            return state, _crash_recorded(state, message, now_s)
+        case LeaseAnswered():
+            return state, _lease_answered(state, message, now_s)
         case EntriesSeen():
             state.entries = max(1, len(message.incarnations))
             return state, []
@@ -113,7 +120,9 @@
         case BookingAnswered():
             return state, booking_answered(state, message, now_s)
         case Tick():
-            return state, _expire(state, now_s) + _unpark(state, now_s) + capacities(state, now_s)
+            results = _expire(state, now_s) + _unpark(state, now_s) + capacities(state, now_s)
+            ended, state.suspects_ended = state.suspects_ended, []
+            return state, [*results, *ended]
 
 
 def _run(state: CallsState, request: CallerRequest, now_s: float) -> list[FromDispatch]:
@@ -122,8 +131,7 @@
     ratio = state.team_ratios.get(request.team, 0.0)
     retries.first_try(state.budgets, request.team, ratio)
     if request.fingerprint in state.refused:
-        detail = "this request has crashed upstreams and is refused for now"
-        refusal = refuse(request, ResultCode.FINGERPRINT_REFUSED, detail)
+        refusal = refuse(request, ResultCode.FINGERPRINT_REFUSED, REFUSED_DETAIL)
         return [refusal, close(state, call, now_s)]
     if is_booking(call):
         return start_booking(state, call, now_s)
@@ -134,7 +142,12 @@
     state: CallsState, call: Call, otherwise: ResultCode, now_s: float
 ) -> list[FromDispatch]:
     """Start the next attempt, wait for an upstream that can take it, or end with a code."""
-    if call.attempt >= MAX_ATTEMPTS:
+    if call.call.fingerprint in state.refused:
+        code = otherwise if call.lost else ResultCode.FINGERPRINT_REFUSED
+        return end(state, call, code, REFUSED_DETAIL, now_s)
+    if suspect_calls.must_wait(state, call):
+        return suspect_calls.wait(state, call, now_s)
+    if call.attempt >= MAX_ATTEMPTS and call.lease is None:
         detail = f"{call.attempt} upstreams could not take the request"
         return end(state, call, otherwise, detail, now_s)
     upstream = choose(state, call, call.tried, now_s) or choose(state, call, set(), now_s)
@@ -159,7 +172,7 @@
     if call.parked_s is None:
         call.parked_s = now_s
         state.parked[call.call.request] = call
-    if now_s - call.parked_s < PARK_S:
+    if now_s - call.parked_s < PARK_S or call.lease is not None:
         return []
     detail = "no upstream of the route can take the request"
     return end(state, call, otherwise, detail, now_s)
@@ -182,6 +195,17 @@
             upstreams.report(table, source, message.incarnation, message.load, now_s)
             upstreams.set_state(table, source, message.state)
         return []
+    if isinstance(message, Finished) and message.crash is not None:
+        return suspect_calls.crash_seen(state, CrashSeen(source, message))
+    return _about_call(state, source, message, now_s)
+
+
+def _about_call(
+    state: CallsState,
+    source: UpstreamId,
+    message: Started | Refused | Frame | Finished | Resolved,
+    now_s: float,
+) -> list[FromDispatch]:
     call = state.calls.get(message.request)
     # The flow of a booking may go on after its call has ended.
     if not isinstance(message, Frame) and (call is None or is_booking(call)):
@@ -245,6 +269,8 @@
         upstream=call.upstream,
         attempts=call.attempt,
     )
+    if finished.code is ResultCode.OK:
+        suspect_calls.cleared(state, call)
     return [reply, close(state, call, now_s, failed=finished.code is not ResultCode.OK)]
 
 
@@ -256,7 +282,10 @@
     if call is None or call.occupied is None or refused.code is ResultCode.DUPLICATE_ATTEMPT:
         return []
     leave(state, call, now_s)
-    _learn_refusal(state, source, refused.code, now_s)
+    learn_refusal(state, source, refused.code, now_s)
+    if call.lease is not None:
+        # A suspect has one upstream only, so the next tick tries again.
+        return _park(state, call, refused.code, now_s)
     # A refusal speaks of its own attempt only; an earlier one may have run.
     code = ResultCode.UPSTREAM_LOST if call.lost else refused.code
     if retries.advise(refused.code, True) is RetryAdvice.NEVER:
@@ -265,16 +294,6 @@
     return _attempt(state, call, code, now_s)
 
 
-def _learn_refusal(state: CallsState, source: UpstreamId, code: ResultCode, now_s: float) -> None:
-    table = table_of(state, source)
-    if table is None or source not in table.upstreams:
-        return
-    if code is ResultCode.UPSTREAM_DRAINING:
-        upstreams.set_state(table, source, MemberState.DRAINING)
-    elif code is ResultCode.UPSTREAM_BUSY:
-        limits.observe_refusal(table.upstreams[source].limit, now_s)
-
-
 def _lost(state: CallsState, call: Call, code: ResultCode, now_s: float) -> list[FromDispatch]:
     """Try elsewhere after an attempt that may have run."""
     leave(state, call, now_s, failed=True)
@@ -282,7 +301,9 @@
     if call.stream is not None:
         streams.step(call.stream, streams.AttemptLost(call.attempt), now_s)
     # A stream that resumes repeats no tokens; any other retry is new work for the upstreams.
-    if not call.tokens and not retries.spend(state.budgets, call.call.team):
+    # Neither does a suspect bring on a storm, as it runs alone.
+    is_free = bool(call.tokens) or call.call.fingerprint in state.suspects
+    if not is_free and not retries.spend(state.budgets, call.call.team):
         detail = "the upstream was lost and the retry budget is spent"
         return end(state, call, code, detail, now_s)
     return _attempt(state, call, code, now_s)
@@ -295,6 +316,7 @@
         if call.upstream == down.upstream
         and call.incarnation == down.incarnation
         and call.occupied is not None
+        and not call.crashing
         and not is_booking(call)
     ]
     results: list[FromDispatch] = []
@@ -303,6 +325,39 @@
     return results
 
 
+def _stop(state: CallsState, calls: list[Call], now_s: float) -> list[FromDispatch]:
+    """Take calls off their upstreams."""
+    results: list[FromDispatch] = []
+    for call in calls:
+        results += _cancel(call) + _lost(state, call, ResultCode.UPSTREAM_LOST, now_s)
+    return results
+
+
+def _crash_recorded(state: CallsState, recorded: CrashRecorded, now_s: float) -> list[FromDispatch]:
+    """Go on with a call whose crash is in the log; without the record it may not run again."""
+    finished = recorded.seen.finished
+    stopped = _stop(state, suspect_calls.note_crash(state, recorded, now_s), now_s)
+    call = _current(state, finished.request, finished.attempt)
+    if call is not None:
+        call.crashing = False
+        if recorded.refused is None and not is_booking(call):
+            detail = "the upstream went down and control could not record it"
+            return stopped + end(state, call, ResultCode.UPSTREAM_LOST, detail, now_s)
+    return stopped + _about_call(state, recorded.seen.upstream, finished, now_s)
+
+
+def _lease_answered(state: CallsState, answered: LeaseAnswered, now_s: float) -> list[FromDispatch]:
+    call = state.calls.get(answered.request)
+    if call is None:
+        return suspect_calls.give_back(answered)
+    call.lease = answered.fencing
+    call.lease_due_s = now_s + suspect_calls.LEASE_RETRY_S
+    if call.lease is None or call.occupied is not None:
+        return []
+    code = ResultCode.UPSTREAM_LOST if call.lost else ResultCode.NO_UPSTREAM
+    return _attempt(state, call, code, now_s)
+
+
 def _credit(state: CallsState, read: FramesRead) -> list[FromDispatch]:
     call = state.calls.get(read.request)
     if call is None:
@@ -338,10 +393,5 @@
     results: list[FromDispatch] = []
     for call in expired:
         results += _cancel(call)
-        results += end(state, call, _late_code(call), "the request ran into its timeout", now_s)
+        results += end(state, call, late_code(call), "the request ran into its timeout", now_s)
     return results
-
-
-def _late_code(call: Call) -> ResultCode:
-    may_have_run = call.lost or call.occupied is not None
-    return ResultCode.TIMEOUT_AFTER_START if may_have_run else ResultCode.EXPIRED_BEFORE_START
--- a/src/lycheefall/_rules/known_upstreams.py
+++ b/src/lycheefall/_rules/known_upstreams.py
@@ -1,7 +1,9 @@
 """Keep the tables of upstreams of an entry: who is there, connected and in which pool."""
 
+from lycheefall._core.codes import ResultCode
 from lycheefall._core.configuration import Configuration
-from lycheefall._core.ids import NO_REVISION
+from lycheefall._core.enums import MemberState
+from lycheefall._core.ids import NO_REVISION, UpstreamId
 from lycheefall._core.messages.entry import (
     BookingLinkLost,
     Capacity,
@@ -11,8 +13,8 @@
     UpstreamHeard,
     UpstreamLeft,
 )
-from lycheefall._rules import upstreams
-from lycheefall._rules.call_state import CallsState
+from lycheefall._rules import limits, upstreams
+from lycheefall._rules.call_state import CallsState, table_of
 from lycheefall._rules.upstreams import Table
 
 
@@ -52,6 +54,17 @@
     return [BookingLinkLost(down.upstream)]
 
 
+def learn_refusal(state: CallsState, source: UpstreamId, code: ResultCode, now_s: float) -> None:
+    """Take an upstream for draining or full when it refused for that reason."""
+    table = table_of(state, source)
+    if table is None or source not in table.upstreams:
+        return
+    if code is ResultCode.UPSTREAM_DRAINING:
+        upstreams.set_state(table, source, MemberState.DRAINING)
+    elif code is ResultCode.UPSTREAM_BUSY:
+        limits.observe_refusal(table.upstreams[source].limit, now_s)
+
+
 def configure(state: CallsState, configuration: Configuration) -> list[FromDispatch]:
     """Put a configuration in force."""
     assert configuration.revision > NO_REVISION
