--- a/src/lycheefall/_control/publish.py
+++ b/src/lycheefall/_control/publish.py
@@ -133,4 +133,5 @@
         configuration.digest,
         membership.changes_since(state.members, _NO_VERSION).members,
         state.applied.claims,
+        groups=state.applied.groups,
     )
--- a/src/lycheefall/_entry/service.py
+++ b/src/lycheefall/_entry/service.py
@@ -12,7 +12,7 @@
 from lycheefall._core.events import Event
 from lycheefall._core.exceptions import ControlUnavailable, PortInUse
 from lycheefall._core.ids import Address, InstanceId, TeamId
-from lycheefall._core.log import log, warn
+from lycheefall._core.log import log
 from lycheefall._core.messages.control import Changes, ClaimResult, Failed
 from lycheefall._core.messages.entry import (
     Abandon,
@@ -78,6 +78,9 @@
 INBOX_MESSAGES = 50_000
 TICK_S = 0.05
 METRICS_PREFIX = "lycheefall.entry"
+# Other entries may name a draining one for this long: they hear of it from control within a poll
+# period, or after a silent connection to control is replaced.
+STILL_NAMED_S = 1.5
 # Control has a new leader within 2 s of losing one; a proposal is repeated until then.
 PROPOSAL_TIMEOUT_S = 4.0
 
@@ -338,13 +341,13 @@
     parts.present(MemberState.DRAINING)
     try:
         async with asyncio.timeout(parts.settings.drain_s):
-            await asyncio.sleep(_ttl_s(parts))
+            await asyncio.sleep(STILL_NAMED_S + _ttl_s(parts))
             for site in list(runner.sites):
                 await site.stop()
             await parts.acceptor.idle.wait()
     except TimeoutError:
         cut = len(parts.acceptor.replies)
-        warn(Event.PROCESS_STOPPING, role="entry", detail=f"{cut} requests are still in flight")
+        log(Event.PROCESS_STOPPING, role="entry", detail=f"{cut} requests are still in flight")
     drained.set()
 
 
