Measure floods and faults on the whole system as processes

Cause: the decisions under load were measured only rule by rule. Change: bench/scenarios.py starts 4 entries, 16 fake engines and 3 fake services with their agents, runs a case of bench/cases.py and injects its faults; bench/policies.py exchanges one decision of the entries for a baseline. An entry takes these decisions as closures.

--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,102 @@
+"""Run an entry with one of its decisions switched off, as a baseline for bench/scenarios.py."""
+
+import sys
+from collections import deque
+from functools import partial
+
+from msgspec import Struct, field
+
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.ids import PoolId, RequestId
+from lycheefall._core.messages.entry import (
+    Abandon,
+    CallEnded,
+    CallerRequest,
+    Capacity,
+    FromQueue,
+    Run,
+    Submit,
+    Tick,
+    ToQueue,
+)
+from lycheefall._entry.policies import Policies, StepQueue
+from lycheefall._entry.queue import Pools, QueueState
+from lycheefall._entry.service import run_entry
+from lycheefall._operate import commands
+from lycheefall._operate.cli import main
+from lycheefall._rules.refusals import refuse
+from lycheefall._rules.routing import random_choice
+
+
+class Line(Struct):
+    """Requests of the routes with the same pools, in order of arrival."""
+
+    waiting: deque[CallerRequest] = field(default_factory=deque)
+    running: set[RequestId] = field(default_factory=set)
+
+
+def first_in_first_out() -> StepQueue:
+    """Make a queue without priorities, fairness and early refusal."""
+    lines: dict[Pools, Line] = {}
+    slots: dict[PoolId, int] = {}
+
+    def release(pools: Pools, now_s: float) -> list[FromQueue]:
+        line = lines.setdefault(pools, Line())
+        free = sum(slots.get(pool, 0) for pool in pools) - len(line.running)
+        results: list[FromQueue] = []
+        while line.waiting and (free > 0 or line.waiting[0].deadline_s <= now_s):
+            call = line.waiting.popleft()
+            if call.deadline_s <= now_s:
+                results.append(refuse(call, ResultCode.EXPIRED_BEFORE_START, "waited too long"))
+                continue
+            line.running.add(call.request)
+            results.append(Run(call))
+            free -= 1
+        return results
+
+    def abandon(message: Abandon) -> list[FromQueue]:
+        for line in lines.values():
+            for call in line.waiting:
+                if call.request == message.request:
+                    line.waiting.remove(call)
+                    return []
+        return [message]
+
+    def step(
+        state: QueueState, message: ToQueue, now_s: float
+    ) -> tuple[QueueState, list[FromQueue]]:
+        match message:
+            case Submit(call):
+                lines.setdefault(call.route.pools, Line()).waiting.append(call)
+                return state, release(call.route.pools, now_s)
+            case CallEnded():
+                lines[message.pools].running.discard(message.request)
+                return state, release(message.pools, now_s)
+            case Abandon():
+                return state, abandon(message)
+            case Capacity():
+                slots[message.pool] = message.slots
+            case Tick():
+                return state, [each for pools in lines for each in release(pools, now_s)]
+        return state, []
+
+    return step
+
+
+def policies_of(name: str) -> Policies:
+    """Return the decisions of an entry under the name of a baseline."""
+    match name:
+        case "in-use":
+            return Policies()
+        case "fifo":
+            return Policies(step_queue=first_in_first_out())
+        case "random":
+            return Policies(make_picker=random_choice)
+        case "no-budget":
+            return Policies(spend_retry=lambda budgets, team: True)
+    raise ValueError(f"no baseline is named {name!r}")
+
+
+if __name__ == "__main__":
+    commands.run_entry = partial(run_entry, policies=policies_of(sys.argv[1]))
+    main(["entry", *sys.argv[2:]])
--- /dev/null
+++ b/bench/scenarios.py
@@ -0,0 +1,259 @@
+"""Run load scenarios with floods and faults on the whole system as separate processes.
+
+Run with PYTHONPATH=src:tests:bench. A baseline replaces one decision of the entries, see
+bench/policies.py. The reports and plots go to the folder out/.
+"""
+
+import asyncio
+import os
+import resource
+import tempfile
+import time
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
+from pathlib import Path
+
+import aiohttp
+import defopt
+import msgspec
+import uvloop
+from msgspec import Struct, field
+
+from cases import CASES, ROOT, User, user_of
+from lycheefall._core.enums import RouteKind, UpstreamKind
+from lycheefall._fakes.batch import Statistics
+from lycheefall._load.outcome import Outcome
+from lycheefall._load.plot import plot_svg
+from lycheefall._load.report import LoadReport, report_json
+from lycheefall._load.run import run_load
+from lycheefall._load.scenario import FaultEntry, FaultKind, Scenario
+from processes.fleet import Fleet, data_centre_of
+from tables import engine_lines, kind_lines, team_lines
+
+ENGINES = 16
+SERVICES = 3
+# The engines' steps sleep, so that the processors are not the limit.
+ENGINE_FLAGS = ["--max-running", "8", "--base-step-s", "0.03"]
+AGENT_FLAGS = ["--concurrency", "8"]
+SAMPLE_S = 0.5
+READY_S = 40.0
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+class Sample(Struct, frozen=True):
+    """Counters of the engines at a time of the run."""
+
+    at_s: float
+    engines: dict[str, Statistics]
+
+
+class Run(Struct):
+    """What one scenario left behind."""
+
+    scenario: Scenario
+    outcomes: list[Outcome] = field(default_factory=list)
+    samples: list[Sample] = field(default_factory=list)
+    generator_ratio: float = 0.0
+    entry_ratios: list[float] = field(default_factory=list)
+
+
+def main(
+    *,
+    user: str = "ballyscent",
+    cases: str = "steady",
+    baseline: str = "in-use",
+    seed: int = 20261204,
+    out: str = "out",
+) -> None:
+    """Run cases one after the other, each on new processes, and print their tables.
+
+    :param user: ballyscent or authority
+    :param cases: names of bench/cases.py with commas between
+    :param baseline: in-use, fifo, random or no-budget
+    :param seed: seed of the arrivals
+    :param out: folder of the reports and plots
+    """
+    folder = ROOT / out
+    folder.mkdir(exist_ok=True)
+    organisation = user_of(user)
+    for name in cases.split(","):
+        scenario = msgspec.structs.replace(CASES[name](organisation), seed=seed)
+        with _fleet(organisation, baseline) as fleet:
+            run, report = uvloop.run(_run(fleet, organisation, scenario))
+        stem = f"{user}-{name}-{baseline}"
+        (folder / f"{stem}.json").write_bytes(report_json(report))
+        (folder / f"{stem}.svg").write_text(plot_svg(report), encoding="utf-8")
+        _print(stem, run, report)
+
+
+@contextmanager
+def _fleet(user: User, baseline: str) -> Iterator[Fleet]:
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Fleet(Path(folder), engines=ENGINES, services=SERVICES)
+        fleet.pools = {kind.value: user.pool(kind) for kind in UpstreamKind}
+        fleet.fake_flags = {f"engine-{n}": ENGINE_FLAGS for n in range(ENGINES)}
+        fleet.agent_flags = {"engine": AGENT_FLAGS}
+        fleet.python_path = [str(ROOT / "bench")]
+        fleet.entry_command = ["policies", baseline]
+        fleet.plan()
+        fleet.start_all()
+        try:
+            yield fleet
+        finally:
+            fleet.close()
+
+
+async def _run(fleet: Fleet, user: User, scenario: Scenario) -> tuple[Run, LoadReport]:
+    applied = fleet.apply(user.text)
+    assert applied.returncode == 0, applied.stderr
+    run = Run(scenario)
+    entries = [fleet.addresses[f"entry-{n}"] for n in range(fleet.entries)]
+    async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=2.0)) as session:
+        await _ready(session, entries, scenario)
+        start_s = asyncio.get_running_loop().time()
+        used_s, entries_s = _used_s(), _entry_used_s(fleet)
+        tasks = [asyncio.create_task(_sample(session, fleet, run, start_s))]
+        for fault in scenario.faults:
+            tasks.append(asyncio.create_task(_inject(session, fleet, fault, start_s)))
+        report = await run_load(scenario, entries, run.outcomes.append)
+        elapsed_s = asyncio.get_running_loop().time() - start_s
+        for task in tasks:
+            task.cancel()
+        # An injection that failed would make the figures those of another scenario.
+        for result in await asyncio.gather(*tasks, return_exceptions=True):
+            if isinstance(result, Exception):
+                raise result
+    run.generator_ratio = (_used_s() - used_s) / elapsed_s
+    run.entry_ratios = [
+        (after - before) / elapsed_s
+        for before, after in zip(entries_s, _entry_used_s(fleet), strict=True)
+    ]
+    return run, report
+
+
+async def _ready(
+    session: aiohttp.ClientSession, entries: Sequence[str], scenario: Scenario
+) -> None:
+    """Wait until each entry answers a chat request and a lookup."""
+    chat = next(flow for flow in scenario.flows if flow.kind is RouteKind.CHAT)
+    lookup = next(flow for flow in scenario.flows if flow.kind is RouteKind.LOOKUP)
+    headers = {"X-Lycheefall-Team": chat.teams[0]}
+    message = {"role": "user", "content": "ready?"}
+    body = {"model": chat.model, "messages": [message], "max_tokens": 1}
+    probes = (
+        ("POST", "/v1/chat/completions", body),
+        ("GET", f"/v1/services/{lookup.service}/{lookup.path}/0", None),
+    )
+    async with asyncio.timeout(READY_S):
+        for entry in entries:
+            for method, path, content in probes:
+                while True:
+                    try:
+                        async with session.request(
+                            method, f"http://{entry}{path}", json=content, headers=headers
+                        ) as response:
+                            if response.status == 200:
+                                break
+                    except (aiohttp.ClientError, TimeoutError):
+                        pass
+                    await asyncio.sleep(0.1)
+    # Lets each entry hear and connect to all upstreams.
+    await asyncio.sleep(2.0)
+
+
+async def _sample(session: aiohttp.ClientSession, fleet: Fleet, run: Run, start_s: float) -> None:
+    loop = asyncio.get_running_loop()
+    names = [name for name in fleet.upstream_names if name.startswith("engine")]
+    while True:
+        answers = await asyncio.gather(*(_statistics(session, fleet, name) for name in names))
+        engines = {name: each for name, each in zip(names, answers, strict=True) if each}
+        run.samples.append(Sample(loop.time() - start_s, engines))
+        await asyncio.sleep(SAMPLE_S)
+
+
+async def _statistics(session: aiohttp.ClientSession, fleet: Fleet, name: str) -> Statistics | None:
+    timeout = aiohttp.ClientTimeout(total=SAMPLE_S)
+    try:
+        url = f"http://{fleet.addresses[name]}/statistics"
+        async with session.get(url, timeout=timeout) as response:
+            return msgspec.json.decode(await response.read(), type=Statistics)
+    except (aiohttp.ClientError, TimeoutError):
+        return None
+
+
+async def _inject(
+    session: aiohttp.ClientSession, fleet: Fleet, fault: FaultEntry, start_s: float
+) -> None:
+    loop = asyncio.get_running_loop()
+    names = [
+        name
+        for name in fleet.upstream_names
+        if name == fault.upstream or data_centre_of(name) == fault.data_centre
+    ]
+    await asyncio.sleep(start_s + fault.start_s - loop.time())
+    for name in names:
+        await _begin(session, fleet, fault.kind, name)
+    if fault.end_s >= 1e9:
+        return
+    await asyncio.sleep(start_s + fault.end_s - loop.time())
+    for name in names:
+        await _end(session, fleet, fault.kind, name)
+
+
+async def _begin(session: aiohttp.ClientSession, fleet: Fleet, kind: FaultKind, name: str) -> None:
+    if kind in (FaultKind.SLOW, FaultKind.ERROR_FAST):
+        await _set_fault(session, fleet, name, kind.value)
+        return
+    for process in (name, f"{name}-agent"):
+        if kind is FaultKind.KILL:
+            fleet.kill(process)
+        else:
+            fleet.pause(process)
+
+
+async def _end(session: aiohttp.ClientSession, fleet: Fleet, kind: FaultKind, name: str) -> None:
+    if kind in (FaultKind.SLOW, FaultKind.ERROR_FAST):
+        await _set_fault(session, fleet, name, "none")
+        return
+    for process in (name, f"{name}-agent"):
+        if kind is FaultKind.KILL:
+            fleet.start(process)
+        else:
+            fleet.resume(process)
+
+
+async def _set_fault(session: aiohttp.ClientSession, fleet: Fleet, name: str, fault: str) -> None:
+    url = f"http://{fleet.addresses[name]}/fault"
+    async with session.post(url, json={"fault": fault}) as response:
+        response.raise_for_status()
+
+
+def _used_s() -> float:
+    used = resource.getrusage(resource.RUSAGE_SELF)
+    return used.ru_utime + used.ru_stime
+
+
+def _entry_used_s(fleet: Fleet) -> list[float]:
+    return [_process_used_s(fleet.processes[f"entry-{n}"].pid) for n in range(fleet.entries)]
+
+
+def _process_used_s(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text(encoding="ascii").rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
+
+
+def _print(stem: str, run: Run, report: LoadReport) -> None:
+    entries = " ".join(f"{ratio:.0%}" for ratio in run.entry_ratios)
+    print(f"\n## {stem}, seed {run.scenario.seed}, {time.strftime('%H:%M:%S')}")
+    print(f"{report.requests} requests, {report.retries} retries, codes {report.codes}")
+    print(f"cores: generator {run.generator_ratio:.0%}, entries {entries}")
+    for line in (
+        *kind_lines(run.scenario, run.outcomes),
+        *team_lines(run.scenario, run.outcomes),
+        *engine_lines(run.scenario, run.outcomes, run.samples),
+    ):
+        print(line, flush=True)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/src/lycheefall/_entry/policies.py
@@ -0,0 +1,25 @@
+"""Decisions of an entry that a benchmark may exchange, to measure what each is worth."""
+
+from collections.abc import Callable
+
+from msgspec import Struct
+
+from lycheefall._core.ids import TeamId
+from lycheefall._core.messages.entry import FromQueue, ToQueue
+from lycheefall._entry.queue import QueueState, step_queue
+from lycheefall._rules import retries
+from lycheefall._rules.retries import RetryBudgets
+from lycheefall._rules.routing import Picker, weighted_two_choices
+
+StepQueue = Callable[[QueueState, ToQueue, float], tuple[QueueState, list[FromQueue]]]
+
+
+class Policies(Struct, frozen=True):
+    """Closures that decide; the defaults are those in use."""
+
+    step_queue: StepQueue = step_queue
+    make_picker: Callable[[], Picker] = weighted_two_choices
+    spend_retry: Callable[[RetryBudgets, TeamId], bool] = retries.spend
+
+
+IN_USE = Policies()
--- a/src/lycheefall/_entry/service.py
+++ b/src/lycheefall/_entry/service.py
@@ -47,7 +47,8 @@
 from lycheefall._entry.accept import Acceptor, build_application
 from lycheefall._entry.catalogue import build_catalogue
 from lycheefall._entry.links import Links
-from lycheefall._entry.queue import QueueState, step_queue
+from lycheefall._entry.policies import IN_USE, Policies
+from lycheefall._entry.queue import QueueState
 from lycheefall._entry.settings import EntrySettings
 from lycheefall._entry.upstreams import UpstreamTable, receive_announce, step_upstreams
 from lycheefall._rules.bookings import BookingsState, step_bookings
@@ -62,7 +63,6 @@
 from lycheefall._rules.directory import answer as choose_entries
 from lycheefall._rules.joins import JoinsState, step_joins
 from lycheefall._rules.refusals import refuse
-from lycheefall._rules.routing import weighted_two_choices
 from lycheefall._wire.announcer import Announcer
 from lycheefall._wire.zmq_ends import RouterEnd
 
@@ -233,6 +233,7 @@
     settings: EntrySettings,
     stop: asyncio.Event,
     on_ready: Callable[[], None] = lambda: None,
+    policies: Policies = IN_USE,
 ) -> None:
     """Run an entry until it is told to stop and its requests have ended."""
     parts = Parts(settings)
@@ -247,8 +248,8 @@
         await run_until(
             drained,
             run_owner(parts.joins, JoinsState(), step_joins, parts.from_joins),
-            run_owner(parts.queue, QueueState(), step_queue, parts.from_queue),
-            run_owner(parts.dispatch, _calls(parts), step_calls, parts.from_dispatch),
+            run_owner(parts.queue, QueueState(), policies.step_queue, parts.from_queue),
+            run_owner(parts.dispatch, _calls(parts, policies), step_calls, parts.from_dispatch),
             run_owner(
                 parts.bookings,
                 BookingsState(parts.incarnation),
@@ -315,7 +316,8 @@
     return catalogue.configuration.directory.ttl_s if catalogue else 0.0
 
 
-def _calls(parts: Parts) -> CallsState:
+def _calls(parts: Parts, policies: Policies) -> CallsState:
     # Entries draw different pairs of upstreams, so that they do not all choose the same ones.
     seed = int(parts.incarnation, 16)
-    return CallsState(parts.settings.instance, weighted_two_choices(), seed)
+    pick = policies.make_picker()
+    return CallsState(parts.settings.instance, pick, policies.spend_retry, seed)
--- a/src/lycheefall/_load/run.py
+++ b/src/lycheefall/_load/run.py
@@ -3,7 +3,7 @@
 import asyncio
 import secrets
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from enum import Enum
 
 from aiohttp import ClientSession, TCPConnector
@@ -29,12 +29,19 @@
     END = "end"
 
 
-async def run_load(scenario: Scenario, entries: Sequence[Address]) -> LoadReport:
-    """Run a scenario against the entries that any of the given addresses names."""
+async def run_load(
+    scenario: Scenario,
+    entries: Sequence[Address],
+    observe: Callable[[Outcome], object] = lambda outcome: None,
+) -> LoadReport:
+    """Run a scenario against the entries that any of the given addresses names.
+
+    `observe` is called with each outcome.
+    """
     outcomes: Inbox[Outcome | EndOfRun] = Inbox(_OUTCOMES_CAPACITY)
     async with ClientSession(connector=TCPConnector(limit=0)) as client:
         directories, owners = _start_directories(scenario, client, entries)
-        recorder = asyncio.create_task(_record_all(outcomes))
+        recorder = asyncio.create_task(_record_all(outcomes, observe))
         try:
             await _generate(scenario, client, directories, outcomes)
             await outcomes.put(EndOfRun.END)
@@ -45,12 +52,15 @@
     return summarise(state, scenario.seed, scenario.duration_s)
 
 
-async def _record_all(outcomes: Inbox[Outcome | EndOfRun]) -> ReportState:
+async def _record_all(
+    outcomes: Inbox[Outcome | EndOfRun], observe: Callable[[Outcome], object]
+) -> ReportState:
     state = ReportState()
     while True:
         outcome = await outcomes.get()
         if outcome is EndOfRun.END:
             return state
+        observe(outcome)
         state = record(state, outcome)
 
 
--- a/src/lycheefall/_load/scenario.py
+++ b/src/lycheefall/_load/scenario.py
@@ -1,6 +1,7 @@
 """Scenario of a load run: flows of requests and floods, read from TOML."""
 
 import math
+from enum import Enum
 from typing import Annotated
 
 import msgspec
@@ -8,7 +9,7 @@
 
 from lycheefall._core.enums import RouteKind
 from lycheefall._core.exceptions import FileFieldError, FileSyntaxError
-from lycheefall._core.ids import PriorityId, RouteId, TeamId
+from lycheefall._core.ids import DataCentreId, PriorityId, RouteId, TeamId, UpstreamId
 
 Positive = Annotated[float, Meta(gt=0)]
 Count = Annotated[int, Meta(ge=0)]
@@ -60,6 +61,28 @@
     priority: PriorityId = PriorityId("")
 
 
+class FaultKind(Enum):
+    """What happens to an upstream and, for the first two, to the agent beside it."""
+
+    KILL = "kill"
+    FREEZE = "freeze"
+    SLOW = "slow"
+    ERROR_FAST = "error-fast"
+
+
+class FaultEntry(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A fault of one upstream, or of all upstreams of a data centre.
+
+    Whoever starts the processes injects it, and repairs it at its end; the generator doesn't.
+    """
+
+    kind: FaultKind
+    start_s: Annotated[float, Meta(ge=0)]
+    end_s: Positive = math.inf
+    upstream: UpstreamId = UpstreamId("")
+    data_centre: DataCentreId = DataCentreId("")
+
+
 class Scenario(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """One load run."""
 
@@ -67,6 +90,7 @@
     duration_s: Positive
     flows: tuple[Flow, ...]
     floods: tuple[Flood, ...] = ()
+    faults: tuple[FaultEntry, ...] = ()
     caller: Caller = Caller()
 
 
--- a/src/lycheefall/_rules/call_state.py
+++ b/src/lycheefall/_rules/call_state.py
@@ -1,5 +1,7 @@
 """State of the calls of an entry, shared by the rules for plain calls and for bookings."""
 
+from collections.abc import Callable
+
 from msgspec import Struct, field
 
 from lycheefall._core.codes import ResultCode
@@ -19,7 +21,7 @@
 from lycheefall._rules import upstreams
 from lycheefall._rules.choice import Wish
 from lycheefall._rules.choice import choose as choose_from
-from lycheefall._rules.retries import RetryBudgets
+from lycheefall._rules.retries import RetryBudgets, spend
 from lycheefall._rules.routing import Picker
 from lycheefall._rules.upstreams import AttemptKey, Table
 
@@ -53,6 +55,7 @@
 
     instance: InstanceId
     pick: Picker
+    spend_retry: Callable[[RetryBudgets, TeamId], bool] = spend
     seed: int = 0
     entries: int = 1
     tables: dict[PoolId, Table] = field(default_factory=dict)
--- a/src/lycheefall/_rules/calls.py
+++ b/src/lycheefall/_rules/calls.py
@@ -263,7 +263,7 @@
     leave(state, call, now_s, failed=True)
     call.lost = True
     # A stream that resumes repeats no tokens; any other retry is new work for the upstreams.
-    if not call.tokens and not retries.spend(state.budgets, call.call.team):
+    if not call.tokens and not state.spend_retry(state.budgets, call.call.team):
         detail = "the upstream was lost and the retry budget is spent"
         return end(state, call, code, detail, now_s)
     return _attempt(state, call, code, now_s)
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -98,6 +98,11 @@
     )
 
 
+def data_centre_of(name: str) -> str:
+    """Return the data centre of an entry or an upstream."""
+    return f"dc-{int(name.rpartition('-')[2]) % 3}"
+
+
 @dataclass
 class Fleet:
     """Processes of one system and where they listen."""
@@ -109,6 +114,15 @@
     replicas: int = 3
     # Extra flags of the fakes, by process name.
     fake_flags: dict[str, list[str]] = field(default_factory=dict)
+    # Pool and flags of the agents, by the kind of their upstream.
+    pools: dict[str, str] = field(
+        default_factory=lambda: {"engine": "assistant-pool", "service": "counter-app"}
+    )
+    agent_flags: dict[str, list[str]] = field(default_factory=dict)
+    # Folders that are searched for modules beside the source.
+    python_path: list[str] = field(default_factory=list)
+    # Command before the flags of an entry.
+    entry_command: list[str] = field(default_factory=lambda: ["lycheefall", "entry"])
     addresses: dict[str, Address] = field(default_factory=dict)
     # Other processes reach these instead of the real address, by process name.
     detours: dict[str, Address] = field(default_factory=dict)
@@ -153,7 +167,8 @@
     def start(self, name: str) -> None:
         """Start one process, with the command it had before if it is a restart."""
         command = self.commands.setdefault(name, self._command(name))
-        environment = os.environ | {"PYTHONPATH": str(SOURCE)}
+        folders = os.pathsep.join([str(SOURCE), *self.python_path])
+        environment = os.environ | {"PYTHONPATH": folders}
         with (self.folder / f"{name}.log").open("ab") as output:
             self.processes[name] = subprocess.Popen(
                 [sys.executable, "-m", *command], env=environment, stdout=output, stderr=output
@@ -172,8 +187,8 @@
         return [fake, *flags]
 
     def _entry(self, number: int) -> list[str]:
-        flags = ["lycheefall", "entry", "--instance", f"entry-{number}"]
-        flags += ["--data-centre", f"dc-{number % 3}", "--control", self.control]
+        flags = [*self.entry_command, "--instance", f"entry-{number}"]
+        flags += ["--data-centre", data_centre_of(f"entry-{number}"), "--control", self.control]
         flags += ["--listen", self.addresses[f"entry-{number}"]]
         flags += ["--announce-listen", self.addresses[f"announce-{number}"], "--drain-s", "20"]
         if number >= self.replicas:
@@ -192,11 +207,11 @@
 
     def _agent(self, upstream: str) -> list[str]:
         kind, _, number = upstream.rpartition("-")
-        pool = {"engine": "assistant-pool", "service": "counter-app"}[kind]
         flags = ["lycheefall", "agent", "--instance", f"host-{upstream}"]
-        flags += ["--data-centre", f"dc-{int(number) % 3}", "--upstream", upstream]
-        flags += ["--pool", pool, "--kind", kind, "--control", self.control]
+        flags += ["--data-centre", data_centre_of(upstream), "--upstream", upstream]
+        flags += ["--pool", self.pools[kind], "--kind", kind, "--control", self.control]
         flags += ["--upstream-address", self.addresses[upstream]]
+        flags += self.agent_flags.get(kind, [])
         return [*flags, "--listen", self.addresses[f"{kind}-agent-{number}"]]
 
     def apply(self, text: str) -> subprocess.CompletedProcess[str]:
