Keep the wait for a slot in the entry, where the order of urgency holds

Cause: four entries each let up to twice the concurrency of an engine in flight, so urgent requests waited behind long answers inside the engines, agents refused 169 requests as busy, and a request stayed with its own two upstreams while others were free. Change: an entry counts its own requests and its part of the free slots as capacity; a request goes to another upstream when its own two can't begin at once. The target for urgent work in a batch flood is still missed.

--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -21,6 +21,7 @@
 
 from cases import CASES, ROOT, User, user_of
 from lycheefall._core.enums import RouteKind, UpstreamKind
+from lycheefall._core.ids import TeamId
 from lycheefall._fakes.batch import Statistics
 from lycheefall._load.outcome import Outcome
 from lycheefall._load.plot import plot_svg
@@ -28,7 +29,7 @@
 from lycheefall._load.run import run_load
 from lycheefall._load.scenario import FaultEntry, FaultKind, Scenario
 from processes.fleet import Fleet, data_centre_of
-from tables import engine_lines, kind_lines, team_lines
+from tables import engine_lines, kind_lines, share_lines, team_lines
 
 ENGINES = 16
 SERVICES = 3
@@ -55,6 +56,8 @@
     samples: list[Sample] = field(default_factory=list)
     generator_ratio: float = 0.0
     entry_ratios: list[float] = field(default_factory=list)
+    # Part of the machine's processors that were busy, with whatever else ran.
+    machine_ratio: float = 0.0
 
 
 def main(
@@ -83,7 +86,8 @@
         stem = f"{user}-{name}-{baseline}"
         (folder / f"{stem}.json").write_bytes(report_json(report))
         (folder / f"{stem}.svg").write_text(plot_svg(report), encoding="utf-8")
-        _print(stem, run, report)
+        weights = {team.name: team.weight for team in organisation.configuration.teams}
+        _print(stem, run, report, weights)
 
 
 @contextmanager
@@ -111,7 +115,7 @@
     async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=2.0)) as session:
         await _ready(session, entries, scenario)
         start_s = asyncio.get_running_loop().time()
-        used_s, entries_s = _used_s(), _entry_used_s(fleet)
+        used_s, entries_s, machine = _used_s(), _entry_used_s(fleet), _machine_ticks()
         tasks = [asyncio.create_task(_sample(session, fleet, run, start_s))]
         for fault in scenario.faults:
             tasks.append(asyncio.create_task(_inject(session, fleet, fault, start_s)))
@@ -124,6 +128,8 @@
             if isinstance(result, Exception):
                 raise result
     run.generator_ratio = (_used_s() - used_s) / elapsed_s
+    idle, total = (after - before for before, after in zip(machine, _machine_ticks(), strict=True))
+    run.machine_ratio = 1.0 - idle / max(1, total)
     run.entry_ratios = [
         (after - before) / elapsed_s
         for before, after in zip(entries_s, _entry_used_s(fleet), strict=True)
@@ -242,14 +248,23 @@
     return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
 
 
-def _print(stem: str, run: Run, report: LoadReport) -> None:
+def _machine_ticks() -> tuple[int, int]:
+    """Return the idle and all ticks of the machine's processors."""
+    line = Path("/proc/stat").read_text(encoding="ascii").partition("\n")[0]
+    ticks = [int(each) for each in line.split()[1:9]]
+    return ticks[3] + ticks[4], sum(ticks)
+
+
+def _print(stem: str, run: Run, report: LoadReport, weights: dict[TeamId, float]) -> None:
     entries = " ".join(f"{ratio:.0%}" for ratio in run.entry_ratios)
     print(f"\n## {stem}, seed {run.scenario.seed}, {time.strftime('%H:%M:%S')}")
     print(f"{report.requests} requests, {report.retries} retries, codes {report.codes}")
-    print(f"cores: generator {run.generator_ratio:.0%}, entries {entries}")
+    cores = f"generator {run.generator_ratio:.0%}, entries {entries}"
+    print(f"cores: {cores}; machine {run.machine_ratio:.0%} busy")
     for line in (
         *kind_lines(run.scenario, run.outcomes),
         *team_lines(run.scenario, run.outcomes),
+        *share_lines(run.scenario, run.outcomes, weights),
         *engine_lines(run.scenario, run.outcomes, run.samples),
     ):
         print(line, flush=True)
--- a/bench/tables.py
+++ b/bench/tables.py
@@ -1,9 +1,11 @@
 """Tables of bench/scenarios.py, from the outcomes that the callers saw."""
 
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from typing import Protocol
 
 from lycheefall._core.enums import RouteKind
+from lycheefall._core.ids import TeamId
 from lycheefall._fakes.batch import Statistics
 from lycheefall._load.outcome import Ending, Outcome, is_good
 from lycheefall._load.scenario import Scenario
@@ -127,3 +129,44 @@
                 grown[name] = grown.get(name, 0) + step
             last[name] = value
     return grown
+
+
+def share_lines(
+    scenario: Scenario, outcomes: Sequence[Outcome], weights: Mapping[TeamId, float]
+) -> Iterator[str]:
+    """Return what small teams were served against their fair share of what all were served."""
+    flooding = {flood.team for flood in scenario.floods if flood.team}
+    if not flooding:
+        return
+    start_s, end_s = scenario.floods[0].start_s, scenario.floods[0].end_s
+    found = [each for each in outcomes if start_s <= each.due_s < end_s]
+    yield "| route | served by fair share of small teams: lowest | median | together |"
+    yield "|---|---|---|---|"
+    for route in dict.fromkeys(flow.route for flow in scenario.flows):
+        asked: Counter[TeamId] = Counter(each.team for each in found if each.route == route)
+        served: Counter[TeamId] = Counter(
+            each.team
+            for each in found
+            if each.route == route and each.answer.ending is Ending.ANSWERED
+        )
+        fair = fair_shares(asked, sum(served.values()), weights)
+        small = [team for team in fair if team not in flooding]
+        ratios = sorted(served[team] / fair[team] for team in small)
+        together = sum(served[team] for team in small) / sum(fair[team] for team in small)
+        yield (f"| {route} | {ratios[0]:.1%} | {ratios[len(ratios) // 2]:.1%} | {together:.1%} |")
+
+
+def fair_shares(
+    asked: Mapping[TeamId, int], capacity: float, weights: Mapping[TeamId, float]
+) -> dict[TeamId, float]:
+    """Divide a capacity by weight; what a team does not ask for goes to the others."""
+    shares: dict[TeamId, float] = {}
+    left = capacity
+    open_teams = sorted(asked, key=lambda team: asked[team] / weights[team])
+    while open_teams:
+        team = open_teams[0]
+        weight = sum(weights[each] for each in open_teams)
+        shares[team] = min(asked[team], left * weights[team] / weight)
+        left -= shares[team]
+        open_teams.pop(0)
+    return shares
--- a/src/lycheefall/_rules/choice.py
+++ b/src/lycheefall/_rules/choice.py
@@ -36,10 +36,14 @@
     names = [each.member.upstream for each in table.subset]
     own = own_upstreams(call, names, alone=wish.alone)
     narrow = wish.blocked | frozenset(names) - own
-    found = pick(table, Ask(excluded=narrow, alone=wish.alone), now_s)
-    if found is None and wish.may_widen and not wish.alone:
-        return pick(table, Ask(excluded=wish.blocked), now_s)
-    return found
+    if wish.alone:
+        return pick(table, Ask(excluded=narrow, alone=True), now_s)
+    asks = [Ask(excluded=narrow, at_once=True), Ask(excluded=narrow)]
+    if wish.may_widen:
+        # A cached prompt saves less than the wait for a slot behind long answers.
+        asks.insert(1, Ask(excluded=wish.blocked, at_once=True))
+        asks.append(Ask(excluded=wish.blocked))
+    return next((found for ask in asks if (found := pick(table, ask, now_s))), None)
 
 
 def own_upstreams(
--- a/src/lycheefall/_rules/upstreams.py
+++ b/src/lycheefall/_rules/upstreams.py
@@ -1,7 +1,7 @@
 """Table of a pool's upstreams: what they report and what this entry has sent since."""
 
 from collections import deque
-from math import exp
+from math import ceil, exp
 from random import Random
 
 from msgspec.structs import replace
@@ -270,13 +270,23 @@
     )
 
 
+def free_slots(upstream: Upstream) -> int:
+    """Return the requests that an upstream could begin at once, as far as it is known."""
+    return max(0, upstream.member.concurrency - requests_at(upstream))
+
+
 def pool_slots(table: Table, now_s: float) -> int:
-    """Return the slots of the pool for this entry, busy ones included."""
-    return sum(
-        limits.allowed(each.limit)
-        for each in table.subset
-        if is_live(each, now_s) and not is_failing(each, now_s)
-    )
+    """Return the slots of the pool for this entry, busy ones included.
+
+    Beside its own requests an entry counts only its part of what is free. What exceeds that waits
+    in the entry's queue, where the order of urgency holds and slots are kept free.
+    """
+    slots = 0.0
+    for each in table.subset:
+        if is_live(each, now_s) and not is_failing(each, now_s):
+            part = len(each.attempts) + free_slots(each) / max(1, table.entries)
+            slots += min(limits.allowed(each.limit), part)
+    return ceil(slots)
 
 
 def _choose_subset(table: Table) -> None:
