Leave the commits of a booking out of its upstream's delay

Cause: the delay of a booking was counted from its claim to its recorded answer, two commits of control, and mixed with the lookups of the same servers; slow commits lowered the servers' limits. Change: the delay counts from the dispatch to the upstream's answer.

--- a/src/lycheefall/_rules/booking_calls.py
+++ b/src/lycheefall/_rules/booking_calls.py
@@ -4,7 +4,7 @@
 
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.ids import UpstreamId
-from lycheefall._core.messages.dispatch import Refused
+from lycheefall._core.messages.dispatch import Finished, Refused, ToEntry
 from lycheefall._core.messages.entry import (
     BookingAnswered,
     BookingPicked,
@@ -15,6 +15,7 @@
     Repick,
     ToLink,
 )
+from lycheefall._rules import upstreams
 from lycheefall._rules.call_state import (
     NO_INCARNATION,
     NO_UPSTREAM,
@@ -26,6 +27,7 @@
     leave,
     make_dispatch,
     occupy,
+    table_of,
 )
 
 
@@ -57,10 +59,24 @@
         return [BookingReply(Refused(claimed.request, claimed.attempt, code))]
     call.attempt = claimed.attempt
     call.incarnation = claimed.incarnation
+    table = table_of(state, claimed.upstream)
+    if table is not None and call.occupied is not None:
+        upstreams.restart(table, claimed.upstream, call.occupied, now_s)
     dispatch = structs.replace(make_dispatch(state, call, now_s), claim=claimed.token)
     return [ToLink(claimed.upstream, dispatch)]
 
 
+def observe_booking(state: CallsState, call: Call, message: ToEntry, now_s: float) -> None:
+    """Learn from an upstream's answer to a booking, before the answer is recorded.
+
+    The commits of the claim and of its outcome are no delay of the upstream.
+    """
+    if not isinstance(message, Finished) or message.attempt != call.attempt:
+        return
+    if message.code is ResultCode.OK:
+        begun(state, call, now_s)
+
+
 def repick(state: CallsState, request: Repick, now_s: float) -> BookingPicked:
     """Choose another upstream that the flow has not tried."""
     call = state.calls.get(request.request)
@@ -81,8 +97,6 @@
     call = state.calls.get(answered.end.request)
     if call is None:
         return [answered.end]
-    if answered.end.code is ResultCode.OK:
-        begun(state, call, now_s)
     end = structs.replace(answered.end, upstream=_origin(call), attempts=call.attempt)
     return [end, close(state, call, now_s)]
 
--- a/src/lycheefall/_rules/calls.py
+++ b/src/lycheefall/_rules/calls.py
@@ -43,6 +43,7 @@
     booking_answered,
     dispatch_claimed,
     is_booking,
+    observe_booking,
     repick,
     start_booking,
 )
@@ -177,6 +178,8 @@
     call = state.calls.get(message.request)
     # The flow of a booking may go on after its call has ended.
     if not isinstance(message, Frame) and (call is None or is_booking(call)):
+        if call is not None:
+            observe_booking(state, call, message, now_s)
         return [BookingReply(message)]
     match message:
         case Frame():
--- a/src/lycheefall/_rules/upstreams.py
+++ b/src/lycheefall/_rules/upstreams.py
@@ -192,6 +192,19 @@
     return table
 
 
+def restart(table: Table, upstream: UpstreamId, attempt: AttemptKey, now_s: float) -> Table:
+    """Count an attempt as sent now; until then it waited for its claim, not for the upstream."""
+    known = table.upstreams.get(upstream)
+    begun = None if known is None else known.attempts.get(attempt)
+    if known is None or begun is None:
+        return table
+    if begun.at_s < known.measured_s:
+        known.unreported += 1
+        known.unreported_tokens += begun.tokens
+    begun.at_s = now_s
+    return table
+
+
 def first_token(table: Table, upstream: UpstreamId, attempt: AttemptKey, now_s: float) -> Table:
     """Learn from the delay to an attempt's first token, or to a service's whole answer."""
     known = table.upstreams.get(upstream)
