Take only the first token of an attempt as its delay

Cause: each frame of a stream was counted as a first token, so the delay was the length of the answer and limits of sound engines fell to 1 (seen in a trace of urgent requests). Change: later tokens of an attempt are ignored.

--- a/src/lycheefall/_rules/upstreams.py
+++ b/src/lycheefall/_rules/upstreams.py
@@ -35,11 +35,12 @@
 class Sent:
     """An attempt in flight."""
 
-    __slots__ = ("at_s", "tokens")
+    __slots__ = ("at_s", "has_begun", "tokens")
 
     def __init__(self, at_s: float, tokens: float) -> None:
         self.at_s = at_s
         self.tokens = tokens
+        self.has_begun = False
 
 
 class Upstream:
@@ -206,11 +207,15 @@
 
 
 def first_token(table: Table, upstream: UpstreamId, attempt: AttemptKey, now_s: float) -> Table:
-    """Learn from the delay to an attempt's first token, or to a service's whole answer."""
+    """Learn from the delay to an attempt's first token, or to a service's whole answer.
+
+    Later tokens of the attempt are ignored.
+    """
     known = table.upstreams.get(upstream)
     begun = None if known is None else known.attempts.get(attempt)
-    if known is None or begun is None:
+    if known is None or begun is None or begun.has_begun:
         return table
+    begun.has_begun = True
     elapsed_s = now_s - begun.at_s
     limits.observe_first_token(known.limit, elapsed_s, len(known.attempts), now_s)
     before_s = delay_s(table, known, now_s) or elapsed_s
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -179,3 +179,46 @@
             for each in table_of(100, f"entry{number}").subset
         }
         assert len(used) == 100
+
+
+class TestDelay:
+    def test_only_the_first_token_counts(self) -> None:
+        """Guards against the length of an answer being taken for delay, which cuts the limit."""
+        table = table_of(1)
+        upstream = UpstreamId("u0")
+        upstreams.sent(table, upstream, attempt(1), 10.0, 0.0)
+        for now_s in (0.25, 4.0, 8.0):
+            upstreams.first_token(table, upstream, attempt(1), now_s)
+        assert upstreams.delay_s(table, table.upstreams[upstream], 8.0) <= 0.25
+
+    def test_wait_for_a_claim_is_left_out(self) -> None:
+        """Guards against slow commits of control being taken for delay of the upstream."""
+        table = table_of(1)
+        upstream = UpstreamId("u0")
+        upstreams.sent(table, upstream, attempt(1), 1.0, 0.0)
+        upstreams.report(table, upstream, Incarnation("1"), Load(), 0.5)
+        upstreams.restart(table, upstream, attempt(1), 2.0)
+        assert upstreams.requests_at(table.upstreams[upstream]) == 1
+        upstreams.first_token(table, upstream, attempt(1), 2.25)
+        assert table.upstreams[upstream].delay_s == 0.25
+
+
+class TestSlots:
+    def test_free_slots_are_divided_among_entries(self) -> None:
+        """Guards against several entries filling the same free slots at once."""
+        table = table_of(2)
+        table.entries = 4
+        for each in table.subset:
+            each.limit.limit = 16.0
+        upstreams.sent(table, UpstreamId("u0"), attempt(1), 10.0, 0.0)
+        # One in flight, and a quarter of 7 and of 8 free slots.
+        assert upstreams.pool_slots(table, 0.0) == 5
+
+    def test_full_upstream_adds_no_slots(self) -> None:
+        """Guards against work that waits in an engine, where urgent requests can't pass it."""
+        table = Table(InstanceId("entry"), entries=1, seed=1)
+        busy = member("u0", load=Load(running=8, waiting=2))
+        upstreams.announce(table, busy, 1, 0.0)
+        assert upstreams.pool_slots(table, 0.0) == 0
+        assert PICKERS["weighted two choices"](table, Ask(at_once=True), 0.0) is None
+        assert PICKERS["weighted two choices"](table, Ask(), 0.0) == "u0"
