Tolerate a tenth of a second before a delay counts as congestion

Cause: the limit of a server that answers in 12 ms fell when scheduling on a busy machine doubled that. Change: a delay counts as congestion only if it also exceeds the lowest one by 0.1 s.

--- a/src/lycheefall/_rules/limits.py
+++ b/src/lycheefall/_rules/limits.py
@@ -20,6 +20,8 @@
 _WARM_UP_SAMPLES = 32
 # Time to the first token that counts as congestion, against the lowest recent one.
 _TOLERATED_DELAY_RATIO = 2.0
+# On a busy machine scheduling alone delays an answer of a few milliseconds by this much.
+_TOLERATED_DELAY_S = 0.1
 # Waiting requests that count as congestion, against the concurrency.
 _TOLERATED_WAITING_RATIO = 0.25
 # The lowest delay doubles in this time, so that a lasting change of the work is accepted.
@@ -61,7 +63,10 @@
 ) -> UpstreamLimit:
     """Adapt to the time that a request took to its first token."""
     _observe_delay(limit, elapsed_s, now_s)
-    if limit.recent_s > _TOLERATED_DELAY_RATIO * limit.baseline_s:
+    tolerated_s = max(
+        _TOLERATED_DELAY_RATIO * limit.baseline_s, limit.baseline_s + _TOLERATED_DELAY_S
+    )
+    if limit.recent_s > tolerated_s:
         return observe_refusal(limit, now_s)
     if in_flight >= _USED_RATIO * limit.limit:
         most = max(_MIN_LIMIT, _MAX_LIMIT_PER_CONCURRENCY * limit.concurrency)
