Keep the slots that the most urgent class used at its recent peak

Cause: slots were kept by share only; above the share, other work took each slot that fell free between two bursts of urgent requests. Change: the most urgent class keeps its peak of the last 10 s and one slot more.

--- a/src/lycheefall/_rules/admission.py
+++ b/src/lycheefall/_rules/admission.py
@@ -118,6 +118,7 @@
     if slots != state.slots:
         state.slots = slots
         shares.reserve_slots(state.ordered, slots)
+    shares.keep_for_urgency(state.ordered, slots, now_s)
     state, outcomes = expire(state, now_s)
     while state.waiting:
         each = shares.next_class(state.ordered, slots - len(state.running))
--- a/src/lycheefall/_rules/shares.py
+++ b/src/lycheefall/_rules/shares.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable, Sequence
+from math import exp
 from typing import NewType
 
 from msgspec import Struct
@@ -27,6 +28,8 @@
 _MAX_SHARES_RATIO = 0.8
 # Slots kept free for idle classes are at most this part of all.
 _MAX_KEPT_FREE_RATIO = 0.5
+# The most urgent class keeps as many slots as it used at most in this time, and one more.
+_URGENT_USE_WINDOW_S = 10.0
 # A request is dropped from the queue after this many times its class's target.
 _WAIT_PER_TARGET = 4.0
 
@@ -45,7 +48,17 @@
 class ClassState:
     """Queue, credit and slots of one class."""
 
-    __slots__ = ("credit_tokens", "flow", "in_flight", "kept_slots", "policy", "queue")
+    __slots__ = (
+        "credit_tokens",
+        "flow",
+        "in_flight",
+        "kept_slots",
+        "most_at_s",
+        "most_in_flight",
+        "policy",
+        "queue",
+        "share_slots",
+    )
 
     def __init__(self, policy: ClassPolicy) -> None:
         self.policy = policy
@@ -53,8 +66,13 @@
         self.flow = Flow()
         self.credit_tokens = 0.0
         self.in_flight = 0
-        # Slots reserved for this class at the present number of slots.
+        # Slots reserved by the class's share of the present number of slots.
+        self.share_slots = 0
+        # Slots kept for this class; at least those of its share.
         self.kept_slots = 0
+        # Recent peak of the slots in use, which decays.
+        self.most_in_flight = 0.0
+        self.most_at_s = 0.0
 
 
 def class_of(kind: RouteKind, priority: PriorityId) -> WorkClass:
@@ -123,8 +141,25 @@
     """Set the slots kept for each class, rounded to the nearest number."""
     left = int(slots * _MAX_KEPT_FREE_RATIO)
     for each in sorted(classes, key=lambda item: not item.policy.protected):
-        each.kept_slots = min(left, int(slots * each.policy.share_ratio + 0.5))
-        left -= each.kept_slots
+        each.share_slots = min(left, int(slots * each.policy.share_ratio + 0.5))
+        each.kept_slots = each.share_slots
+        left -= each.share_slots
+
+
+def keep_for_urgency(classes: Sequence[ClassState], slots: int, now_s: float) -> None:
+    """Keep for the most urgent class what its recent peaks used, within the bound for all.
+
+    Arrivals come in bursts, so the mean use of a class is not enough for it to begin at once.
+    """
+    if not classes or classes[0].policy.protected:
+        return
+    first = classes[0]
+    decayed = first.most_in_flight * exp((first.most_at_s - now_s) / _URGENT_USE_WINDOW_S)
+    first.most_in_flight = max(decayed, float(first.in_flight))
+    first.most_at_s = now_s
+    others = sum(each.share_slots for each in classes[1:])
+    most = int(slots * _MAX_KEPT_FREE_RATIO) - others
+    first.kept_slots = max(first.share_slots, min(most, int(first.most_in_flight) + 1))
 
 
 def next_class(classes: Sequence[ClassState], free_slots: int) -> ClassState | None:
