--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -248,3 +248,23 @@
         admission.reconfigure(state, renamed, 20)
         outcomes = admission.expire(state, 10.0)[1] + admission.expire(state, 100.0)[1]
         assert [each.request for each in outcomes] == ["waits"]
+
+
+class TestUrgentSlots:
+    def test_slots_follow_the_recent_peak(self) -> None:
+        """Guards against a flood of other work taking the slots between two urgent bursts."""
+        slots, burst = 32, 9
+        policies = shares.policies_of(PRIORITIES, [RouteKind.CHAT], QUEUE_S)
+        state = AdmissionState(policies, 1000)
+        for number in range(burst):
+            admission.submit(state, item(f"u{number}"), 1.0)
+        admission.release(state, slots, 1.0)
+        for number in range(burst):
+            admission.finish(state, RequestId(f"u{number}"), 10.0, 2.0)
+        for number in range(2 * slots):
+            admission.submit(state, item(f"l{number}", LATER), 2.0)
+        admission.release(state, slots, 2.0)
+        for number in range(burst):
+            admission.submit(state, item(f"v{number}"), 3.0)
+        admitted = requests_of(admission.release(state, slots, 3.0)[1])
+        assert len([each for each in admitted if each.startswith("v")]) == burst
