Notice a peak of urgent requests when they are admitted

Cause: the peak was read before a release, so a burst that was admitted and ended in between did not count, and the slots kept were cut by shares that nothing less urgent needs. Change: the peak is counted at admission, and the bound is half of all slots.

--- a/src/lycheefall/_rules/admission.py
+++ b/src/lycheefall/_rules/admission.py
@@ -239,7 +239,7 @@
 def _admit(state: AdmissionState, each: ClassState, request: RequestId, now_s: float) -> Admitted:
     waiting = state.waiting.pop(request)
     state.running[request] = _Running(waiting.item, now_s)
-    each.in_flight += 1
+    shares.begin(each)
     observe_admitted(each.flow, waiting.item.cost_tokens, now_s)
     shares.account(state.ordered, each, waiting.item.cost_tokens)
     return Admitted(request, now_s - waiting.since_s)
--- a/src/lycheefall/_rules/shares.py
+++ b/src/lycheefall/_rules/shares.py
@@ -149,7 +149,7 @@
 
 
 def keep_for_urgency(classes: Sequence[ClassState], slots: int, now_s: float) -> None:
-    """Keep for the most urgent class what its recent peaks used, within the bound for all.
+    """Keep for the most urgent class what its recent peaks used, up to half of all slots.
 
     Arrivals come in bursts, so the mean use of a class is not enough for it to begin at once.
     """
@@ -159,12 +159,17 @@
     decayed = first.most_in_flight * exp((first.most_at_s - now_s) / _URGENT_USE_WINDOW_S)
     first.most_in_flight = max(decayed, float(first.in_flight))
     first.most_at_s = now_s
-    others = sum(each.share_slots for each in classes[1:])
-    most = int(slots * _MAX_KEPT_FREE_RATIO) - others
+    most = int(slots * _MAX_KEPT_FREE_RATIO)
     wanted = int(first.most_in_flight + 1.0 + _URGENT_HEADROOM_RATIO * slots)
     first.kept_slots = max(first.share_slots, min(most, wanted))
 
 
+def begin(each: ClassState) -> None:
+    """Count a request that takes a slot."""
+    each.in_flight += 1
+    each.most_in_flight = max(each.most_in_flight, float(each.in_flight))
+
+
 def next_class(classes: Sequence[ClassState], free_slots: int) -> ClassState | None:
     """Return the class to serve next, or None when no class may take a slot."""
     most_urgent: ClassState | None = None
