Count a booking at its upstream only once it is sent

Cause: a booking that waits for its claim held one of the 12 slots that an entry has at three servers, so slow commits of control made lookups wait. Change: a reserved attempt adds a slot to the entry's capacity and no load to its upstream.

--- a/src/lycheefall/_rules/booking_calls.py
+++ b/src/lycheefall/_rules/booking_calls.py
@@ -60,8 +60,8 @@
     call.attempt = claimed.attempt
     call.incarnation = claimed.incarnation
     table = table_of(state, claimed.upstream)
-    if table is not None and call.occupied is not None:
-        upstreams.restart(table, claimed.upstream, call.occupied, now_s)
+    if table is not None and call.occupied is not None and call.upstream == claimed.upstream:
+        upstreams.sent(table, claimed.upstream, call.occupied, call.call.cost_tokens, now_s)
     dispatch = structs.replace(make_dispatch(state, call, now_s), claim=claimed.token)
     return [ToLink(claimed.upstream, dispatch)]
 
--- a/src/lycheefall/_rules/call_state.py
+++ b/src/lycheefall/_rules/call_state.py
@@ -102,7 +102,11 @@
     call.tried.add(upstream)
     call.occupations += 1
     call.occupied = (call.call.request, AttemptNumber(call.occupations))
-    upstreams.sent(table, upstream, call.occupied, call.call.cost_tokens, now_s)
+    tokens = call.call.cost_tokens
+    if call.call.operation is not None:
+        upstreams.reserve(table, upstream, call.occupied, tokens)
+    else:
+        upstreams.sent(table, upstream, call.occupied, tokens, now_s)
 
 
 def begun(state: CallsState, call: Call, now_s: float) -> None:
--- a/src/lycheefall/_rules/routing.py
+++ b/src/lycheefall/_rules/routing.py
@@ -45,7 +45,7 @@
     return [
         each
         for each in table.subset
-        if len(each.attempts) < limits.allowed(each.limit)
+        if upstreams.in_flight(each) < limits.allowed(each.limit)
         and upstreams.is_live(each, now_s)
         and each.member.upstream not in excluded
     ]
--- a/src/lycheefall/_rules/upstreams.py
+++ b/src/lycheefall/_rules/upstreams.py
@@ -35,12 +35,14 @@
 class Sent:
     """An attempt in flight."""
 
-    __slots__ = ("at_s", "has_begun", "tokens")
+    __slots__ = ("at_s", "has_begun", "is_pending", "tokens")
 
-    def __init__(self, at_s: float, tokens: float) -> None:
+    def __init__(self, at_s: float, tokens: float, is_pending: bool) -> None:
         self.at_s = at_s
         self.tokens = tokens
         self.has_begun = False
+        # Waits for its claim and is not at the upstream yet.
+        self.is_pending = is_pending
 
 
 class Upstream:
@@ -57,6 +59,7 @@
         "measured_s",
         "member",
         "outcomes_at_s",
+        "pending",
         "reported_ended",
         "seen_s",
         "sequence",
@@ -73,6 +76,8 @@
         self.seen_s = now_s
         # Sequence of the last announcement.
         self.sequence = 0
+        # Attempts that wait for their claim.
+        self.pending = 0
         # Attempts in flight that the last report doesn't contain.
         self.unreported = 0
         self.unreported_tokens = 0.0
@@ -144,7 +149,11 @@
         return table
     known.measured_s = measured_s
     known.member = replace(known.member, load=load)
-    later = [sent.tokens for sent in known.attempts.values() if sent.at_s >= measured_s]
+    later = [
+        sent.tokens
+        for sent in known.attempts.values()
+        if sent.at_s >= measured_s and not sent.is_pending
+    ]
     known.unreported = len(later)
     known.unreported_tokens = sum(later)
     while known.ended and known.ended[0][1] < measured_s:
@@ -179,12 +188,23 @@
     return table
 
 
+def reserve(table: Table, upstream: UpstreamId, attempt: AttemptKey, tokens: float) -> Table:
+    """Count an attempt that waits for its claim; it loads the upstream only once it is sent."""
+    known = table.upstreams[upstream]
+    known.attempts[attempt] = Sent(0.0, tokens, is_pending=True)
+    known.pending += 1
+    return table
+
+
 def sent(
     table: Table, upstream: UpstreamId, attempt: AttemptKey, tokens: float, now_s: float
 ) -> Table:
-    """Count an attempt that was sent."""
+    """Count an attempt that was sent, whether or not it was reserved."""
     known = table.upstreams[upstream]
-    known.attempts[attempt] = Sent(now_s, tokens)
+    before = known.attempts.get(attempt)
+    if before is not None and before.is_pending:
+        known.pending -= 1
+    known.attempts[attempt] = Sent(now_s, tokens, is_pending=False)
     known.unreported += 1
     known.unreported_tokens += tokens
     if now_s - known.delay_at_s >= _DELAY_WINDOW_S:
@@ -193,17 +213,9 @@
     return table
 
 
-def restart(table: Table, upstream: UpstreamId, attempt: AttemptKey, now_s: float) -> Table:
-    """Count an attempt as sent now; until then it waited for its claim, not for the upstream."""
-    known = table.upstreams.get(upstream)
-    begun = None if known is None else known.attempts.get(attempt)
-    if known is None or begun is None:
-        return table
-    if begun.at_s < known.measured_s:
-        known.unreported += 1
-        known.unreported_tokens += begun.tokens
-    begun.at_s = now_s
-    return table
+def in_flight(upstream: Upstream) -> int:
+    """Return the attempts that this entry has sent to an upstream and that have not ended."""
+    return len(upstream.attempts) - upstream.pending
 
 
 def first_token(table: Table, upstream: UpstreamId, attempt: AttemptKey, now_s: float) -> Table:
@@ -217,7 +229,7 @@
         return table
     begun.has_begun = True
     elapsed_s = now_s - begun.at_s
-    limits.observe_first_token(known.limit, elapsed_s, len(known.attempts), now_s)
+    limits.observe_first_token(known.limit, elapsed_s, in_flight(known), now_s)
     before_s = delay_s(table, known, now_s) or elapsed_s
     known.delay_s = before_s + _DELAY_WEIGHT * (elapsed_s - before_s)
     known.delay_at_s = now_s
@@ -234,6 +246,9 @@
     begun = None if known is None else known.attempts.pop(attempt, None)
     if known is None or begun is None:
         return table
+    if begun.is_pending:
+        known.pending -= 1
+        return table
     if begun.at_s >= known.measured_s:
         known.unreported -= 1
         known.unreported_tokens -= begun.tokens
@@ -276,7 +291,7 @@
     """Return the requests at an upstream: those reported, corrected by this entry's own."""
     load = upstream.member.load
     reported = load.running + load.waiting + upstream.unreported - upstream.reported_ended
-    return max(reported, len(upstream.attempts))
+    return max(reported, in_flight(upstream))
 
 
 def is_live(upstream: Upstream, now_s: float) -> bool:
@@ -302,8 +317,8 @@
     slots = 0.0
     for each in table.subset:
         if is_live(each, now_s) and not is_failing(each, now_s):
-            part = len(each.attempts) + free_slots(each) / max(1, table.entries)
-            slots += min(limits.allowed(each.limit), part)
+            part = in_flight(each) + free_slots(each) / max(1, table.entries)
+            slots += min(limits.allowed(each.limit), part) + each.pending
     return ceil(slots)
 
 
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -192,15 +192,30 @@
         assert upstreams.delay_s(table, table.upstreams[upstream], 8.0) <= 0.25
 
     def test_wait_for_a_claim_is_left_out(self) -> None:
-        """Guards against slow commits of control being taken for delay of the upstream."""
+        """Guards against slow commits of control being taken for load or delay of the upstream."""
         table = table_of(1)
         upstream = UpstreamId("u0")
-        upstreams.sent(table, upstream, attempt(1), 1.0, 0.0)
+        known = table.upstreams[upstream]
+        free = upstreams.free_slots(known)
+        upstreams.reserve(table, upstream, attempt(1), 1.0)
         upstreams.report(table, upstream, Incarnation("1"), Load(), 0.5)
-        upstreams.restart(table, upstream, attempt(1), 2.0)
-        assert upstreams.requests_at(table.upstreams[upstream]) == 1
+        assert upstreams.free_slots(known) == free
+        upstreams.sent(table, upstream, attempt(1), 1.0, 2.0)
+        assert upstreams.free_slots(known) == free - 1
         upstreams.first_token(table, upstream, attempt(1), 2.25)
-        assert table.upstreams[upstream].delay_s == 0.25
+        assert known.delay_s == 0.25
+        upstreams.ended(table, upstream, attempt(1), False, 2.5)
+        assert upstreams.free_slots(known) == free
+
+    def test_claim_that_is_given_up(self) -> None:
+        """Guards against a booking that is never sent being counted for ever."""
+        table = table_of(1)
+        upstream = UpstreamId("u0")
+        before = upstreams.pool_slots(table, 0.0)
+        upstreams.reserve(table, upstream, attempt(1), 1.0)
+        assert upstreams.pool_slots(table, 0.0) == before + 1
+        upstreams.ended(table, upstream, attempt(1), False, 0.5)
+        assert upstreams.pool_slots(table, 0.5) == before
 
 
 class TestSlots:
