--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -96,7 +96,7 @@
         fleet = Fleet(Path(folder), engines=ENGINES, services=SERVICES)
         fleet.pools = {kind.value: user.pool(kind) for kind in UpstreamKind}
         fleet.fake_flags = {f"engine-{n}": ENGINE_FLAGS for n in range(ENGINES)}
-        fleet.agent_flags = {"engine": AGENT_FLAGS}
+        fleet.kind_flags = {"engine": AGENT_FLAGS}
         fleet.python_path = [str(ROOT / "bench")]
         fleet.entry_command = ["policies", baseline]
         fleet.plan()
--- a/src/lycheefall/_agent/service.py
+++ b/src/lycheefall/_agent/service.py
@@ -1,6 +1,7 @@
 """Join the filters of an agent: announce, check, admit, forward, report."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 import msgspec
@@ -21,17 +22,17 @@
     ToPeer,
 )
 from lycheefall._agent.report import report_load
-from lycheefall._agent.run_attempts import Attempts
+from lycheefall._agent.run_attempts import Attempts, SendToPeer
 from lycheefall._agent.settings import AgentSettings
 from lycheefall._control.client import new_client, run_client
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.configuration import Limits
-from lycheefall._core.enums import MemberState
+from lycheefall._core.enums import AttemptState, MemberState
 from lycheefall._core.events import Event
 from lycheefall._core.ids import Address, Incarnation
-from lycheefall._core.log import log, warn
+from lycheefall._core.log import log
 from lycheefall._core.messages.control import Changes
-from lycheefall._core.messages.dispatch import Dispatch, Refused, ToEntry
+from lycheefall._core.messages.dispatch import Dispatch, Refused, Resolved, ToEntry
 from lycheefall._core.messages.membership import EntryMember, Member, UpstreamMember
 from lycheefall._core.pipeline import Inbox, run_owner, tick
 from lycheefall._core.process import new_incarnation, run_until
@@ -42,6 +43,10 @@
 
 CHECK_INBOX_MESSAGES = 10_000
 TICK_S = 0.05
+# After its last attempt an agent goes on for this long: a socket drops unsent messages when it is
+# closed, dispatches on their way must be refused, and an entry with a silent link asks for the
+# results over a new one, within 2 s.
+ANSWERS_AFTER_DRAIN_S = 2.0
 
 
 async def run_agent(
@@ -52,13 +57,13 @@
     """Run an agent until it is told to stop and its attempts have ended."""
     incarnation = new_incarnation()
     inbox: Inbox[ToCheck] = Inbox(CHECK_INBOX_MESSAGES)
-    drained = asyncio.Event()
+    drained, left = asyncio.Event(), asyncio.Event()
     announcer = Announcer()
     announcer.send_to(set(settings.control))
     router = RouterEnd(settings.listen, lambda peer, payload: _receive(peer, payload, inbox, send))
 
-    def send(peer: bytes, message: ToEntry) -> None:
-        router.send(peer, encode(message))
+    def send(peer: bytes, message: ToEntry) -> bool:
+        return router.send(peer, encode(message))
 
     attempts = Attempts(settings.upstream_address, settings.kind, send, _deliver_end(inbox))
     on_changes = _on_changes(settings, announcer, inbox)
@@ -70,13 +75,13 @@
     on_ready()
     try:
         await run_until(
-            drained,
+            left,
             run_owner(inbox, state, check, _emit(attempts, send, announcer, drained)),
             tick(inbox, Tick(), TICK_S),
             report_load(settings.upstream_address, inbox.offer),
             announcer.run(),
             run_client(new_client(), settings.control, on_changes),
-            _drain(stop, inbox, drained, settings.drain_s),
+            _leave(stop, inbox, drained, settings.drain_s, left),
         )
     finally:
         await attempts.close()
@@ -92,20 +97,18 @@
         settings.data_centre,
         settings.pool,
         settings.kind,
-        settings.listen,
+        settings.announce_as or settings.listen,
         incarnation,
         MemberState.STARTING,
         settings.concurrency,
     )
 
 
-def _receive(
-    peer: bytes, payload: bytes, inbox: Inbox[ToCheck], send: Callable[[bytes, ToEntry], None]
-) -> None:
+def _receive(peer: bytes, payload: bytes, inbox: Inbox[ToCheck], send: SendToPeer) -> None:
     try:
         message = decode_to_agent(payload)
     except msgspec.DecodeError as error:
-        warn(Event.FRAME_DROPPED, detail=str(error))
+        log(Event.FRAME_DROPPED, detail=str(error))
         return
     if inbox.offer(FromEntry(peer, message)):
         return
@@ -129,14 +132,14 @@
 
 def _emit(
     attempts: Attempts,
-    send: Callable[[bytes, ToEntry], None],
+    send: SendToPeer,
     announcer: Announcer,
     drained: asyncio.Event,
 ) -> Callable[[FromCheck], None]:
     def emit(message: FromCheck) -> None:
         match message:
             case ToPeer():
-                _log_refusal(message.message)
+                _log_check(message.message)
                 send(message.peer, message.message)
             case Forward():
                 attempts.start(message)
@@ -150,28 +153,28 @@
     return emit
 
 
-def _log_refusal(message: ToEntry) -> None:
+def _log_check(message: ToEntry) -> None:
     if isinstance(message, Refused):
-        log(
-            Event.ATTEMPT_REFUSED,
-            request=message.request,
-            attempt=message.attempt,
-            code=int(message.code),
-        )
+        code = message.code
+        log(Event.ATTEMPT_REFUSED, request=message.request, attempt=message.attempt, code=int(code))
+    elif isinstance(message, Resolved) and message.state is AttemptState.RELEASED:
+        log(Event.ATTEMPT_RELEASED, request=message.request, attempt=message.attempt)
 
 
 def _on_changes(
     settings: AgentSettings, announcer: Announcer, inbox: Inbox[ToCheck]
-) -> Callable[[Changes], None]:
+) -> Callable[[Changes], bool]:
     entries: dict[str, Address] = {}
 
-    def on_changes(changes: Changes) -> None:
+    def on_changes(changes: Changes) -> bool:
         if changes.configuration is not None:
-            inbox.offer(ConfigurationSeen(changes.configuration))
+            if not inbox.offer(ConfigurationSeen(changes.configuration)):
+                return False
             log(Event.CONFIGURATION_IN_FORCE, revision=changes.configuration.revision)
         # Entries that control no longer lists are kept: control may be the part that is cut off.
         entries.update(_announce_addresses(changes.members))
         announcer.send_to(set(settings.control) | set(entries.values()))
+        return True
 
     return on_changes
 
@@ -184,11 +187,18 @@
     }
 
 
-async def _drain(
-    stop: asyncio.Event, inbox: Inbox[ToCheck], drained: asyncio.Event, limit_s: float
+async def _leave(
+    stop: asyncio.Event,
+    inbox: Inbox[ToCheck],
+    drained: asyncio.Event,
+    limit_s: float,
+    left: asyncio.Event,
 ) -> None:
     await stop.wait()
     log(Event.PROCESS_STOPPING, role="agent")
     await inbox.put(DrainOrdered())
-    await asyncio.sleep(limit_s)
-    drained.set()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(limit_s):
+            await drained.wait()
+    await asyncio.sleep(ANSWERS_AFTER_DRAIN_S)
+    left.set()
--- a/src/lycheefall/_entry/service.py
+++ b/src/lycheefall/_entry/service.py
@@ -12,7 +12,7 @@
 from lycheefall._core.events import Event
 from lycheefall._core.exceptions import ControlUnavailable, PortInUse
 from lycheefall._core.ids import Address, InstanceId, TeamId
-from lycheefall._core.log import log, warn
+from lycheefall._core.log import log
 from lycheefall._core.messages.control import Changes, ClaimResult, Failed
 from lycheefall._core.messages.entry import (
     Abandon,
@@ -23,6 +23,7 @@
     CallEnded,
     Capacity,
     ConfigurationChanged,
+    DispatchClaimed,
     EntriesSeen,
     FramesRead,
     FromBooking,
@@ -46,11 +47,14 @@
 from lycheefall._core.process import new_incarnation, run_until
 from lycheefall._entry.accept import Acceptor, build_application
 from lycheefall._entry.catalogue import build_catalogue
+from lycheefall._entry.decisions import log_claim, log_end, log_link_message
 from lycheefall._entry.links import Links
 from lycheefall._entry.policies import IN_USE, Policies
 from lycheefall._entry.queue import QueueState
 from lycheefall._entry.settings import EntrySettings
-from lycheefall._entry.upstreams import UpstreamTable, receive_announce, step_upstreams
+from lycheefall._entry.upstreams import FORGET_S, receive_announce, step_upstreams
+from lycheefall._operate.metrics import Count, Metrics, ignore_counts
+from lycheefall._rules import membership
 from lycheefall._rules.bookings import BookingsState, step_bookings
 from lycheefall._rules.call_state import CallsState
 from lycheefall._rules.calls import step_calls
@@ -68,6 +72,10 @@
 
 INBOX_MESSAGES = 50_000
 TICK_S = 0.05
+METRICS_PREFIX = "lycheefall.entry"
+# Other entries may name a draining one for this long: they hear of it from control within a poll
+# period, or after a silent connection to control is replaced.
+STILL_NAMED_S = 1.5
 # Control has a new leader within 2 s of losing one; a proposal is repeated until then.
 PROPOSAL_TIMEOUT_S = 4.0
 
@@ -80,6 +88,7 @@
         "announcer",
         "bookings",
         "client",
+        "count",
         "directory",
         "dispatch",
         "incarnation",
@@ -92,8 +101,9 @@
         "upstreams",
     )
 
-    def __init__(self, settings: EntrySettings) -> None:
+    def __init__(self, settings: EntrySettings, count: Count) -> None:
         self.settings = settings
+        self.count = count
         self.incarnation = new_incarnation()
         self.joins: Inbox[Submit | Abandon | ReplyEnd] = Inbox(INBOX_MESSAGES)
         self.queue: Inbox[ToQueue] = Inbox(INBOX_MESSAGES)
@@ -134,6 +144,7 @@
         """Pass on what the dispatch filter emits."""
         match message:
             case ToLink():
+                log_link_message(message, self.count)
                 self.links.send(message.upstream, message.message)
             case ReplyTokens():
                 self.acceptor.reply(message)
@@ -152,8 +163,10 @@
             task = asyncio.create_task(self._propose(message))
             self.proposals.add(task)
             task.add_done_callback(self.proposals.discard)
-        else:
-            self.dispatch.offer(message)
+            return
+        if isinstance(message, DispatchClaimed):
+            log_claim(message, self.count)
+        self.dispatch.offer(message)
 
     async def _propose(self, proposal: ProposeFor) -> None:
         try:
@@ -171,11 +184,12 @@
             self.links.disconnect(message.upstream)
         self.dispatch.offer(message)
 
-    def on_changes(self, changes: Changes) -> None:
-        """Take what control says has changed."""
-        if changes.configuration is not None:
-            self._configure(changes.configuration)
+    def on_changes(self, changes: Changes) -> bool:
+        """Take what control says has changed; False when there was no room for it."""
+        if changes.configuration is not None and not self._configure(changes.configuration):
+            return False
         self._learn_entries(changes)
+        return True
 
     def present(self, state: MemberState) -> None:
         """Announce this entry with a state."""
@@ -195,14 +209,16 @@
         """Return the entries that a team may use."""
         return choose_entries(self.directory, team)
 
-    def _configure(self, configuration: Configuration) -> None:
+    def _configure(self, configuration: Configuration) -> bool:
+        changed = ConfigurationChanged(configuration)
+        if not (self.queue.offer(changed) and self.dispatch.offer(changed)):
+            return False
         self.acceptor.catalogue.publish(build_catalogue(configuration))
         put_in_force(self.directory, configuration.directory)
-        self.queue.offer(ConfigurationChanged(configuration))
-        self.dispatch.offer(ConfigurationChanged(configuration))
         if not self.acceptor.draining:
             self.present(MemberState.READY)
         log(Event.CONFIGURATION_IN_FORCE, revision=configuration.revision)
+        return True
 
     def _learn_entries(self, changes: Changes) -> None:
         if changes.full:
@@ -219,14 +235,7 @@
 
     def _answer(self, end: ReplyEnd) -> None:
         self.acceptor.reply(end)
-        event = Event.REQUEST_REFUSED if end.code >= ResultCode.BAD_JSON else Event.REQUEST_ANSWERED
-        log(
-            event,
-            request=end.request,
-            code=int(end.code),
-            upstream=end.upstream,
-            attempts=end.attempts,
-        )
+        log_end(end, self.count)
 
 
 async def run_entry(
@@ -236,7 +245,8 @@
     policies: Policies = IN_USE,
 ) -> None:
     """Run an entry until it is told to stop and its requests have ended."""
-    parts = Parts(settings)
+    metrics = Metrics(settings.statsd, METRICS_PREFIX) if settings.statsd else None
+    parts = Parts(settings, metrics.count if metrics else ignore_counts)
     parts.present(MemberState.STARTING)
     parts.announcer.send_to(set(settings.control))
     announcements = RouterEnd(settings.announce_listen, receive_announce(parts.upstreams.offer))
@@ -256,7 +266,12 @@
                 step_bookings,
                 parts.from_bookings,
             ),
-            run_owner(parts.upstreams, UpstreamTable(), step_upstreams, parts.from_upstreams),
+            run_owner(
+                parts.upstreams,
+                membership.initial(FORGET_S),
+                step_upstreams,
+                parts.from_upstreams,
+            ),
             tick(parts.queue, Tick(), TICK_S),
             tick(parts.dispatch, Tick(), TICK_S),
             tick(parts.bookings, Tick(), TICK_S),
@@ -265,6 +280,7 @@
             parts.announcer.run(),
             run_client(parts.client, settings.control, parts.on_changes),
             _drain(stop, parts, runner, drained),
+            *([metrics.run()] if metrics else []),
         )
     finally:
         await runner.cleanup()
@@ -301,13 +317,13 @@
     parts.present(MemberState.DRAINING)
     try:
         async with asyncio.timeout(parts.settings.drain_s):
-            await asyncio.sleep(_ttl_s(parts))
+            await asyncio.sleep(STILL_NAMED_S + _ttl_s(parts))
             for site in list(runner.sites):
                 await site.stop()
             await parts.acceptor.idle.wait()
     except TimeoutError:
         cut = len(parts.acceptor.replies)
-        warn(Event.PROCESS_STOPPING, role="entry", detail=f"{cut} requests are still in flight")
+        log(Event.PROCESS_STOPPING, role="entry", detail=f"{cut} requests are still in flight")
     drained.set()
 
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1,35 +1,33 @@
-"""Tests of the choice between a request's own upstreams and the others."""
+"""Tests of the two upstreams that each request belongs to."""
 
-from lycheefall._core.configuration import Route
-from lycheefall._core.enums import MemberState, RouteKind, UpstreamKind
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lycheefall._core.enums import MemberState, UpstreamKind
 from lycheefall._core.ids import (
     Address,
     DataCentreId,
-    Fingerprint,
     Incarnation,
     InstanceId,
-    PoolId,
-    PriorityId,
-    RequestId,
-    RouteId,
-    TeamId,
     UpstreamId,
 )
-from lycheefall._core.messages.entry import CallerRequest
 from lycheefall._core.messages.membership import Load, UpstreamMember
 from lycheefall._rules import upstreams
 from lycheefall._rules.choice import Wish, choose, own_upstreams
 from lycheefall._rules.routing import weighted_two_choices
 from lycheefall._rules.upstreams import Table
+from requests_for_tests import POOL, request
 
-POOL = PoolId("pool")
-NAMES = tuple(UpstreamId(f"u{number}") for number in range(6))
+SIX = tuple(UpstreamId(f"u{number}") for number in range(6))
+URGENT_CALL = request(prefix=7)
+LATER_CALL = request(prefix=7, rank=1)
+NAMES = [UpstreamId(f"u{number}") for number in range(16)]
 
 
 def table_with(running: dict[UpstreamId, int]) -> Table:
     """Make a table of upstreams with 8 slots and the given requests."""
     table = Table(InstanceId("entry"), entries=1, seed=1)
-    for name in NAMES:
+    for name in SIX:
         member = UpstreamMember(
             upstream=name,
             instance=InstanceId(name),
@@ -46,50 +44,55 @@
     return table
 
 
-def request(rank: int) -> CallerRequest:
-    """Make a chat request of a priority."""
-    priority = PriorityId("any")
-    return CallerRequest(
-        request=RequestId("r"),
-        team=TeamId("team"),
-        priority=priority,
-        rank=rank,
-        route=Route(name=RouteId("chat"), kind=RouteKind.CHAT, pools=(POOL,), priority=priority),
-        method="POST",
-        path="/",
-        content_type="",
-        body=b"",
-        stream=True,
-        model="m",
-        arrived_s=0.0,
-        deadline_s=10.0,
-        cost_tokens=10,
-        prompt_tokens=1,
-        fingerprint=Fingerprint("f"),
-        prefix=7,
-    )
+class TestOwnUpstreams:
+    @given(st.permutations(NAMES), st.text(), st.integers(0, 2**64 - 1))
+    def test_every_entry_agrees(
+        self, order: list[UpstreamId], fingerprint: str, prefix: int
+    ) -> None:
+        """Guards against copies of one request at more than two upstreams."""
+        call = request(fingerprint=fingerprint, prefix=prefix)
+        own = own_upstreams(call, order, alone=False)
+        assert own == own_upstreams(call, NAMES, alone=False)
+        assert len(own) == 2
+
+    def test_common_prefix_shares_one_upstream(self) -> None:
+        """Guards against prompts that start alike and find no cached prefix."""
+        calls = [request(f"r{number}", prefix=7) for number in range(200)]
+        sets = [own_upstreams(call, NAMES, alone=False) for call in calls]
+        assert len(frozenset.intersection(*sets)) == 1
+        assert len(frozenset.union(*sets)) == len(NAMES)
+
+    def test_suspects_share_one_upstream(self) -> None:
+        """Guards against suspects that each take another upstream out of use."""
+        calls = [request(f"r{number}", prefix=number) for number in range(50)]
+        assert len({own_upstreams(call, NAMES, alone=True) for call in calls}) == 1
+
+    def test_few_upstreams(self) -> None:
+        """Guards against a pool of one upstream that serves nothing."""
+        assert own_upstreams(request(prefix=1), NAMES[:1], alone=False) == {NAMES[0]}
+        assert own_upstreams(request(), [], alone=False) == frozenset()
 
 
 class TestChoose:
     def test_full_own_upstreams_are_left(self) -> None:
         """Guards against a request that waits at a full upstream while another has free slots."""
-        own = own_upstreams(request(0), NAMES, alone=False)
-        (free,) = [name for name in NAMES if name not in own][:1]
-        table = table_with(dict.fromkeys(NAMES, 8) | {free: 7})
+        own = own_upstreams(URGENT_CALL, SIX, alone=False)
+        (free,) = [name for name in SIX if name not in own][:1]
+        table = table_with(dict.fromkeys(SIX, 8) | {free: 7})
         wish = Wish(blocked=frozenset())
-        assert choose(weighted_two_choices(), table, request(0), wish, 0.0) == free
+        assert choose(weighted_two_choices(), table, URGENT_CALL, wish, 0.0) == free
 
     def test_lost_attempt_stays_with_its_own_upstreams(self) -> None:
         """Guards against a request that crashes upstreams reaching a third one."""
-        own = own_upstreams(request(0), NAMES, alone=False)
-        table = table_with({name: 8 if name in own else 0 for name in NAMES})
+        own = own_upstreams(URGENT_CALL, SIX, alone=False)
+        table = table_with({name: 8 if name in own else 0 for name in SIX})
         wish = Wish(blocked=frozenset(), may_widen=False)
-        assert choose(weighted_two_choices(), table, request(0), wish, 0.0) in own
+        assert choose(weighted_two_choices(), table, URGENT_CALL, wish, 0.0) in own
 
     def test_last_slot_is_left_to_urgent_requests(self) -> None:
         """Guards against less urgent work that fills an upstream while others have more room."""
-        own = own_upstreams(request(1), NAMES, alone=False)
-        table = table_with({name: 7 if name in own else 0 for name in NAMES})
+        own = own_upstreams(LATER_CALL, SIX, alone=False)
+        table = table_with({name: 7 if name in own else 0 for name in SIX})
         wish = Wish(blocked=frozenset())
-        assert choose(weighted_two_choices(), table, request(0), wish, 0.0) in own
-        assert choose(weighted_two_choices(), table, request(1), wish, 0.0) not in own
+        assert choose(weighted_two_choices(), table, URGENT_CALL, wish, 0.0) in own
+        assert choose(weighted_two_choices(), table, LATER_CALL, wish, 0.0) not in own
