--- a/bench/cases.py
+++ b/bench/cases.py
@@ -21,6 +21,8 @@
 
 ROOT = Path(__file__).resolve().parents[1]
 _USERS = {"ballyscent": "ballyscent-day.toml", "authority": "authority-floods.toml"}
+# The engines of the bench are this much slower than the scenario files assume.
+_RATE_RATIO = 0.5
 # The ordinary load is this part of what the engines can do.
 _ORDINARY_RATIO = 0.55
 
@@ -66,7 +68,8 @@
     """Read the configuration and the ordinary load of a user."""
     text = (ROOT / "examples" / f"{name}.toml").read_text(encoding="utf-8")
     flows = parse_scenario((ROOT / "scenarios" / _USERS[name]).read_text(encoding="utf-8"))
-    plain = replace(flows, floods=(), faults=())
+    slower = tuple(_scaled(flow, _RATE_RATIO) for flow in flows.flows)
+    plain = replace(flows, flows=slower, floods=(), faults=())
     return User(
         name=name, text=text, configuration=parse_configuration(text, NO_REVISION), flows=plain
     )
