--- a/src/lycheefall/_rules/call_state.py
+++ b/src/lycheefall/_rules/call_state.py
@@ -1,5 +1,7 @@
 """State of the calls of an entry, shared by the rules for plain calls and for bookings."""
 
+from collections.abc import Callable
+
 from msgspec import Struct, field
 
 from lycheefall._core.codes import ResultCode
@@ -26,7 +28,7 @@
 from lycheefall._rules import upstreams
 from lycheefall._rules.choice import Wish
 from lycheefall._rules.choice import choose as choose_from
-from lycheefall._rules.retries import RetryBudgets
+from lycheefall._rules.retries import RetryBudgets, spend
 from lycheefall._rules.routing import Picker
 from lycheefall._rules.streams import StreamState
 from lycheefall._rules.upstreams import AttemptKey, Table
@@ -73,6 +75,7 @@
 
     instance: InstanceId
     pick: Picker
+    spend_retry: Callable[[RetryBudgets, TeamId], bool] = spend
     seed: int = 0
     entries: int = 1
     tables: dict[PoolId, Table] = field(default_factory=dict)
@@ -124,7 +127,11 @@
     call.tried.add(upstream)
     call.occupations += 1
     call.occupied = (call.call.request, AttemptNumber(call.occupations))
-    upstreams.sent(table, upstream, call.occupied, call.call.cost_tokens, now_s)
+    tokens = call.call.cost_tokens
+    if call.call.operation is not None:
+        upstreams.reserve(table, upstream, call.occupied, tokens)
+    else:
+        upstreams.sent(table, upstream, call.occupied, tokens, now_s)
 
 
 def begun(state: CallsState, call: Call, now_s: float) -> None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -3,13 +3,47 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lycheefall._core.ids import UpstreamId
-from lycheefall._rules.choice import own_upstreams
-from requests_for_tests import request
+from lycheefall._core.enums import MemberState, UpstreamKind
+from lycheefall._core.ids import (
+    Address,
+    DataCentreId,
+    Incarnation,
+    InstanceId,
+    UpstreamId,
+)
+from lycheefall._core.messages.membership import Load, UpstreamMember
+from lycheefall._rules import upstreams
+from lycheefall._rules.choice import Wish, choose, own_upstreams
+from lycheefall._rules.routing import weighted_two_choices
+from lycheefall._rules.upstreams import Table
+from requests_for_tests import POOL, request
 
+SIX = tuple(UpstreamId(f"u{number}") for number in range(6))
+URGENT_CALL = request(prefix=7)
+LATER_CALL = request(prefix=7, rank=1)
 NAMES = [UpstreamId(f"u{number}") for number in range(16)]
 
 
+def table_with(running: dict[UpstreamId, int]) -> Table:
+    """Make a table of upstreams with 8 slots and the given requests."""
+    table = Table(InstanceId("entry"), entries=1, seed=1)
+    for name in SIX:
+        member = UpstreamMember(
+            upstream=name,
+            instance=InstanceId(name),
+            data_centre=DataCentreId("here"),
+            pool=POOL,
+            kind=UpstreamKind.ENGINE,
+            address=Address("127.0.0.1:1"),
+            incarnation=Incarnation("1"),
+            state=MemberState.READY,
+            concurrency=8,
+            load=Load(running=running[name]),
+        )
+        upstreams.announce(table, member, 1, 0.0)
+    return table
+
+
 class TestOwnUpstreams:
     @given(st.permutations(NAMES), st.text(), st.integers(0, 2**64 - 1))
     def test_every_entry_agrees(
@@ -37,3 +71,28 @@
         """Guards against a pool of one upstream that serves nothing."""
         assert own_upstreams(request(prefix=1), NAMES[:1], alone=False) == {NAMES[0]}
         assert own_upstreams(request(), [], alone=False) == frozenset()
+
+
+class TestChoose:
+    def test_full_own_upstreams_are_left(self) -> None:
+        """Guards against a request that waits at a full upstream while another has free slots."""
+        own = own_upstreams(URGENT_CALL, SIX, alone=False)
+        (free,) = [name for name in SIX if name not in own][:1]
+        table = table_with(dict.fromkeys(SIX, 8) | {free: 7})
+        wish = Wish(blocked=frozenset())
+        assert choose(weighted_two_choices(), table, URGENT_CALL, wish, 0.0) == free
+
+    def test_lost_attempt_stays_with_its_own_upstreams(self) -> None:
+        """Guards against a request that crashes upstreams reaching a third one."""
+        own = own_upstreams(URGENT_CALL, SIX, alone=False)
+        table = table_with({name: 8 if name in own else 0 for name in SIX})
+        wish = Wish(blocked=frozenset(), may_widen=False)
+        assert choose(weighted_two_choices(), table, URGENT_CALL, wish, 0.0) in own
+
+    def test_last_slot_is_left_to_urgent_requests(self) -> None:
+        """Guards against less urgent work that fills an upstream while others have more room."""
+        own = own_upstreams(LATER_CALL, SIX, alone=False)
+        table = table_with({name: 7 if name in own else 0 for name in SIX})
+        wish = Wish(blocked=frozenset())
+        assert choose(weighted_two_choices(), table, URGENT_CALL, wish, 0.0) in own
+        assert choose(weighted_two_choices(), table, LATER_CALL, wish, 0.0) not in own
