--- a/src/lycheefall/_agent/service.py
+++ b/src/lycheefall/_agent/service.py
@@ -20,6 +20,7 @@
     ToCheck,
     ToPeer,
 )
+from lycheefall._agent.rank import run_rank_of
 from lycheefall._agent.report import report_load
 from lycheefall._agent.run_attempts import Attempts
 from lycheefall._agent.settings import AgentSettings
@@ -76,6 +77,7 @@
             report_load(settings.upstream_address, inbox.offer),
             announcer.run(),
             run_client(new_client(), settings.control, on_changes),
+            run_rank_of(settings, incarnation),
             _drain(stop, inbox, drained, settings.drain_s),
         )
     finally:
--- a/src/lycheefall/_agent/settings.py
+++ b/src/lycheefall/_agent/settings.py
@@ -3,7 +3,24 @@
 from msgspec import Struct
 
 from lycheefall._core.enums import UpstreamKind
-from lycheefall._core.ids import Address, DataCentreId, InstanceId, PoolId, UpstreamId
+from lycheefall._core.ids import (
+    Address,
+    DataCentreId,
+    GroupId,
+    InstanceId,
+    PoolId,
+    RankId,
+    UpstreamId,
+)
+
+
+class RankSettings(Struct, frozen=True, kw_only=True):
+    """The rank of a group that the upstream is."""
+
+    group: GroupId
+    rank: RankId
+    # Where the rank's runtime asks before each step; a loopback address.
+    listen: Address
 
 
 class AgentSettings(Struct, frozen=True, kw_only=True):
@@ -23,3 +40,5 @@
     concurrency: int = 16
     # Longest wait of a shutdown for attempts that still run.
     drain_s: float = 60.0
+    # None for an upstream that is not in a group.
+    member: RankSettings | None = None
--- /dev/null
+++ b/src/lycheefall/_fakes/rank_runtime.py
@@ -0,0 +1,245 @@
+"""A fake of the runtime of one rank, as a process.
+
+It asks its agent before each step, appends the map that it was given to a file, and waits for
+all ranks of the group before it computes. It takes orders to load and drop weights.
+"""
+
+import asyncio
+import random
+from collections.abc import Sequence
+from pathlib import Path
+
+import aiohttp
+import defopt
+import msgspec
+import uvloop
+import xxhash
+from aiohttp import web
+from msgspec import Struct, field
+
+from lycheefall._core.enums import FenceMode
+from lycheefall._core.ids import Address, RankId
+from lycheefall._core.messages.groups import Placement
+from lycheefall._fakes.ranks import Day, make_day, popularity, tokens_on
+from lycheefall._fakes.serving import (
+    Handler,
+    LoadAnswer,
+    OnReady,
+    json_response,
+    print_ready,
+    serve_until,
+)
+
+RETRY_S = 0.005
+REQUEST_TIMEOUT_S = 2.0
+TOKENS_PER_STEP = 1_000.0
+_OK = 200
+_CONFLICT = 409
+
+
+class RuntimeSettings(Struct, frozen=True, kw_only=True):
+    """Settings of one rank; the runtime of rank 0 is where the ranks wait for each other."""
+
+    listen: Address
+    rank: int
+    ranks: int
+    experts: int
+    # Where the agent serves this rank.
+    agent: Address
+    # Where the runtime of rank 0 listens.
+    meeting: Address
+    # One line for each step: step, rank, epoch, digest of the map, missing weights.
+    steps_file: str
+    fence: FenceMode = FenceMode.REFUSES
+    seed: int = 1
+    step_s: float = 0.01
+    # Length of a day of drifting popularity.
+    day_s: float = 20.0
+    # Longest random wait for the weight store.
+    load_s: float = 0.05
+
+
+class StepMap(Struct, frozen=True):
+    """Answer of the agent to a rank that may enter a step."""
+
+    step: int
+    epoch: int
+    placement: Placement
+
+
+class StepWork(Struct, frozen=True):
+    """What the rank tells the agent after a step."""
+
+    expert_tokens: tuple[float, ...]
+    busy_s: float
+
+
+class Order(Struct, frozen=True):
+    """Body of an order on weights."""
+
+    experts: tuple[int, ...]
+    fencing: int | None = None
+
+
+class Meeting(Struct):
+    """Which ranks have arrived at the step, and the event that lets them all go on."""
+
+    step: int = 0
+    arrived: set[int] = field(default_factory=set)
+    complete: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+class Weights(Struct):
+    """The experts that the rank holds, and the highest fencing number of an order."""
+
+    held: set[int] = field(default_factory=set)
+    fencing: int = 0
+
+
+def digest_of_map(placement: Placement) -> str:
+    """Return a digest by which maps are compared."""
+    return str(xxhash.xxh3_64_hexdigest(msgspec.json.encode(placement)))
+
+
+def arrive(meeting: Meeting, step: int, rank: int, ranks: int) -> asyncio.Event | None:
+    """Count a rank at a step; return what to wait for, or None if the step has begun."""
+    if step < meeting.step:
+        return None
+    if step > meeting.step:
+        meeting.step, meeting.arrived, meeting.complete = step, set(), asyncio.Event()
+    meeting.arrived.add(rank)
+    if len(meeting.arrived) == ranks:
+        meeting.complete.set()
+    return meeting.complete
+
+
+async def run_runtime(settings: RuntimeSettings, on_ready: OnReady) -> None:
+    """Run steps until cancelled."""
+    weights = Weights()
+    app = web.Application()
+    app.router.add_post("/experts/load", _load_handler(settings, weights))
+    app.router.add_post("/experts/drop", _drop_handler(weights))
+    app.router.add_get("/load", _report_load)
+    app.router.add_post("/meet/{step}/{rank}", _meet_handler(settings, Meeting()))
+    stepping = asyncio.ensure_future(_run_steps(settings, weights))
+    await serve_until(app, settings.listen, on_ready, stepping)
+
+
+async def _report_load(request: web.Request) -> web.Response:
+    return json_response(LoadAnswer(0, 0, 0, 0.0, 0.0))
+
+
+def _load_handler(settings: RuntimeSettings, weights: Weights) -> Handler:
+    wait = random.Random(settings.seed + settings.rank)
+
+    async def handle(request: web.Request) -> web.Response:
+        order = msgspec.json.decode(await request.read(), type=Order)
+        number = order.fencing or 0
+        if settings.fence is FenceMode.REFUSES and number < weights.fencing:
+            return json_response({"error": "old fencing number"}, _CONFLICT)
+        weights.fencing = max(weights.fencing, number)
+        await asyncio.sleep(wait.uniform(0.0, settings.load_s))
+        weights.held.update(order.experts)
+        return json_response({"held": len(weights.held)})
+
+    return handle
+
+
+def _drop_handler(weights: Weights) -> Handler:
+    async def handle(request: web.Request) -> web.Response:
+        order = msgspec.json.decode(await request.read(), type=Order)
+        weights.held.difference_update(order.experts)
+        return json_response({"held": len(weights.held)})
+
+    return handle
+
+
+def _meet_handler(settings: RuntimeSettings, meeting: Meeting) -> Handler:
+    async def handle(request: web.Request) -> web.Response:
+        step, rank = int(request.match_info["step"]), int(request.match_info["rank"])
+        complete = arrive(meeting, step, rank, settings.ranks)
+        if complete is not None:
+            await complete.wait()
+        return json_response({"step": step})
+
+    return handle
+
+
+async def _run_steps(settings: RuntimeSettings, weights: Weights) -> None:
+    timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+    day = make_day(settings.experts, settings.seed, settings.day_s)
+    loop = asyncio.get_running_loop()
+    begin_s = loop.time()
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        step = 0
+        while True:
+            entered = await _enter(session, settings, step)
+            _append(settings, _line(settings, entered, weights))
+            await _meet(session, settings, step)
+            work = _work(settings, day, entered.placement, loop.time() - begin_s)
+            await asyncio.sleep(work.busy_s)
+            await _done(session, settings, step, work)
+            step += 1
+
+
+def _append(settings: RuntimeSettings, line: str) -> None:
+    with Path(settings.steps_file).open("a") as steps_file:
+        steps_file.write(line)
+
+
+def _line(settings: RuntimeSettings, entered: StepMap, weights: Weights) -> str:
+    mine = {expert for expert, ranks in enumerate(entered.placement) if settings.rank in ranks}
+    missing = len(mine - weights.held)
+    digest = digest_of_map(entered.placement)
+    return f"{entered.step} {settings.rank} {entered.epoch} {digest} {missing}\n"
+
+
+def _work(settings: RuntimeSettings, day: Day, placement: Placement, at_s: float) -> StepWork:
+    tokens: Sequence[float] = [TOKENS_PER_STEP * share for share in popularity(day, at_s)]
+    mine = tokens_on(RankId(settings.rank), placement, tokens)
+    busy_s = settings.step_s * sum(mine) * settings.ranks / TOKENS_PER_STEP
+    return StepWork(mine, busy_s)
+
+
+async def _enter(session: aiohttp.ClientSession, settings: RuntimeSettings, step: int) -> StepMap:
+    while True:
+        body = await _post(session, f"http://{settings.agent}/steps/{step}/enter")
+        if body is not None:
+            return msgspec.json.decode(body, type=StepMap)
+        await asyncio.sleep(RETRY_S)
+
+
+async def _meet(session: aiohttp.ClientSession, settings: RuntimeSettings, step: int) -> None:
+    url = f"http://{settings.meeting}/meet/{step}/{settings.rank}"
+    while True:
+        if await _post(session, url) is not None:
+            return
+        await asyncio.sleep(RETRY_S)
+
+
+async def _done(
+    session: aiohttp.ClientSession, settings: RuntimeSettings, step: int, work: StepWork
+) -> None:
+    # A measurement that is lost with a restart of the agent only delays the placement.
+    url = f"http://{settings.agent}/steps/{step}/done"
+    await _post(session, url, msgspec.json.encode(work))
+
+
+async def _post(session: aiohttp.ClientSession, url: str, body: bytes = b"") -> bytes | None:
+    """Return the answer to a request that succeeded."""
+    try:
+        async with session.post(url, data=body) as response:
+            answer = await response.read()
+            return answer if response.status == _OK else None
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        return None
+
+
+def main() -> None:
+    """Run a rank with the settings of the command line."""
+    settings = defopt.run(RuntimeSettings, parsers={Address: Address})
+    uvloop.run(run_runtime(settings, print_ready))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/lycheefall/_operate/commands.py
+++ b/src/lycheefall/_operate/commands.py
@@ -10,7 +10,7 @@
 import aiomisc
 
 from lycheefall._agent.service import run_agent
-from lycheefall._agent.settings import AgentSettings
+from lycheefall._agent.settings import AgentSettings, RankSettings
 from lycheefall._control.client import new_client, run_client
 from lycheefall._control.service import run_control
 from lycheefall._control.settings import ControlSettings, Voter
@@ -20,8 +20,10 @@
     NO_REVISION,
     Address,
     DataCentreId,
+    GroupId,
     InstanceId,
     PoolId,
+    RankId,
     Revision,
     UpstreamId,
 )
@@ -40,6 +42,7 @@
 COMMAND_TIMEOUT_S = 10.0
 LONGEST_DRAIN_S = 3_600.0
 HIGHEST_CONCURRENCY = 100_000
+HIGHEST_RANK = 9_999
 
 
 def entry(
@@ -133,6 +136,9 @@
     listen: str,
     control: str,
     concurrency: str = "16",
+    group: str = "",
+    rank: str = "",
+    rank_listen: str = "",
     drain_s: str = "60",
     log_form: str = "json",
     log_level: str = "info",
@@ -148,6 +154,9 @@
     :param listen: IP:PORT where entries connect
     :param control: client addresses of the control replicas, IP:PORT with commas between
     :param concurrency: requests that the upstream runs at one time
+    :param group: group of ranks that the upstream belongs to; empty for none
+    :param rank: with --group: number of the rank, from 0
+    :param rank_listen: with --group: loopback IP:PORT where the rank's runtime connects
     :param drain_s: longest wait of a shutdown for attempts that run, in seconds
     :param log_form: json or console
     :param log_level: debug, info, warning or error
@@ -165,6 +174,7 @@
         control=checks.checked_addresses("control", control),
         concurrency=int(number),
         drain_s=_drain_s(drain_s),
+        member=_rank_settings(group, rank, rank_listen) if group else None,
     )
     run_daemon(partial(run_agent, settings))
 
@@ -249,6 +259,14 @@
     return checks.checked_number("drain_s", text, float, 0.0, LONGEST_DRAIN_S)
 
 
+def _rank_settings(group: str, rank: str, listen: str) -> RankSettings:
+    return RankSettings(
+        group=GroupId(checks.checked_name("group", group)),
+        rank=RankId(int(checks.checked_number("rank", rank, int, 0, HIGHEST_RANK))),
+        listen=checks.checked_loopback("rank_listen", listen),
+    )
+
+
 def _control_settings(
     instance: str,
     data_centre: str,
--- a/src/lycheefall/_operate/settings.py
+++ b/src/lycheefall/_operate/settings.py
@@ -66,6 +66,14 @@
     return Address(value)
 
 
+def checked_loopback(name: str, value: str) -> Address:
+    """Return an address that only processes of the same instance reach."""
+    address = checked_address(name, value)
+    if not ipaddress.ip_address(address.rpartition(":")[0].strip("[]")).is_loopback:
+        raise invalid(name, value, "a loopback IP:PORT, such as 127.0.0.1:8000")
+    return address
+
+
 def checked_addresses(name: str, value: str) -> tuple[Address, ...]:
     """Return the addresses of a list with commas; at least one."""
     return tuple(checked_address(name, part.strip()) for part in value.split(","))
