--- a/tests/processes/replica.py
+++ b/tests/processes/replica.py
@@ -14,6 +14,7 @@
 from lycheefall._core.configuration import Configuration, Limits
 from lycheefall._core.exceptions import FileFieldError, LycheefallError
 from lycheefall._core.ids import Revision
+from lycheefall._operate.configuration_file import parse_configuration
 from lycheefall._operate.logging import LogForm, LogLevel, configure_logging
 from lycheefall._rules.consensus.state import Timing
 
@@ -41,11 +42,13 @@
 
 def main() -> None:
     """Run until killed; end with status 1 and the error on the standard output."""
-    settings = settings_of(json.loads(sys.argv[1]))
+    fields = json.loads(sys.argv[1])
+    parse = parse_configuration if fields.pop("toml", False) else parse_number
+    settings = settings_of(fields)
     # The standard output belongs to the test, which reads one line of it.
     configure_logging(LogForm.JSON, LogLevel.INFO, instance=settings.instance)
     try:
-        uvloop.run(run_control(settings, parse_number))
+        uvloop.run(run_control(settings, parse))
     except LycheefallError as error:
         print(error, flush=True)
         # The interpreter would wait for the threads of ZeroMQ.
--- a/tests/processes/scaffold.py
+++ b/tests/processes/scaffold.py
@@ -12,6 +12,7 @@
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import IO
 
 from lycheefall._control.client import ControlClient, new_client, run_client
 from lycheefall._core.ids import Address, Digest, Incarnation, Revision
@@ -140,6 +141,10 @@
     forwarded: bool = False
     snapshot_entries: int = 200
     timing: dict[str, float] = field(default_factory=dict)
+    # Other settings of every replica.
+    settings: dict[str, object] = field(default_factory=dict)
+    # Write the log of each replica to NAME.log in the folder.
+    log_files: bool = False
     specs: dict[str, Spec] = field(default_factory=dict)
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
     links: dict[tuple[str, str], Forwarder] = field(default_factory=dict)
@@ -224,10 +229,20 @@
             "data_folder": str(spec.folder),
             "snapshot_entries": self.snapshot_entries,
             "timing": self.timing,
+            **self.settings,
         }
+        with contextlib.ExitStack() as stack:
+            path = self.folder / f"{name}.log"
+            errors = stack.enter_context(path.open("ab")) if self.log_files else None
+            return self._popen(fields, errors)
+
+    def _popen(
+        self, fields: dict[str, object], errors: IO[bytes] | None
+    ) -> subprocess.Popen[bytes]:
         return subprocess.Popen(
             [sys.executable, "-m", "processes.replica", json.dumps(fields)],
             stdout=subprocess.PIPE,
+            stderr=errors,
             cwd=TESTS,
             env={**os.environ, "PYTHONPATH": f"{TESTS.parent / 'src'}:{TESTS}"},
         )
