--- a/src/lycheefall/_agent/settings.py
+++ b/src/lycheefall/_agent/settings.py
@@ -33,7 +33,7 @@
     kind: UpstreamKind
     # Where the upstream listens for HTTP.
     upstream_address: Address
-    # Where entries connect.
+    # Where this agent listens for entries.
     listen: Address
     control: tuple[Address, ...]
     # Requests that the upstream runs at one time.
@@ -42,3 +42,5 @@
     drain_s: float = 60.0
     # None for an upstream that is not in a group.
     member: RankSettings | None = None
+    # Where entries connect when that isn't the listening address, as behind a forwarder.
+    announce_as: Address | None = None
--- a/src/lycheefall/_control/apply.py
+++ b/src/lycheefall/_control/apply.py
@@ -16,7 +16,7 @@
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.events import Event
 from lycheefall._core.ids import CommandId, LogIndex
-from lycheefall._core.log import log, warn
+from lycheefall._core.log import log
 from lycheefall._core.messages.consensus import LogEntry, Membership, Snapshot, Submitted
 from lycheefall._core.messages.control import Failed, FileResult, Proposed, Result
 from lycheefall._core.messages.groups import EpochsInForce
@@ -120,7 +120,7 @@
     if result.code is ResultCode.OK:
         log(Event.FILE_ACCEPTED, revision=result.revision, digest=result.digest)
     else:
-        warn(
+        log(
             Event.FILE_REFUSED,
             code=int(result.code),
             revision=result.revision,
--- a/src/lycheefall/_control/client.py
+++ b/src/lycheefall/_control/client.py
@@ -10,7 +10,7 @@
 from lycheefall._core.events import Event
 from lycheefall._core.exceptions import ControlUnavailable
 from lycheefall._core.ids import NO_REVISION, Address, CommandId, Incarnation, Revision
-from lycheefall._core.log import alarm, log
+from lycheefall._core.log import log
 from lycheefall._core.messages.control import (
     Changes,
     Command,
@@ -200,7 +200,7 @@
 def _poll(state: Client, inbox: Inbox[ToClient], now_s: float) -> None:
     if not state.is_lost and now_s - state.reached_s > LOST_AFTER_S:
         state.is_lost = True
-        alarm(Event.CONTROL_LOST, addresses=state.addresses)
+        log(Event.CONTROL_LOST, addresses=state.addresses)
     is_down = now_s - state.taken_s > DOWN_AFTER_S
     is_silent = now_s - state.heard_s > SILENT_AFTER_S
     if is_down or is_silent or now_s - state.current_s > STALE_AFTER_S:
--- a/src/lycheefall/_control/group_coordinator.py
+++ b/src/lycheefall/_control/group_coordinator.py
@@ -8,7 +8,7 @@
 from lycheefall._core.events import Event
 from lycheefall._core.exceptions import ControlUnavailable
 from lycheefall._core.ids import RankId
-from lycheefall._core.log import log, warn
+from lycheefall._core.log import log
 from lycheefall._core.messages.control import Command, Result
 from lycheefall._core.messages.groups import AskEpochs, Placement, RankReport, ToRank
 from lycheefall._core.pipeline import Inbox, run_owner, tick
@@ -36,9 +36,6 @@
 
 Propose = Callable[[Command, float], Awaitable[Result]]
 
-# What a coordinator writes about a change that did not come into force is a warning.
-_WARNED = frozenset({Event.EPOCH_ABORTED})
-
 
 class PlanRequest(Struct, frozen=True):
     """Ask for a plan; made outside the task, since it takes tens of milliseconds."""
@@ -182,8 +179,7 @@
 
 
 def _write(state: Coordination, note: Note) -> None:
-    write = warn if note.event in _WARNED else log
-    write(
+    log(
         note.event,
         group=state.protocol.group,
         epoch=note.epoch,
--- a/src/lycheefall/_control/service.py
+++ b/src/lycheefall/_control/service.py
@@ -27,7 +27,7 @@
 from lycheefall._core.events import Event
 from lycheefall._core.exceptions import DiskFull, LogDamaged
 from lycheefall._core.ids import Address, Incarnation
-from lycheefall._core.log import alarm, warn
+from lycheefall._core.log import log
 from lycheefall._core.messages.consensus import Replica
 from lycheefall._core.pipeline import Inbox, tick
 from lycheefall._rules.consensus.state import Consensus, Tick
@@ -55,10 +55,10 @@
     try:
         await _run_with_storage(settings, parse)
     except LogDamaged as error:
-        alarm(Event.LOG_DAMAGED, code=int(error.code), detail=error.detail)
+        log(Event.LOG_DAMAGED, code=int(error.code), detail=error.detail)
         raise
     except DiskFull as error:
-        alarm(Event.DISK_FULL, code=int(error.code), detail=error.detail)
+        log(Event.DISK_FULL, code=int(error.code), detail=error.detail)
         raise
 
 
@@ -69,7 +69,7 @@
             worker, open_storage, settings.data_folder, settings.instance
         )
         if loaded.cut_bytes:
-            warn(Event.LOG_TAIL_CUT, cut_bytes=loaded.cut_bytes)
+            log(Event.LOG_TAIL_CUT, cut_bytes=loaded.cut_bytes)
         try:
             sync = syncing(storage, worker)
             await _run_filters(settings, parse, loaded, sync)
--- a/src/lycheefall/_control/step.py
+++ b/src/lycheefall/_control/step.py
@@ -19,7 +19,7 @@
 from lycheefall._core.enums import ReplicaRole
 from lycheefall._core.events import Event
 from lycheefall._core.ids import Term
-from lycheefall._core.log import log, warn
+from lycheefall._core.log import log
 from lycheefall._core.messages.consensus import Replica, ReplicaId, ToPeer
 from lycheefall._core.pipeline import Inbox
 from lycheefall._rules.consensus import replication
@@ -109,7 +109,7 @@
     if after.role is not before.role:
         log(Event.ROLE_CHANGED, role=after.role.value, before=before.role.value, term=after.term)
     if after.voters != before.voters:
-        warn(Event.VOTERS_CHANGED, voters=_names(after), before=_names(before))
+        log(Event.VOTERS_CHANGED, voters=_names(after), before=_names(before))
 
 
 def _names(standing: _Standing) -> list[str]:
--- a/src/lycheefall/_entry/service.py
+++ b/src/lycheefall/_entry/service.py
@@ -12,7 +12,7 @@
 from lycheefall._core.events import Event
 from lycheefall._core.exceptions import ControlUnavailable, PortInUse
 from lycheefall._core.ids import Address, InstanceId, TeamId
-from lycheefall._core.log import log, warn
+from lycheefall._core.log import log
 from lycheefall._core.messages.control import Changes, ClaimResult, Failed
 from lycheefall._core.messages.entry import (
     Abandon,
@@ -51,8 +51,9 @@
 from lycheefall._entry.links import Links
 from lycheefall._entry.queue import QueueState, step_queue
 from lycheefall._entry.settings import EntrySettings
-from lycheefall._entry.upstreams import UpstreamTable, receive_announce, step_upstreams
+from lycheefall._entry.upstreams import FORGET_S, receive_announce, step_upstreams
 from lycheefall._operate.metrics import Count, Metrics, ignore_counts
+from lycheefall._rules import membership
 from lycheefall._rules.bookings import BookingsState, step_bookings
 from lycheefall._rules.call_state import CallsState
 from lycheefall._rules.calls import step_calls
@@ -72,6 +73,9 @@
 INBOX_MESSAGES = 50_000
 TICK_S = 0.05
 METRICS_PREFIX = "lycheefall.entry"
+# Other entries may name a draining one for this long: they hear of it from control within a poll
+# period, or after a silent connection to control is replaced.
+STILL_NAMED_S = 1.5
 # Control has a new leader within 2 s of losing one; a proposal is repeated until then.
 PROPOSAL_TIMEOUT_S = 4.0
 
@@ -261,7 +265,12 @@
                 step_bookings,
                 parts.from_bookings,
             ),
-            run_owner(parts.upstreams, UpstreamTable(), step_upstreams, parts.from_upstreams),
+            run_owner(
+                parts.upstreams,
+                membership.initial(FORGET_S),
+                step_upstreams,
+                parts.from_upstreams,
+            ),
             tick(parts.queue, Tick(), TICK_S),
             tick(parts.dispatch, Tick(), TICK_S),
             tick(parts.bookings, Tick(), TICK_S),
@@ -307,13 +316,13 @@
     parts.present(MemberState.DRAINING)
     try:
         async with asyncio.timeout(parts.settings.drain_s):
-            await asyncio.sleep(_ttl_s(parts))
+            await asyncio.sleep(STILL_NAMED_S + _ttl_s(parts))
             for site in list(runner.sites):
                 await site.stop()
             await parts.acceptor.idle.wait()
     except TimeoutError:
         cut = len(parts.acceptor.replies)
-        warn(Event.PROCESS_STOPPING, role="entry", detail=f"{cut} requests are still in flight")
+        log(Event.PROCESS_STOPPING, role="entry", detail=f"{cut} requests are still in flight")
     drained.set()
 
 
--- a/src/lycheefall/_operate/commands.py
+++ b/src/lycheefall/_operate/commands.py
@@ -135,6 +135,7 @@
     upstream_address: str,
     listen: str,
     control: str,
+    announce_as: str = "",
     concurrency: str = "16",
     group: str = "",
     rank: str = "",
@@ -153,6 +154,7 @@
     :param upstream_address: IP:PORT where the upstream serves HTTP
     :param listen: IP:PORT where entries connect
     :param control: client addresses of the control replicas, IP:PORT with commas between
+    :param announce_as: IP:PORT where entries connect, if it isn't the listening address
     :param concurrency: requests that the upstream runs at one time
     :param group: group of ranks that the upstream belongs to; empty for none
     :param rank: with --group: number of the rank, from 0
@@ -175,6 +177,7 @@
         concurrency=int(number),
         drain_s=_drain_s(drain_s),
         member=_rank_settings(group, rank, rank_listen) if group else None,
+        announce_as=checks.checked_address("announce_as", announce_as) if announce_as else None,
     )
     run_daemon(partial(run_agent, settings))
 
