--- a/src/lycheefall/_rules/choice.py
+++ b/src/lycheefall/_rules/choice.py
@@ -36,10 +36,14 @@
     names = [each.member.upstream for each in table.subset]
     own = own_upstreams(call, names, alone=wish.alone)
     narrow = wish.blocked | frozenset(names) - own
-    found = pick(table, Ask(excluded=narrow, alone=wish.alone), now_s)
-    if found is None and wish.may_widen and not wish.alone:
-        return pick(table, Ask(excluded=wish.blocked), now_s)
-    return found
+    if wish.alone:
+        return pick(table, Ask(excluded=narrow, alone=True), now_s)
+    # A cached prompt saves less than the wait for a slot behind long answers.
+    scopes = (narrow, wish.blocked) if wish.may_widen else (narrow,)
+    # Less urgent requests leave a slot at each upstream for urgent ones, if they can.
+    needs = (1, 0) if call.rank == 0 else (2, 1, 0)
+    asks = (Ask(excluded=scope, free_slots=need) for need in needs for scope in scopes)
+    return next((found for ask in asks if (found := pick(table, ask, now_s))), None)
 
 
 def own_upstreams(
--- a/src/lycheefall/_rules/upstreams.py
+++ b/src/lycheefall/_rules/upstreams.py
@@ -1,7 +1,7 @@
 """Table of a pool's upstreams: what they report and what this entry has sent since."""
 
 from collections import deque
-from math import exp
+from math import ceil, exp
 from random import Random
 
 from msgspec.structs import replace
@@ -35,11 +35,14 @@
 class Sent:
     """An attempt in flight."""
 
-    __slots__ = ("at_s", "tokens")
+    __slots__ = ("at_s", "has_begun", "is_pending", "tokens")
 
-    def __init__(self, at_s: float, tokens: float) -> None:
+    def __init__(self, at_s: float, tokens: float, is_pending: bool) -> None:
         self.at_s = at_s
         self.tokens = tokens
+        self.has_begun = False
+        # Waits for its claim and is not at the upstream yet.
+        self.is_pending = is_pending
 
 
 class Upstream:
@@ -56,6 +59,7 @@
         "measured_s",
         "member",
         "outcomes_at_s",
+        "pending",
         "reported_ended",
         "seen_s",
         "sequence",
@@ -72,6 +76,8 @@
         self.seen_s = now_s
         # Sequence of the last announcement.
         self.sequence = 0
+        # Attempts that wait for their claim.
+        self.pending = 0
         # Attempts in flight that the last report doesn't contain.
         self.unreported = 0
         self.unreported_tokens = 0.0
@@ -143,7 +149,11 @@
         return table
     known.measured_s = measured_s
     known.member = replace(known.member, load=load)
-    later = [sent.tokens for sent in known.attempts.values() if sent.at_s >= measured_s]
+    later = [
+        sent.tokens
+        for sent in known.attempts.values()
+        if sent.at_s >= measured_s and not sent.is_pending
+    ]
     known.unreported = len(later)
     known.unreported_tokens = sum(later)
     while known.ended and known.ended[0][1] < measured_s:
@@ -178,12 +188,23 @@
     return table
 
 
+def reserve(table: Table, upstream: UpstreamId, attempt: AttemptKey, tokens: float) -> Table:
+    """Count an attempt that waits for its claim; it loads the upstream only once it is sent."""
+    known = table.upstreams[upstream]
+    known.attempts[attempt] = Sent(0.0, tokens, is_pending=True)
+    known.pending += 1
+    return table
+
+
 def sent(
     table: Table, upstream: UpstreamId, attempt: AttemptKey, tokens: float, now_s: float
 ) -> Table:
-    """Count an attempt that was sent."""
+    """Count an attempt that was sent, whether or not it was reserved."""
     known = table.upstreams[upstream]
-    known.attempts[attempt] = Sent(now_s, tokens)
+    before = known.attempts.get(attempt)
+    if before is not None and before.is_pending:
+        known.pending -= 1
+    known.attempts[attempt] = Sent(now_s, tokens, is_pending=False)
     known.unreported += 1
     known.unreported_tokens += tokens
     if now_s - known.delay_at_s >= _DELAY_WINDOW_S:
@@ -192,14 +213,23 @@
     return table
 
 
+def in_flight(upstream: Upstream) -> int:
+    """Return the attempts that this entry has sent to an upstream and that have not ended."""
+    return len(upstream.attempts) - upstream.pending
+
+
 def first_token(table: Table, upstream: UpstreamId, attempt: AttemptKey, now_s: float) -> Table:
-    """Learn from the delay to an attempt's first token, or to a service's whole answer."""
+    """Learn from the delay to an attempt's first token, or to a service's whole answer.
+
+    Later tokens of the attempt are ignored.
+    """
     known = table.upstreams.get(upstream)
     begun = None if known is None else known.attempts.get(attempt)
-    if known is None or begun is None:
+    if known is None or begun is None or begun.has_begun:
         return table
+    begun.has_begun = True
     elapsed_s = now_s - begun.at_s
-    limits.observe_first_token(known.limit, elapsed_s, len(known.attempts), now_s)
+    limits.observe_first_token(known.limit, elapsed_s, in_flight(known), now_s)
     before_s = delay_s(table, known, now_s) or elapsed_s
     known.delay_s = before_s + _DELAY_WEIGHT * (elapsed_s - before_s)
     known.delay_at_s = now_s
@@ -216,6 +246,9 @@
     begun = None if known is None else known.attempts.pop(attempt, None)
     if known is None or begun is None:
         return table
+    if begun.is_pending:
+        known.pending -= 1
+        return table
     if begun.at_s >= known.measured_s:
         known.unreported -= 1
         known.unreported_tokens -= begun.tokens
@@ -258,7 +291,7 @@
     """Return the requests at an upstream: those reported, corrected by this entry's own."""
     load = upstream.member.load
     reported = load.running + load.waiting + upstream.unreported - upstream.reported_ended
-    return max(reported, len(upstream.attempts))
+    return max(reported, in_flight(upstream))
 
 
 def is_live(upstream: Upstream, now_s: float) -> bool:
@@ -270,13 +303,23 @@
     )
 
 
+def free_slots(upstream: Upstream) -> int:
+    """Return the requests that an upstream could begin at once, as far as it is known."""
+    return max(0, upstream.member.concurrency - requests_at(upstream))
+
+
 def pool_slots(table: Table, now_s: float) -> int:
-    """Return the slots of the pool for this entry, busy ones included."""
-    return sum(
-        limits.allowed(each.limit)
-        for each in table.subset
-        if is_live(each, now_s) and not is_failing(each, now_s)
-    )
+    """Return the slots of the pool for this entry, busy ones included.
+
+    Beside its own requests an entry counts only its part of what is free. What exceeds that waits
+    in the entry's queue, where the order of urgency holds and slots are kept free.
+    """
+    slots = 0.0
+    for each in table.subset:
+        if is_live(each, now_s) and not is_failing(each, now_s):
+            part = in_flight(each) + free_slots(each) / max(1, table.entries)
+            slots += min(limits.allowed(each.limit), part) + each.pending
+    return ceil(slots)
 
 
 def _choose_subset(table: Table) -> None:
