--- a/src/lycheefall/_control/apply.py
+++ b/src/lycheefall/_control/apply.py
@@ -22,7 +22,7 @@
 from lycheefall._core.messages.groups import EpochsInForce
 from lycheefall._core.pipeline import Inbox
 from lycheefall._rules.consensus.state import Committed, Compact, Restore
-from lycheefall._rules.replicated import epochs
+from lycheefall._rules.replicated import epochs, suspects
 from lycheefall._rules.replicated.machine import Apply, Machine
 from lycheefall._wire.codec import encode
 from lycheefall._wire.consensus_codec import decode_machine
@@ -143,5 +143,12 @@
 def view_of(state: Applied) -> AppliedView:
     """Return what watchers see of the state machine."""
     held = state.machine
-    groups = epochs.last_commits(held.epochs)
-    return AppliedView(state.index, held.revisions.configuration, held.claims.count, groups)
+    return AppliedView(
+        state.index,
+        held.revisions.configuration,
+        held.claims.count,
+        epochs.last_commits(held.epochs),
+        held.suspects.version,
+        suspects.suspects(held.suspects),
+        suspects.refused(held.suspects),
+    )
--- a/src/lycheefall/_control/messages.py
+++ b/src/lycheefall/_control/messages.py
@@ -4,7 +4,7 @@
 
 from lycheefall._core.configuration import Configuration, Group
 from lycheefall._core.enums import ReplicaRole
-from lycheefall._core.ids import Address, CommandId, InstanceId, LogIndex, Term
+from lycheefall._core.ids import Address, CommandId, Fingerprint, InstanceId, LogIndex, Term
 from lycheefall._core.messages.consensus import PeerMessage, Submitted
 from lycheefall._core.messages.control import GroupStatus, StatusQuery, Watch
 from lycheefall._core.messages.groups import AskEpochs, EpochsInForce, ToCoordinator
@@ -67,6 +67,9 @@
     configuration: Configuration
     claims: int
     groups: tuple[GroupStatus, ...] = ()
+    suspects_version: int = 0
+    suspects: tuple[Fingerprint, ...] = ()
+    refused: tuple[Fingerprint, ...] = ()
 
 
 class ClientMessage(Struct, frozen=True):
--- a/src/lycheefall/_entry/service.py
+++ b/src/lycheefall/_entry/service.py
@@ -1,7 +1,7 @@
 """Join the filters of an entry, from the caller's request to the answer."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 
 from aiohttp import web
 
@@ -23,17 +23,21 @@
     CallEnded,
     Capacity,
     ConfigurationChanged,
+    CrashSeen,
     DispatchClaimed,
     EntriesSeen,
+    FingerprintsChanged,
     FramesRead,
     FromBooking,
     FromDispatch,
     FromQueue,
+    LeaseWanted,
     Proposed,
     ProposeFor,
     ReplyEnd,
     ReplyTokens,
     Submit,
+    SuspectEnded,
     Tick,
     ToBooking,
     ToDispatch,
@@ -49,8 +53,10 @@
 from lycheefall._entry.catalogue import build_catalogue
 from lycheefall._entry.decisions import log_claim, log_end, log_link_message
 from lycheefall._entry.links import Links
-from lycheefall._entry.queue import QueueState, step_queue
+from lycheefall._entry.policies import IN_USE, Policies
+from lycheefall._entry.queue import QueueState
 from lycheefall._entry.settings import EntrySettings
+from lycheefall._entry.suspects import end_suspect, record_crash, take_lease
 from lycheefall._entry.upstreams import FORGET_S, receive_announce, step_upstreams
 from lycheefall._operate.metrics import Count, Metrics, ignore_counts
 from lycheefall._rules import membership
@@ -66,7 +72,6 @@
 from lycheefall._rules.directory import answer as choose_entries
 from lycheefall._rules.joins import JoinsState, step_joins
 from lycheefall._rules.refusals import refuse
-from lycheefall._rules.routing import weighted_two_choices
 from lycheefall._wire.announcer import Announcer
 from lycheefall._wire.zmq_ends import RouterEnd
 
@@ -156,18 +161,32 @@
                 self.bookings.offer(message)
             case CallEnded() | Capacity():
                 self.queue.offer(message)
+            case CrashSeen() | LeaseWanted() | SuspectEnded():
+                self._spawn(self._carry(message))
 
     def from_bookings(self, message: FromBooking) -> None:
         """Pass on what the flows of bookings emit."""
         if isinstance(message, ProposeFor):
-            task = asyncio.create_task(self._propose(message))
-            self.proposals.add(task)
-            task.add_done_callback(self.proposals.discard)
+            self._spawn(self._propose(message))
             return
         if isinstance(message, DispatchClaimed):
             log_claim(message, self.count)
         self.dispatch.offer(message)
 
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self.proposals.add(task)
+        task.add_done_callback(self.proposals.discard)
+
+    async def _carry(self, message: CrashSeen | LeaseWanted | SuspectEnded) -> None:
+        match message:
+            case CrashSeen():
+                await self.dispatch.put(await record_crash(self.client, message))
+            case LeaseWanted():
+                await self.dispatch.put(await take_lease(self.client, message))
+            case SuspectEnded():
+                await end_suspect(self.client, message)
+
     async def _propose(self, proposal: ProposeFor) -> None:
         try:
             result = await self.client.propose(proposal.command, PROPOSAL_TIMEOUT_S)
@@ -188,6 +207,8 @@
         """Take what control says has changed; False when there was no room for it."""
         if changes.configuration is not None and not self._configure(changes.configuration):
             return False
+        if changes.suspects is not None and not self._suspect(changes):
+            return False
         self._learn_entries(changes)
         return True
 
@@ -220,6 +241,10 @@
         log(Event.CONFIGURATION_IN_FORCE, revision=configuration.revision)
         return True
 
+    def _suspect(self, changes: Changes) -> bool:
+        suspects, refused = frozenset(changes.suspects or ()), frozenset(changes.refused or ())
+        return self.dispatch.offer(FingerprintsChanged(suspects, refused))
+
     def _learn_entries(self, changes: Changes) -> None:
         if changes.full:
             self.members.clear()
@@ -242,6 +267,7 @@
     settings: EntrySettings,
     stop: asyncio.Event,
     on_ready: Callable[[], None] = lambda: None,
+    policies: Policies = IN_USE,
 ) -> None:
     """Run an entry until it is told to stop and its requests have ended."""
     metrics = Metrics(settings.statsd, METRICS_PREFIX) if settings.statsd else None
@@ -257,8 +283,8 @@
         await run_until(
             drained,
             run_owner(parts.joins, JoinsState(), step_joins, parts.from_joins),
-            run_owner(parts.queue, QueueState(), step_queue, parts.from_queue),
-            run_owner(parts.dispatch, _calls(parts), step_calls, parts.from_dispatch),
+            run_owner(parts.queue, QueueState(), policies.step_queue, parts.from_queue),
+            run_owner(parts.dispatch, _calls(parts, policies), step_calls, parts.from_dispatch),
             run_owner(
                 parts.bookings,
                 BookingsState(parts.incarnation),
@@ -331,7 +357,8 @@
     return catalogue.configuration.directory.ttl_s if catalogue else 0.0
 
 
-def _calls(parts: Parts) -> CallsState:
+def _calls(parts: Parts, policies: Policies) -> CallsState:
     # Entries draw different pairs of upstreams, so that they do not all choose the same ones.
     seed = int(parts.incarnation, 16)
-    return CallsState(parts.settings.instance, weighted_two_choices(), seed)
+    pick = policies.make_picker()
+    return CallsState(parts.settings.instance, pick, policies.spend_retry, seed)
--- a/src/lycheefall/_rules/call_state.py
+++ b/src/lycheefall/_rules/call_state.py
@@ -1,11 +1,14 @@
 """State of the calls of an entry, shared by the rules for plain calls and for bookings."""
 
+from collections.abc import Callable
+
 from msgspec import Struct, field
 
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.configuration import Configuration, Limits
 from lycheefall._core.ids import (
     AttemptNumber,
+    FencingNumber,
     Fingerprint,
     Incarnation,
     InstanceId,
@@ -15,11 +18,17 @@
     UpstreamId,
 )
 from lycheefall._core.messages.dispatch import Dispatch
-from lycheefall._core.messages.entry import CallEnded, CallerRequest, FromDispatch, ReplyEnd
+from lycheefall._core.messages.entry import (
+    CallEnded,
+    CallerRequest,
+    FromDispatch,
+    ReplyEnd,
+    SuspectEnded,
+)
 from lycheefall._rules import upstreams
 from lycheefall._rules.choice import Wish
 from lycheefall._rules.choice import choose as choose_from
-from lycheefall._rules.retries import RetryBudgets
+from lycheefall._rules.retries import RetryBudgets, spend
 from lycheefall._rules.routing import Picker
 from lycheefall._rules.streams import StreamState
 from lycheefall._rules.upstreams import AttemptKey, Table
@@ -47,6 +56,13 @@
     # An attempt may have run without its end being known.
     lost: bool = False
     parked_s: float | None = None
+    # The attempt ended with a crash that is being recorded.
+    crashing: bool = False
+    # Grant of the lease of a suspect, and when to ask for it next.
+    lease: FencingNumber | None = None
+    lease_due_s: float = 0.0
+    # A suspect finished well.
+    is_clear: bool = False
 
     @property
     def tokens(self) -> list[str]:
@@ -59,6 +75,7 @@
 
     instance: InstanceId
     pick: Picker
+    spend_retry: Callable[[RetryBudgets, TeamId], bool] = spend
     seed: int = 0
     entries: int = 1
     tables: dict[PoolId, Table] = field(default_factory=dict)
@@ -72,6 +89,11 @@
     budgets: RetryBudgets = field(default_factory=lambda: RetryBudgets(Limits().retry_ratio))
     suspects: frozenset[Fingerprint] = frozenset()
     refused: frozenset[Fingerprint] = frozenset()
+    # When this entry learned of each suspect, and when it recorded one itself.
+    suspected_s: dict[Fingerprint, float] = field(default_factory=dict)
+    recorded_s: dict[Fingerprint, float] = field(default_factory=dict)
+    # Leases to give back at the next tick.
+    suspects_ended: list[SuspectEnded] = field(default_factory=list)
 
 
 def table_of(state: CallsState, upstream: UpstreamId) -> Table | None:
@@ -105,7 +127,11 @@
     call.tried.add(upstream)
     call.occupations += 1
     call.occupied = (call.call.request, AttemptNumber(call.occupations))
-    upstreams.sent(table, upstream, call.occupied, call.call.cost_tokens, now_s)
+    tokens = call.call.cost_tokens
+    if call.call.operation is not None:
+        upstreams.reserve(table, upstream, call.occupied, tokens)
+    else:
+        upstreams.sent(table, upstream, call.occupied, tokens, now_s)
 
 
 def begun(state: CallsState, call: Call, now_s: float) -> None:
@@ -165,5 +191,14 @@
     request = call.call
     del state.calls[request.request]
     state.parked.pop(request.request, None)
+    if call.lease is not None:
+        ended = SuspectEnded(request.request, request.fingerprint, call.lease, call.is_clear)
+        state.suspects_ended.append(ended)
     cost_tokens = request.prompt_tokens + max(1, len(call.tokens))
     return CallEnded(request.request, request.route.pools, cost_tokens)
+
+
+def late_code(call: Call) -> ResultCode:
+    """Return the code of a call that ran into its timeout."""
+    may_have_run = call.lost or call.occupied is not None
+    return ResultCode.TIMEOUT_AFTER_START if may_have_run else ResultCode.EXPIRED_BEFORE_START
--- a/tests/processes/scaffold.py
+++ b/tests/processes/scaffold.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -12,6 +13,7 @@
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import IO
 
 from lycheefall._control.client import ControlClient, new_client, run_client
 from lycheefall._core.ids import Address, Digest, Incarnation, Revision
@@ -29,15 +31,20 @@
 TESTS = Path(__file__).resolve().parents[1]
 START_TIMEOUT_S = 10.0
 POLL_S = 0.02
+# Below the ports that the system gives to outgoing connections, which would take a chosen one
+# before its process listens.
+PORTS = range(15_000, 32_000)
 
 
 def free_addresses(count: int) -> list[Address]:
     """Return loopback addresses with ports that are free now and different."""
-    with contextlib.ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in probes:
-            probe.bind(("127.0.0.1", 0))
-        return [Address(f"127.0.0.1:{probe.getsockname()[1]}") for probe in probes]
+    found: set[int] = set()
+    while len(found) < count:
+        port = random.SystemRandom().choice(PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            found.add(port)
+    return [Address(f"127.0.0.1:{port}") for port in found]
 
 
 @dataclass
@@ -46,6 +53,8 @@
 
     target: Address
     address: Address | None = None
+    # From the first message with these bytes on, answers are held.
+    lose_answers_to: bytes = b""
     server: asyncio.Server | None = None
     forth: asyncio.Event = field(default_factory=asyncio.Event)
     back: asyncio.Event = field(default_factory=asyncio.Event)
@@ -100,20 +109,32 @@
             writer.close()
             return
         self.writers += [writer, far_writer]
-        for source, sink, gate in (
-            (reader, far_writer, self.forth),
-            (far_reader, writer, self.back),
+        for source, sink, gate, seen in (
+            (reader, far_writer, self.forth, self._seen),
+            (far_reader, writer, self.back, _ignore),
         ):
-            task = asyncio.ensure_future(_pump(source, sink, gate))
+            task = asyncio.ensure_future(_pump(source, sink, gate, seen))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
+    def _seen(self, data: bytes) -> None:
+        if self.lose_answers_to and self.lose_answers_to in data:
+            self.block(forth=False)
+
+
+def _ignore(data: bytes) -> None:
+    return None
+
 
 async def _pump(
-    source: asyncio.StreamReader, sink: asyncio.StreamWriter, gate: asyncio.Event
+    source: asyncio.StreamReader,
+    sink: asyncio.StreamWriter,
+    gate: asyncio.Event,
+    seen: Callable[[bytes], None],
 ) -> None:
     with contextlib.suppress(OSError):
         while data := await source.read(65_536):
+            seen(data)
             await gate.wait()
             sink.write(data)
             await sink.drain()
@@ -140,6 +161,10 @@
     forwarded: bool = False
     snapshot_entries: int = 200
     timing: dict[str, float] = field(default_factory=dict)
+    # Other settings of every replica.
+    settings: dict[str, object] = field(default_factory=dict)
+    # Write the log of each replica to NAME.log in the folder.
+    log_files: bool = False
     specs: dict[str, Spec] = field(default_factory=dict)
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
     links: dict[tuple[str, str], Forwarder] = field(default_factory=dict)
@@ -224,10 +249,20 @@
             "data_folder": str(spec.folder),
             "snapshot_entries": self.snapshot_entries,
             "timing": self.timing,
+            **self.settings,
         }
+        with contextlib.ExitStack() as stack:
+            path = self.folder / f"{name}.log"
+            errors = stack.enter_context(path.open("ab")) if self.log_files else None
+            return self._popen(fields, errors)
+
+    def _popen(
+        self, fields: dict[str, object], errors: IO[bytes] | None
+    ) -> subprocess.Popen[bytes]:
         return subprocess.Popen(
             [sys.executable, "-m", "processes.replica", json.dumps(fields)],
             stdout=subprocess.PIPE,
+            stderr=errors,
             cwd=TESTS,
             env={**os.environ, "PYTHONPATH": f"{TESTS.parent / 'src'}:{TESTS}"},
         )
