Prefer upstreams without recent errors to those with free slots

Cause: an engine that errs at once always has free slots, and requests now look for free slots first, so it got more work than a sound one. Change: an upstream with recent errors has no room; it is used when all others are full.

--- a/src/lycheefall/_rules/routing.py
+++ b/src/lycheefall/_rules/routing.py
@@ -18,6 +18,8 @@
 _TOKENS_PER_REQUEST = 512.0
 # A recent error weighs as much as a full upstream.
 _LOAD_PER_ERROR = 1.0
+# With more recent errors than this an upstream is used only when all others are full.
+_TOLERATED_ERRORS = 0.5
 # A whole cached prompt is worth at most this part of the expected delay, so that a popular prefix
 # can't gather all work at one upstream.
 _PREFIX_GAIN_RATIO = 0.4
@@ -94,7 +96,7 @@
         found = candidates(table, ask, now_s)
         found = [each for each in found if not upstreams.is_failing(each, now_s)]
         if ask.free_slots:
-            found = [each for each in found if upstreams.free_slots(each) >= ask.free_slots]
+            found = [each for each in found if _has_room(each, ask.free_slots, now_s)]
         if not found:
             return None
         if ask.alone:
@@ -110,6 +112,13 @@
     return pick
 
 
+def _has_room(upstream: Upstream, slots: int, now_s: float) -> bool:
+    """Return whether an upstream has free slots that are not free because it fails at once."""
+    if upstreams.recent_errors(upstream, now_s) >= _TOLERATED_ERRORS:
+        return False
+    return upstreams.free_slots(upstream) >= slots
+
+
 def expected_cost(table: Table, upstream: Upstream, now_s: float) -> float:
     """Return the expected delay at an upstream, in no particular unit."""
     tokens = upstream.member.load.queue_tokens + upstream.unreported_tokens
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -6,6 +6,7 @@
 from lycheefall._core.enums import MemberState, UpstreamKind
 from lycheefall._core.ids import (
     Address,
+    AttemptNumber,
     DataCentreId,
     Incarnation,
     InstanceId,
@@ -96,3 +97,15 @@
         wish = Wish(blocked=frozenset())
         assert choose(weighted_two_choices(), table, URGENT_CALL, wish, 0.0) in own
         assert choose(weighted_two_choices(), table, LATER_CALL, wish, 0.0) not in own
+
+    def test_free_slots_of_a_failing_upstream(self) -> None:
+        """Guards against an upstream that errs at once attracting work by its free slots."""
+        own = own_upstreams(URGENT_CALL, SIX, alone=False)
+        bad, good = sorted(own)
+        table = table_with(dict.fromkeys(SIX, 6) | {bad: 0, good: 8})
+        upstreams.sent(table, bad, (URGENT_CALL.request, AttemptNumber(1)), 10.0, 0.0)
+        upstreams.ended(table, bad, (URGENT_CALL.request, AttemptNumber(1)), True, 0.0)
+        wish = Wish(blocked=frozenset())
+        for _ in range(20):
+            found = choose(weighted_two_choices(), table, URGENT_CALL, wish, 0.0)
+            assert found not in own
