--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -39,7 +39,7 @@
 AGENT_FLAGS = ["--concurrency", "8"]
 SAMPLE_S = 0.5
 READY_S = 40.0
-# Control forms its cluster late when 43 processes start on a busy machine.
+# Control forms its cluster late when 42 processes start on a busy machine.
 APPLY_TRIES = 4
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -23,7 +23,7 @@
 from lycheefall._load.report import LoadReport, report_json, slice_of
 from lycheefall._load.requests import check_text, request_of
 from lycheefall._load.run import run_load
-from lycheefall._load.scenario import Scenario, parse_scenario
+from lycheefall._load.scenario import FaultKind, Scenario, parse_scenario
 
 SCENARIOS = Path(__file__).parent.parent / "scenarios"
 LISTEN = Address("127.0.0.1:0")
@@ -108,6 +108,15 @@
             scenario_of("chat", more)
 
 
+    def test_fault_entry(self) -> None:
+        """Guards against a misspelt fault that is left out of a run without a word."""
+        entry = '[[faults]]\nkind = "{}"\nstart_s = 1.0\ndata_centre = "dc-1"\n'
+        (fault,) = scenario_of("chat", entry.format("error-fast")).faults
+        assert fault.kind is FaultKind.ERROR_FAST
+        with pytest.raises(FileFieldError):
+            scenario_of("chat", entry.format("error"))
+
+
 class TestArrivals:
     def test_flood_adds_only(self) -> None:
         """Guards against a run with a flood that can't be compared with one without."""
