--- a/src/lycheefall/_entry/service.py
+++ b/src/lycheefall/_entry/service.py
@@ -53,7 +53,8 @@
 from lycheefall._entry.catalogue import build_catalogue
 from lycheefall._entry.decisions import log_claim, log_end, log_link_message
 from lycheefall._entry.links import Links
-from lycheefall._entry.queue import QueueState, step_queue
+from lycheefall._entry.policies import IN_USE, Policies
+from lycheefall._entry.queue import QueueState
 from lycheefall._entry.settings import EntrySettings
 from lycheefall._entry.suspects import end_suspect, record_crash, take_lease
 from lycheefall._entry.upstreams import FORGET_S, receive_announce, step_upstreams
@@ -71,7 +72,6 @@
 from lycheefall._rules.directory import answer as choose_entries
 from lycheefall._rules.joins import JoinsState, step_joins
 from lycheefall._rules.refusals import refuse
-from lycheefall._rules.routing import weighted_two_choices
 from lycheefall._wire.announcer import Announcer
 from lycheefall._wire.zmq_ends import RouterEnd
 
@@ -267,6 +267,7 @@
     settings: EntrySettings,
     stop: asyncio.Event,
     on_ready: Callable[[], None] = lambda: None,
+    policies: Policies = IN_USE,
 ) -> None:
     """Run an entry until it is told to stop and its requests have ended."""
     metrics = Metrics(settings.statsd, METRICS_PREFIX) if settings.statsd else None
@@ -282,8 +283,8 @@
         await run_until(
             drained,
             run_owner(parts.joins, JoinsState(), step_joins, parts.from_joins),
-            run_owner(parts.queue, QueueState(), step_queue, parts.from_queue),
-            run_owner(parts.dispatch, _calls(parts), step_calls, parts.from_dispatch),
+            run_owner(parts.queue, QueueState(), policies.step_queue, parts.from_queue),
+            run_owner(parts.dispatch, _calls(parts, policies), step_calls, parts.from_dispatch),
             run_owner(
                 parts.bookings,
                 BookingsState(parts.incarnation),
@@ -356,7 +357,8 @@
     return catalogue.configuration.directory.ttl_s if catalogue else 0.0
 
 
-def _calls(parts: Parts) -> CallsState:
+def _calls(parts: Parts, policies: Policies) -> CallsState:
     # Entries draw different pairs of upstreams, so that they do not all choose the same ones.
     seed = int(parts.incarnation, 16)
-    return CallsState(parts.settings.instance, weighted_two_choices(), seed)
+    pick = policies.make_picker()
+    return CallsState(parts.settings.instance, pick, policies.spend_retry, seed)
--- a/src/lycheefall/_rules/calls.py
+++ b/src/lycheefall/_rules/calls.py
@@ -45,6 +45,7 @@
     booking_answered,
     dispatch_claimed,
     is_booking,
+    observe_booking,
     repick,
     start_booking,
 )
@@ -209,6 +210,8 @@
     call = state.calls.get(message.request)
     # The flow of a booking may go on after its call has ended.
     if not isinstance(message, Frame) and (call is None or is_booking(call)):
+        if call is not None:
+            observe_booking(state, call, message, now_s)
         return [BookingReply(message)]
     match message:
         case Frame() | Finished():
@@ -303,7 +306,7 @@
     # A stream that resumes repeats no tokens; any other retry is new work for the upstreams.
     # Neither does a suspect bring on a storm, as it runs alone.
     is_free = bool(call.tokens) or call.call.fingerprint in state.suspects
-    if not is_free and not retries.spend(state.budgets, call.call.team):
+    if not is_free and not state.spend_retry(state.budgets, call.call.team):
         detail = "the upstream was lost and the retry budget is spent"
         return end(state, call, code, detail, now_s)
     return _attempt(state, call, code, now_s)
