--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -107,7 +107,6 @@
         with pytest.raises(error):
             scenario_of("chat", more)
 
-
     def test_fault_entry(self) -> None:
         """Guards against a misspelt fault that is left out of a run without a word."""
         entry = '[[faults]]\nkind = "{}"\nstart_s = 1.0\ndata_centre = "dc-1"\n'
