Keep the log of an operator's command off standard output

Cause: apply, status and their kin did not set up logging, so the control client's events (3020, 3021) went to standard output and mixed with the answer.

Change: operators' commands log errors to standard error; the event of a failed start is written by the daemons only.

--- a/src/lycheefall/_operate/cli.py
+++ b/src/lycheefall/_operate/cli.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 import defopt
-import structlog
 
 from lycheefall._core.events import Event
 from lycheefall._core.exceptions import LycheefallError
@@ -26,6 +25,9 @@
     commands.demo,
 )
 
+# Their errors are events; an operator's command only prints its error.
+DAEMONS = frozenset({"entry", "control", "agent"})
+
 
 def main(arguments: list[str] | None = None) -> None:
     """Run a subcommand; an error with a code ends the process with exit status 1."""
@@ -38,7 +40,7 @@
         )
     except LycheefallError as error:
         print(f"lycheefall: {error}", file=sys.stderr)
-        if structlog.is_configured():
+        if _name(given) in DAEMONS:
             log(Event.START_FAILED, code=int(error.code), detail=error.detail)
         raise SystemExit(1) from error
 
@@ -60,7 +62,7 @@
 
 def with_environment(arguments: list[str]) -> list[str]:
     """Add the settings that environment variables give to the arguments of a subcommand."""
-    name = next((each for each in arguments if not each.startswith("-")), "")
+    name = _name(arguments)
     command = next((each for each in COMMANDS if each.__name__ == name), None)
     if command is None:
         return arguments
@@ -71,3 +73,7 @@
 def _settings(command: Callable[..., Any]) -> list[inspect.Parameter]:
     parameters = inspect.signature(command).parameters.values()
     return [each for each in parameters if each.kind is inspect.Parameter.KEYWORD_ONLY]
+
+
+def _name(arguments: list[str]) -> str:
+    return next((each for each in arguments if not each.startswith("-")), "")
--- a/src/lycheefall/_operate/commands.py
+++ b/src/lycheefall/_operate/commands.py
@@ -322,6 +322,9 @@
 def _ask(
     addresses: tuple[Address, ...], question: Callable[[Any], Coroutine[Any, Any, Any]]
 ) -> Any:
+    # What the connection goes through must not mix with the answer on standard output.
+    configure_logging(LogForm.CONSOLE, LogLevel.ERROR)
+
     async def ask() -> Any:
         client = new_client()
         owner = asyncio.create_task(run_client(client, addresses))
