Keep a request at its own two upstreams until it has waited

Cause: a request went beyond its own two upstreams as soon as both lacked free slots, so copies sent in parallel through four entries ran, and crashed, at more than two.

Change: a request other than a booking goes beyond its own upstreams only after 0.5 s, by when a crash is known to every entry; upstreams without a connection are nobody's own; a refusal that leaves no untried upstream waits as long before the next attempt.

--- a/src/lycheefall/_rules/call_state.py
+++ b/src/lycheefall/_rules/call_state.py
@@ -35,6 +35,8 @@
 
 # Frames that may wait for one caller to read them.
 WINDOW_FRAMES = 256
+# By then a crash that a copy of the request brought on elsewhere is known to every entry.
+WIDEN_AFTER_S = 0.5
 
 NO_UPSTREAM = UpstreamId("")
 NO_INCARNATION = Incarnation("")
@@ -56,6 +58,8 @@
     # An attempt may have run without its end being known.
     lost: bool = False
     parked_s: float | None = None
+    # No attempt is made before this time.
+    not_before_s: float = 0.0
     # The attempt ended with a crash that is being recorded.
     crashing: bool = False
     # Grant of the lease of a suspect, and when to ask for it next.
@@ -110,14 +114,30 @@
         table = state.tables.get(pool)
         if table is None:
             continue
-        offline = (name for name in table.upstreams if name not in state.connected)
-        wish = Wish(blocked=frozenset((*tried, *offline)), alone=alone, may_widen=not call.lost)
+        wish = Wish(
+            tried=frozenset(tried),
+            offline=frozenset(name for name in table.upstreams if name not in state.connected),
+            alone=alone,
+            may_widen=may_widen(call, now_s),
+        )
         found = choose_from(state.pick, table, call.call, wish, now_s)
         if found is not None:
             return found
     return None
 
 
+def may_widen(call: Call, now_s: float) -> bool:
+    """Tell whether the call may go beyond its own upstreams.
+
+    A booking may, since its claim keeps copies of it from running. Another request may once it
+    has waited, so that copies through several entries don't crash more than its own upstreams.
+    """
+    if call.call.operation is not None:
+        return True
+    has_waited = call.parked_s is not None and now_s - call.parked_s >= WIDEN_AFTER_S
+    return has_waited and not call.lost
+
+
 def occupy(state: CallsState, call: Call, upstream: UpstreamId, now_s: float) -> None:
     """Count the call as running at the upstream."""
     table = table_of(state, upstream)
--- a/src/lycheefall/_rules/calls.py
+++ b/src/lycheefall/_rules/calls.py
@@ -4,7 +4,6 @@
 from lycheefall._core.ids import AttemptNumber, RequestId, UpstreamId
 from lycheefall._core.messages.dispatch import (
     Cancel,
-    Credit,
     Finished,
     Frame,
     Pong,
@@ -50,6 +49,7 @@
     start_booking,
 )
 from lycheefall._rules.call_state import (
+    WIDEN_AFTER_S,
     Call,
     CallsState,
     begun,
@@ -62,6 +62,7 @@
     occupy,
     table_of,
 )
+from lycheefall._rules.call_streams import begin_stream, credit
 from lycheefall._rules.known_upstreams import (
     capacities,
     configure,
@@ -90,7 +91,7 @@
         case Run():
             return state, _run(state, message.call, now_s)
         case FramesRead():
-            return state, _credit(state, message)
+            return state, credit(state, message)
         case Abandon():
             return state, _abandon(state, message.request, now_s)
         case UpstreamHeard():
@@ -157,18 +158,11 @@
     state.parked.pop(call.call.request, None)
     call.parked_s = None
     call.attempt = AttemptNumber(call.attempt + 1)
-    _begin_stream(call, now_s)
+    begin_stream(call, now_s)
     occupy(state, call, upstream, now_s)
     return [ToLink(upstream, make_dispatch(state, call, now_s))]
 
 
-def _begin_stream(call: Call, now_s: float) -> None:
-    if call.stream is None:
-        call.stream = streams.initial(call.call.request, call.attempt)
-    else:
-        streams.step(call.stream, streams.AttemptBegun(call.attempt), now_s)
-
-
 def _park(state: CallsState, call: Call, otherwise: ResultCode, now_s: float) -> list[FromDispatch]:
     if call.parked_s is None:
         call.parked_s = now_s
@@ -181,7 +175,8 @@
 
 def _unpark(state: CallsState, now_s: float) -> list[FromDispatch]:
     results: list[FromDispatch] = []
-    for call in list(state.parked.values()):
+    due = [call for call in state.parked.values() if call.not_before_s <= now_s]
+    for call in due:
         code = ResultCode.UPSTREAM_LOST if call.lost else ResultCode.NO_UPSTREAM
         results += _attempt(state, call, code, now_s)
     return results
@@ -293,6 +288,11 @@
     code = ResultCode.UPSTREAM_LOST if call.lost else refused.code
     if retries.advise(refused.code, True) is RetryAdvice.NEVER:
         return end(state, call, code, "the agent refused the attempt", now_s)
+    is_down = refused.code is ResultCode.NOT_CONNECTED
+    if is_down or choose(state, call, call.tried, now_s) is None:
+        # By then a crash that brought the upstream down is known to every entry.
+        call.not_before_s = now_s + WIDEN_AFTER_S
+        return _park(state, call, refused.code, now_s)
     # A refused attempt cost the upstream nothing, so it takes nothing from the retry budget.
     return _attempt(state, call, code, now_s)
 
@@ -361,16 +361,6 @@
     return _attempt(state, call, code, now_s)
 
 
-def _credit(state: CallsState, read: FramesRead) -> list[FromDispatch]:
-    call = state.calls.get(read.request)
-    if call is None:
-        return []
-    call.unread_frames -= read.frames
-    if call.occupied is None:
-        return []
-    return [ToLink(call.upstream, Credit(read.request, call.attempt, read.frames))]
-
-
 def _abandon(state: CallsState, request: RequestId, now_s: float) -> list[FromDispatch]:
     call = state.calls.get(request)
     if call is None:
--- a/src/lycheefall/_rules/choice.py
+++ b/src/lycheefall/_rules/choice.py
@@ -21,11 +21,12 @@
 class Wish(Struct, frozen=True, kw_only=True):
     """What limits the choice for one attempt."""
 
-    # Upstreams that can't take it: tried before, or without a connection.
-    blocked: frozenset[UpstreamId]
+    tried: frozenset[UpstreamId] = frozenset()
+    # Upstreams without a connection; they are nobody's own.
+    offline: frozenset[UpstreamId] = frozenset()
     # A suspect runs at the upstream of its pool that all suspects share.
     alone: bool = False
-    # False after an attempt was lost: another upstream beside the two must not be risked.
+    # Whether another upstream beside the request's own two may be risked.
     may_widen: bool = True
 
 
@@ -33,13 +34,14 @@
     pick: Picker, table: Table, call: CallerRequest, wish: Wish, now_s: float
 ) -> UpstreamId | None:
     """Return the upstream for an attempt, or None when none can take it now."""
-    names = [each.member.upstream for each in table.subset]
-    own = own_upstreams(call, names, alone=wish.alone)
-    narrow = wish.blocked | frozenset(names) - own
+    subset = frozenset(each.member.upstream for each in table.subset)
+    own = own_upstreams(call, subset - wish.offline, alone=wish.alone)
+    blocked = wish.tried | wish.offline
+    narrow = blocked | subset - own
     if wish.alone:
         return pick(table, Ask(excluded=narrow, alone=True), now_s)
     # A cached prompt saves less than the wait for a slot behind long answers.
-    scopes = (narrow, wish.blocked) if wish.may_widen else (narrow,)
+    scopes = (narrow, blocked) if wish.may_widen else (narrow,)
     # Less urgent requests leave a slot at each upstream for urgent ones, if they can.
     needs = (1, 0) if call.rank == 0 else (2, 1, 0)
     asks = (Ask(excluded=scope, free_slots=need) for need in needs for scope in scopes)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -80,21 +80,21 @@
         own = own_upstreams(URGENT_CALL, SIX, alone=False)
         (free,) = [name for name in SIX if name not in own][:1]
         table = table_with(dict.fromkeys(SIX, 8) | {free: 7})
-        wish = Wish(blocked=frozenset())
+        wish = Wish()
         assert choose(weighted_two_choices(), table, URGENT_CALL, wish, 0.0) == free
 
     def test_lost_attempt_stays_with_its_own_upstreams(self) -> None:
         """Guards against a request that crashes upstreams reaching a third one."""
         own = own_upstreams(URGENT_CALL, SIX, alone=False)
         table = table_with({name: 8 if name in own else 0 for name in SIX})
-        wish = Wish(blocked=frozenset(), may_widen=False)
+        wish = Wish(may_widen=False)
         assert choose(weighted_two_choices(), table, URGENT_CALL, wish, 0.0) in own
 
     def test_last_slot_is_left_to_urgent_requests(self) -> None:
         """Guards against less urgent work that fills an upstream while others have more room."""
         own = own_upstreams(LATER_CALL, SIX, alone=False)
         table = table_with({name: 7 if name in own else 0 for name in SIX})
-        wish = Wish(blocked=frozenset())
+        wish = Wish()
         assert choose(weighted_two_choices(), table, URGENT_CALL, wish, 0.0) in own
         assert choose(weighted_two_choices(), table, LATER_CALL, wish, 0.0) not in own
 
@@ -105,7 +105,7 @@
         table = table_with(dict.fromkeys(SIX, 6) | {bad: 0, good: 8})
         upstreams.sent(table, bad, (URGENT_CALL.request, AttemptNumber(1)), 10.0, 0.0)
         upstreams.ended(table, bad, (URGENT_CALL.request, AttemptNumber(1)), True, 0.0)
-        wish = Wish(blocked=frozenset())
+        wish = Wish()
         for _ in range(20):
             found = choose(weighted_two_choices(), table, URGENT_CALL, wish, 0.0)
             assert found not in own
