Wait for the replaced replica's role before the second loss

Its log shows that replica c was stopped while the voters were c and the new a: b had started with an empty disk, but was not a voter again. The test waited until b reports the voters a, b and c, which it also does before the repair begins, when b stands for its incarnation of before.

A learner knows the voters by name only from the log that it receives.

--- a/tests/processes/test_control_processes.py
+++ b/tests/processes/test_control_processes.py
@@ -174,13 +174,26 @@
                 await made.start(name)
                 async with asyncio.timeout(REPAIR_S):
                     await revision_at(made, name, revision)
-                await voters_are(made, set("abc"), [name])
+                await repaired(made, set("abc"), name)
                 assert (await apply_file(client, revision, 9)).code is ResultCode.OK
             made.kill("c")
             await apply_resumes(client, 3)
             await revision_everywhere(made, "ab", 4)
 
 
+async def repaired(made: Cluster, voters: set[str], name: str) -> None:
+    """Wait until a replica with an empty disk is a voter again.
+
+    The voters' names alone don't say so: until the change they hold its incarnation of before.
+    """
+    async with asyncio.timeout(REPAIR_S):
+        while True:
+            report = await status_of(made.specs[name].client)
+            if report.role != "learner" and set(report.voters) == voters:
+                return
+            await asyncio.sleep(POLL_S)
+
+
 async def voters_are(made: Cluster, voters: set[str], asked: list[str]) -> None:
     """Wait until all the asked replicas know exactly these voters."""
     async with asyncio.timeout(REPAIR_S):
