Give the entry's directory and known entries one owner each

Cause: `Parts` in `_entry/service.py` held the known entries and the address directory without a task that owns them: the task of the control client wrote both, and the handlers of callers read and rotated the directory.

Change: `_entry/control_view.py`. The client's task owns the known entries and publishes them with the directory's settings; the handlers own the directory and take over what was published last. The files' checks and the order of the messages stay as they are.

--- /dev/null
+++ b/src/lycheefall/_entry/control_view.py
@@ -0,0 +1,86 @@
+"""Take over what control says has changed.
+
+The task of the control client owns the known entries. The callers' handlers own the directory and
+read what is published here.
+"""
+
+from collections.abc import Callable
+
+from msgspec import Struct
+
+from lycheefall._core.configuration import Configuration, Directory
+from lycheefall._core.ids import InstanceId, TeamId
+from lycheefall._core.messages.control import Changes
+from lycheefall._core.messages.entry import ConfigurationChanged, EntriesSeen, FingerprintsChanged
+from lycheefall._core.messages.membership import EntryMember
+from lycheefall._core.pipeline import Latest
+from lycheefall._rules.directory import (
+    EntriesAnswer,
+    EntryDirectory,
+    answer,
+    entries_changed,
+    put_in_force,
+)
+
+FromControl = ConfigurationChanged | FingerprintsChanged | EntriesSeen
+
+
+class KnownEntries(Struct, frozen=True):
+    """Entries that control lists, and how teams are spread over them."""
+
+    settings: Directory = Directory()
+    entries: tuple[EntryMember, ...] = ()
+
+
+def changes_receiver(
+    known: Latest[KnownEntries],
+    offer: Callable[[FromControl], bool],
+    on_configuration: Callable[[Configuration], None],
+) -> Callable[[Changes], bool]:
+    """Return what takes changes; it returns False when there was no room for them."""
+    members: dict[InstanceId, EntryMember] = {}
+
+    def receive(changes: Changes) -> bool:
+        settings = known.value.settings
+        if changes.configuration is not None:
+            if not offer(ConfigurationChanged(changes.configuration)):
+                return False
+            on_configuration(changes.configuration)
+            settings = changes.configuration.directory
+        if changes.suspects is not None:
+            suspects, refused = frozenset(changes.suspects), frozenset(changes.refused or ())
+            if not offer(FingerprintsChanged(suspects, refused)):
+                return False
+        _learn_entries(members, changes)
+        offer(EntriesSeen(frozenset(each.incarnation for each in members.values())))
+        known.publish(KnownEntries(settings, tuple(members.values())))
+        return True
+
+    return receive
+
+
+def directory_answers(known: Latest[KnownEntries]) -> Callable[[TeamId], EntriesAnswer]:
+    """Return what tells a team which entries to use, from what was published last."""
+    directory = EntryDirectory(known.value.settings)
+    used = known.value
+
+    def answer_team(team: TeamId) -> EntriesAnswer:
+        nonlocal used
+        if known.value is not used:
+            if known.value.settings != used.settings:
+                put_in_force(directory, known.value.settings)
+            entries_changed(directory, known.value.entries)
+            used = known.value
+        return answer(directory, team)
+
+    return answer_team
+
+
+def _learn_entries(members: dict[InstanceId, EntryMember], changes: Changes) -> None:
+    if changes.full:
+        members.clear()
+    for member in changes.members:
+        if isinstance(member, EntryMember):
+            members[member.instance] = member
+    for removed in changes.removed_entries:
+        members.pop(removed, None)
--- a/src/lycheefall/_entry/service.py
+++ b/src/lycheefall/_entry/service.py
@@ -7,13 +7,13 @@
 
 from lycheefall._control.client import new_client, run_client
 from lycheefall._core.codes import ResultCode
-from lycheefall._core.configuration import Configuration, Directory
+from lycheefall._core.configuration import Configuration
 from lycheefall._core.enums import MemberState
 from lycheefall._core.events import Event
 from lycheefall._core.exceptions import ControlUnavailable, PortInUse
-from lycheefall._core.ids import Address, InstanceId, TeamId
+from lycheefall._core.ids import Address
 from lycheefall._core.log import log
-from lycheefall._core.messages.control import Changes, ClaimResult, Failed
+from lycheefall._core.messages.control import ClaimResult, Failed
 from lycheefall._core.messages.entry import (
     Abandon,
     BookingLinkLost,
@@ -47,10 +47,16 @@
     UpstreamLeft,
 )
 from lycheefall._core.messages.membership import Announce, EntryMember
-from lycheefall._core.pipeline import Inbox, run_owner, tick
+from lycheefall._core.pipeline import Inbox, Latest, run_owner, tick
 from lycheefall._core.process import new_incarnation, run_until
 from lycheefall._entry.accept import Acceptor, build_application
 from lycheefall._entry.catalogue import build_catalogue
+from lycheefall._entry.control_view import (
+    FromControl,
+    KnownEntries,
+    changes_receiver,
+    directory_answers,
+)
 from lycheefall._entry.decisions import log_claim, log_end, log_link_message
 from lycheefall._entry.links import Links
 from lycheefall._entry.policies import IN_USE, Policies
@@ -63,13 +69,6 @@
 from lycheefall._rules.bookings import BookingsState, step_bookings
 from lycheefall._rules.call_state import CallsState
 from lycheefall._rules.calls import step_calls
-from lycheefall._rules.directory import (
-    EntriesAnswer,
-    EntryDirectory,
-    entries_changed,
-    put_in_force,
-)
-from lycheefall._rules.directory import answer as choose_entries
 from lycheefall._rules.joins import JoinsState, step_joins
 from lycheefall._rules.refusals import refuse
 from lycheefall._wire.announcer import Announcer
@@ -94,12 +93,11 @@
         "bookings",
         "client",
         "count",
-        "directory",
         "dispatch",
         "incarnation",
         "joins",
+        "known_entries",
         "links",
-        "members",
         "proposals",
         "queue",
         "settings",
@@ -120,8 +118,7 @@
         self.announcer = Announcer()
         self.client = new_client()
         self.proposals: set[asyncio.Task[None]] = set()
-        self.directory = EntryDirectory(Directory())
-        self.members: dict[InstanceId, EntryMember] = {}
+        self.known_entries = Latest(KnownEntries())
 
     def _from_accept(self, message: Submit | Abandon | FramesRead) -> bool:
         match message:
@@ -203,14 +200,22 @@
             self.links.disconnect(message.upstream)
         self.dispatch.offer(message)
 
-    def on_changes(self, changes: Changes) -> bool:
-        """Take what control says has changed; False when there was no room for it."""
-        if changes.configuration is not None and not self._configure(changes.configuration):
-            return False
-        if changes.suspects is not None and not self._suspect(changes):
-            return False
-        self._learn_entries(changes)
-        return True
+    def from_control(self, message: FromControl) -> bool:
+        """Pass on what control says has changed; False when there was no room for it."""
+        match message:
+            case ConfigurationChanged():
+                return self.queue.offer(message) and self.dispatch.offer(message)
+            case FingerprintsChanged():
+                return self.dispatch.offer(message)
+            case EntriesSeen():
+                return self.bookings.offer(message) and self.dispatch.offer(message)
+
+    def put_in_force(self, configuration: Configuration) -> None:
+        """Check callers' requests against another configuration from now on."""
+        self.acceptor.catalogue.publish(build_catalogue(configuration))
+        if not self.acceptor.draining:
+            self.present(MemberState.READY)
+        log(Event.CONFIGURATION_IN_FORCE, revision=configuration.revision)
 
     def present(self, state: MemberState) -> None:
         """Announce this entry with a state."""
@@ -226,38 +231,6 @@
             )
         )
 
-    def choose_entries(self, team: TeamId) -> EntriesAnswer:
-        """Return the entries that a team may use."""
-        return choose_entries(self.directory, team)
-
-    def _configure(self, configuration: Configuration) -> bool:
-        changed = ConfigurationChanged(configuration)
-        if not (self.queue.offer(changed) and self.dispatch.offer(changed)):
-            return False
-        self.acceptor.catalogue.publish(build_catalogue(configuration))
-        put_in_force(self.directory, configuration.directory)
-        if not self.acceptor.draining:
-            self.present(MemberState.READY)
-        log(Event.CONFIGURATION_IN_FORCE, revision=configuration.revision)
-        return True
-
-    def _suspect(self, changes: Changes) -> bool:
-        suspects, refused = frozenset(changes.suspects or ()), frozenset(changes.refused or ())
-        return self.dispatch.offer(FingerprintsChanged(suspects, refused))
-
-    def _learn_entries(self, changes: Changes) -> None:
-        if changes.full:
-            self.members.clear()
-        for member in changes.members:
-            if isinstance(member, EntryMember):
-                self.members[member.instance] = member
-        for removed in changes.removed_entries:
-            self.members.pop(removed, None)
-        seen = EntriesSeen(frozenset(each.incarnation for each in self.members.values()))
-        self.bookings.offer(seen)
-        self.dispatch.offer(seen)
-        entries_changed(self.directory, self.members.values())
-
     def _answer(self, end: ReplyEnd) -> None:
         self.acceptor.reply(end)
         log_end(end, self.count)
@@ -276,7 +249,9 @@
     parts.announcer.send_to(set(settings.control))
     announcements = RouterEnd(settings.announce_listen, receive_announce(parts.upstreams.offer))
     drained = asyncio.Event()
-    runner = await _listen(settings.listen, build_application(parts.acceptor, parts.choose_entries))
+    application = build_application(parts.acceptor, directory_answers(parts.known_entries))
+    runner = await _listen(settings.listen, application)
+    on_changes = changes_receiver(parts.known_entries, parts.from_control, parts.put_in_force)
     log(Event.PROCESS_STARTED, role="entry", listen=settings.listen, incarnation=parts.incarnation)
     on_ready()
     try:
@@ -303,7 +278,7 @@
             tick(parts.upstreams, Tick(), TICK_S),
             _beat(parts.links),
             parts.announcer.run(),
-            run_client(parts.client, settings.control, parts.on_changes),
+            run_client(parts.client, settings.control, on_changes),
             _drain(stop, parts, runner, drained),
             *([metrics.run()] if metrics else []),
         )
