Split the state of a group's coordinator from its protocol

Change: `_rules/group_state.py` holds what goes in and out and the state with its queries; group_steps.py holds the steps. No rule is changed.

--- a/bench/group_slopes.py
+++ b/bench/group_slopes.py
@@ -25,7 +25,7 @@
     StepDone,
     WeightsLoaded,
 )
-from lycheefall._rules import group_steps, rank_steps
+from lycheefall._rules import group_state, group_steps, rank_steps
 from lycheefall._rules.placement import Limits, fresh, plan
 from lycheefall._rules.replicated import epochs
 from lycheefall._wire.codec import encode
@@ -43,7 +43,7 @@
     """One coordinator, its ranks, the log, and counts of what they send."""
 
     ranks: list[rank_steps.RankState]
-    coordinator: group_steps.CoordinatorState
+    coordinator: group_state.CoordinatorState
     log: epochs.EpochsState
     now_s: float = 0.0
     # Processor time of the coordinator's rule.
@@ -118,10 +118,10 @@
     start_s = time.process_time()
     for turn in range(SECONDS * TURNS_PER_S):
         if turn == SECONDS * TURNS_PER_S // 2:
-            _tell(group, COORDINATOR, group_steps.Place(second))
+            _tell(group, COORDINATOR, group_state.Place(second))
         _turn(group, turn)
     spent_s = time.process_time() - start_s
-    assert group_steps.epoch_in_force(group.coordinator) == 2
+    assert group_state.epoch_in_force(group.coordinator) == 2
     assert all(rank.entered > (SECONDS - 1) * TURNS_PER_S for rank in group.ranks)
     return group, spent_s
 
@@ -132,23 +132,23 @@
         for rank in range(limits.ranks)
     ]
     holder = Incarnation("coordinator")
-    coordinator = group_steps.initial(GROUP, holder, limits.ranks, FenceMode.REFUSES)
+    coordinator = group_state.initial(GROUP, holder, limits.ranks, FenceMode.REFUSES)
     return Group(ranks, coordinator, epochs.initial())
 
 
 def _start(group: Group, placement: Placement) -> None:
     """Take the lease and put the first map in force."""
     for turn in range(2 * TURNS_PER_S):
-        if group_steps.may_place(group.coordinator) and not group.coordinator.maps:
-            _tell(group, COORDINATOR, group_steps.Place(placement))
+        if group_state.may_place(group.coordinator) and not group.coordinator.maps:
+            _tell(group, COORDINATOR, group_state.Place(placement))
         _turn(group, turn)
-    assert group_steps.epoch_in_force(group.coordinator) == 1
+    assert group_state.epoch_in_force(group.coordinator) == 1
 
 
 def _turn(group: Group, turn: int) -> None:
     group.now_s += 1 / TURNS_PER_S
     if turn % 2 == 0:
-        _tell(group, COORDINATOR, group_steps.Tick())
+        _tell(group, COORDINATOR, group_state.Tick())
     for number, rank in enumerate(group.ranks):
         if turn % 10 == number % 10:
             _tell(group, number, rank_steps.ReportDue())
@@ -174,12 +174,12 @@
 
 def _carry(group: Group, place: int, output: object) -> None:
     match output:
-        case group_steps.SendToRank(rank, message):
+        case group_state.SendToRank(rank, message):
             _send(group, int(rank), message)
-        case group_steps.ProposeCommand(command):
+        case group_state.ProposeCommand(command):
             result = _answer(group, command)
             _count(group, command)
-            answered = group_steps.Answered(command, result, group.now_s)
+            answered = group_state.Answered(command, result, group.now_s)
             group.queue.append((COORDINATOR, answered))
         case AskEpochs():
             _count(group, output)
@@ -194,7 +194,7 @@
     if isinstance(command, CommitEpoch):
         return epochs.apply(group.log, command, 0)[1]
     assert isinstance(command, AcquireLease) or hasattr(command, "holder")
-    return LeaseResult(ResultCode.OK, command.holder, FencingNumber(1), group_steps.LEASE_S)
+    return LeaseResult(ResultCode.OK, command.holder, FencingNumber(1), group_state.LEASE_S)
 
 
 def _send(group: Group, place: int, message: object) -> None:
--- a/src/lycheefall/_control/coordination.py
+++ b/src/lycheefall/_control/coordination.py
@@ -18,7 +18,7 @@
 from lycheefall._core.messages.control import Changes
 from lycheefall._core.messages.groups import AskEpochs, EpochsInForce, ToRank
 from lycheefall._core.pipeline import Inbox
-from lycheefall._rules import group_steps
+from lycheefall._rules import group_state
 from lycheefall._rules.placement import Limits
 from lycheefall._wire.replica_links import (
     ReplicaLinks,
@@ -140,7 +140,7 @@
 def _start(group: Group, outlets: Outlets, tasks: asyncio.TaskGroup) -> Running:
     # A new holder never acts on a lease that the one before it took.
     started = Running(group, Incarnation(uuid4().hex), Inbox(COORDINATOR_INBOX_MESSAGES))
-    protocol = group_steps.initial(group.name, started.holder, group.ranks, group.fence)
+    protocol = group_state.initial(group.name, started.holder, group.ranks, group.fence)
     state = group_coordinator.initial(protocol, _limits(group), outlets.plan_period_s)
 
     def send(rank: RankId, message: ToRank) -> None:
--- a/src/lycheefall/_control/group_coordinator.py
+++ b/src/lycheefall/_control/group_coordinator.py
@@ -14,7 +14,7 @@
 from lycheefall._core.pipeline import Inbox, run_owner, tick
 from lycheefall._rules import group_load
 from lycheefall._rules.group_load import GroupLoad
-from lycheefall._rules.group_steps import (
+from lycheefall._rules.group_state import (
     Answered,
     CoordinatorInput,
     CoordinatorOutput,
@@ -26,8 +26,8 @@
     Tick,
     epoch_in_force,
     may_place,
-    step,
 )
+from lycheefall._rules.group_steps import step
 from lycheefall._rules.placement import Limits, Plan, plan
 
 TICK_S = 0.1
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -17,7 +17,7 @@
     StepRefused,
     WeightsLoaded,
 )
-from lycheefall._rules import group_steps, rank_steps
+from lycheefall._rules import group_state, group_steps, rank_steps
 from lycheefall._rules.replicated import epochs
 
 GROUP = GroupId("assistant-models/0")
@@ -50,7 +50,7 @@
     lease: int = 0
     network: list[Flight] = field(default_factory=list)
     late: list[Flight] = field(default_factory=list)
-    coordinators: dict[str, group_steps.CoordinatorState] = field(default_factory=dict)
+    coordinators: dict[str, group_state.CoordinatorState] = field(default_factory=dict)
     ranks: list[rank_steps.RankState] = field(default_factory=list)
     platform_fencing: list[int] = field(default_factory=lambda: [0] * RANKS)
     entered: list[int] = field(default_factory=lambda: [-1] * RANKS)
@@ -64,7 +64,7 @@
         self.ranks = [self._new_rank(rank) for rank in range(RANKS)]
 
     def crash(self, name: str) -> None:
-        self.coordinators[name] = group_steps.initial(GROUP, self._run(), RANKS, self.fence)
+        self.coordinators[name] = group_state.initial(GROUP, self._run(), RANKS, self.fence)
 
     def restart(self, rank: int) -> None:
         self.ranks[rank] = self._new_rank(rank)
@@ -80,11 +80,11 @@
         state, results = group_steps.step(self.coordinators[name], message, self.now_s)
         for result in results:
             match result:
-                case group_steps.SendToRank(rank, order):
+                case group_state.SendToRank(rank, order):
                     if (name, rank) in self.cut:
                         continue
                     self.network.append(Flight(f"rank-{rank}", order))
-                case group_steps.ProposeCommand(command):
+                case group_state.ProposeCommand(command):
                     self.network.append(Flight(f"log-{name}", command, state.holder))
                 case AskEpochs():
                     self.network.append(Flight(f"log-{name}", result, state.holder))
@@ -140,7 +140,7 @@
             _, result = epochs.apply(self.log, message, 0)
         else:
             result = self._lease(message)
-        answered = group_steps.Answered(message, result, self.now_s)
+        answered = group_state.Answered(message, result, self.now_s)
         self.network.append(Flight(place, answered, flight.run))
 
     def _lease(self, message: object) -> LeaseResult:
@@ -161,7 +161,7 @@
     def work(self, name: str, rounds: int = 1, period_s: float = 0.6) -> None:
         for _ in range(rounds):
             self.now_s += period_s
-            self.coordinate(name, group_steps.Tick())
+            self.coordinate(name, group_state.Tick())
             for rank in range(RANKS):
                 self.tell_rank(rank, rank_steps.ReportDue())
                 self.enter(rank, 1)
--- a/tests/test_group_coordinator.py
+++ b/tests/test_group_coordinator.py
@@ -33,7 +33,7 @@
 from lycheefall._core.pipeline import Inbox
 from lycheefall._fakes.ranks import RankGroup, make_day, run_group
 from lycheefall._fakes.weight_store import StoreState, weight_store
-from lycheefall._rules import group_steps, rank_steps
+from lycheefall._rules import group_state, rank_steps
 from lycheefall._rules.placement import Limits
 from lycheefall._rules.rank_steps import RankInput
 from lycheefall._rules.replicated import epochs
@@ -84,7 +84,7 @@
         self.agents[rank].offer(message)
 
     async def run(self) -> None:
-        protocol = group_steps.initial(GROUP, Incarnation("c"), 4, FenceMode.REFUSES)
+        protocol = group_state.initial(GROUP, Incarnation("c"), 4, FenceMode.REFUSES)
         async with asyncio.TaskGroup() as tasks:
             coordination = group_coordinator.run_coordinator(
                 self.inbox,
--- a/tests/test_group_steps.py
+++ b/tests/test_group_steps.py
@@ -10,8 +10,8 @@
 from lycheefall._core.enums import FenceMode
 from lycheefall._core.ids import ExpertId, MapEpoch
 from lycheefall._core.messages.groups import LoadFailed
-from lycheefall._rules import group_steps
-from lycheefall._rules.group_steps import Phase, Place
+from lycheefall._rules import group_state
+from lycheefall._rules.group_state import Phase, Place
 from lycheefall._rules.rank_steps import ReportDue
 
 names = st.sampled_from(["a", "b"])
@@ -55,7 +55,7 @@
 
     @rule(name=names)
     def tick(self, name: str) -> None:
-        self.world.coordinate(name, group_steps.Tick())
+        self.world.coordinate(name, group_state.Tick())
 
     @rule(count=st.integers(1, 12))
     def deliver_some(self, count: int) -> None:
@@ -194,7 +194,7 @@
     def test_ignoring_platform(self) -> None:
         """Guards against orders to ranks while the old coordinator's lease may still run."""
         world = running(FenceMode.IGNORES)
-        world.coordinate("b", group_steps.Tick())
+        world.coordinate("b", group_state.Tick())
         world.settle()
         assert world.coordinators["b"].phase is Phase.OLD_LEASE
         world.work("b", 6)
@@ -226,7 +226,7 @@
         world.restart(0)
         world.crash("a")
         world.cut.clear()
-        world.coordinate("b", group_steps.Tick())
+        world.coordinate("b", group_state.Tick())
         world.settle()
         world.tell_rank(0, ReportDue())
         world.settle()
@@ -245,7 +245,7 @@
         world.network = [f for f in world.network if not f.local]
         world.tell_rank(1, LoadFailed((ExpertId(0),), ResultCode.UPSTREAM_ERROR))
         world.work("a", 2)
-        assert group_steps.epoch_in_force(world.coordinators["a"]) == MapEpoch(1)
+        assert group_state.epoch_in_force(world.coordinators["a"]) == MapEpoch(1)
         world.restart(1)
         check_progress(world, "a", 7)
 
