Split the daemons' settings from the subcommands, and type the questions

Cause: `_operate/commands.py` mixed the subcommands with the building of settings, and `_ask` returned `Any`, which an assert repaired.

Change: `_operate/daemon_settings.py` builds the settings; `_ask` is generic in its answer.

--- a/src/lycheefall/_operate/commands.py
+++ b/src/lycheefall/_operate/commands.py
@@ -5,44 +5,43 @@
 from collections.abc import Callable, Coroutine
 from functools import partial
 from pathlib import Path
-from typing import Any
+from typing import TypeVar
 
 import aiomisc
 
 from lycheefall._agent.service import run_agent
-from lycheefall._agent.settings import AgentSettings, RankSettings
-from lycheefall._control.client import new_client, run_client
+from lycheefall._agent.settings import AgentSettings
+from lycheefall._control.client import ControlClient, new_client, run_client
 from lycheefall._control.service import run_control
-from lycheefall._control.settings import ControlSettings, Voter
+from lycheefall._control.settings import ControlSettings
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.enums import UpstreamKind
 from lycheefall._core.ids import (
     NO_REVISION,
     Address,
     DataCentreId,
-    GroupId,
     InstanceId,
     PoolId,
-    RankId,
     Revision,
     UpstreamId,
 )
-from lycheefall._core.messages.control import ApplyFile, FileResult, StatusReport
+from lycheefall._core.messages.control import ApplyFile, FileResult
 from lycheefall._core.process import run_until
 from lycheefall._entry.service import run_entry
 from lycheefall._entry.settings import EntrySettings
 from lycheefall._operate import settings as checks
 from lycheefall._operate.configuration_file import digest_of, parse_configuration, replaces_of
 from lycheefall._operate.daemon import run_daemon
+from lycheefall._operate.daemon_settings import control_settings, drain_time_s, rank_settings
 from lycheefall._operate.demo import run_demo
 from lycheefall._operate.load_command import load_and_report
 from lycheefall._operate.logging import LogForm, LogLevel, configure_logging
 from lycheefall._operate.status import describe
 
+Answer = TypeVar("Answer")
+
 COMMAND_TIMEOUT_S = 10.0
-LONGEST_DRAIN_S = 3_600.0
 HIGHEST_CONCURRENCY = 100_000
-HIGHEST_RANK = 9_999
 
 
 def entry(
@@ -86,13 +85,13 @@
         listen=checks.checked_address("listen", listen),
         announce_listen=checks.checked_address("announce_listen", announce_listen),
         control=checks.checked_addresses("control", control),
-        drain_s=_drain_s(drain_s),
+        drain_s=drain_time_s(drain_s),
         statsd=checks.checked_address("statsd", statsd) if statsd else None,
     )
     if not with_control:
         run_daemon(partial(run_entry, settings))
         return
-    replica = _control_settings(
+    replica = control_settings(
         instance, data_centre, control_listen, peer_listen, voters, data_folder
     )
     run_daemon(partial(_entry_with_control, settings, replica))
@@ -121,7 +120,7 @@
     :param log_level: debug, info, warning or error
     """
     _logging(log_form, log_level, instance, "control")
-    replica = _control_settings(instance, data_centre, listen, peer_listen, voters, data_folder)
+    replica = control_settings(instance, data_centre, listen, peer_listen, voters, data_folder)
     run_daemon(partial(_control_until, replica))
 
 
@@ -175,8 +174,8 @@
         listen=checks.checked_address("listen", listen),
         control=checks.checked_addresses("control", control),
         concurrency=int(number),
-        drain_s=_drain_s(drain_s),
-        member=_rank_settings(group, rank, rank_listen) if group else None,
+        drain_s=drain_time_s(drain_s),
+        member=rank_settings(group, rank, rank_listen) if group else None,
         announce_as=checks.checked_address("announce_as", announce_as) if announce_as else None,
     )
     run_daemon(partial(run_agent, settings))
@@ -222,7 +221,6 @@
     """
     addresses = checks.checked_addresses("control", control)
     report = _ask(addresses, lambda client: client.status(COMMAND_TIMEOUT_S))
-    assert isinstance(report, StatusReport)
     print(describe(report))
 
 
@@ -258,48 +256,6 @@
     )
 
 
-def _drain_s(text: str) -> float:
-    return checks.checked_number("drain_s", text, float, 0.0, LONGEST_DRAIN_S)
-
-
-def _rank_settings(group: str, rank: str, listen: str) -> RankSettings:
-    return RankSettings(
-        group=GroupId(checks.checked_name("group", group)),
-        rank=RankId(int(checks.checked_number("rank", rank, int, 0, HIGHEST_RANK))),
-        listen=checks.checked_loopback("rank_listen", listen),
-    )
-
-
-def _control_settings(
-    instance: str,
-    data_centre: str,
-    listen: str,
-    peer_listen: str,
-    voters: str,
-    data_folder: str,
-) -> ControlSettings:
-    return ControlSettings(
-        instance=InstanceId(checks.checked_name("instance", instance)),
-        data_centre=DataCentreId(checks.checked_name("data_centre", data_centre)),
-        client_listen=checks.checked_address("listen", listen),
-        peer_listen=checks.checked_address("peer_listen", peer_listen),
-        voters=tuple(_voter(part.strip()) for part in voters.split(",")),
-        data_folder=Path(checks.checked_name("data_folder", data_folder)),
-    )
-
-
-def _voter(text: str) -> Voter:
-    name, _, addresses = text.partition("=")
-    peer, _, client = addresses.partition("/")
-    if not name or not peer or not client:
-        raise checks.invalid("voters", text, "NAME=PEER_IP:PORT/CLIENT_IP:PORT")
-    return Voter(
-        InstanceId(name),
-        checks.checked_address("voters", peer),
-        checks.checked_address("voters", client),
-    )
-
-
 async def _control_until(replica: ControlSettings, stop: asyncio.Event) -> None:
     await run_until(stop, run_control(replica, parse_configuration))
 
@@ -320,12 +276,13 @@
 
 
 def _ask(
-    addresses: tuple[Address, ...], question: Callable[[Any], Coroutine[Any, Any, Any]]
-) -> Any:
+    addresses: tuple[Address, ...],
+    question: Callable[[ControlClient], Coroutine[None, None, Answer]],
+) -> Answer:
     # What the connection goes through must not mix with the answer on standard output.
     configure_logging(LogForm.CONSOLE, LogLevel.ERROR)
 
-    async def ask() -> Any:
+    async def ask() -> Answer:
         client = new_client()
         owner = asyncio.create_task(run_client(client, addresses))
         try:
