Send metrics of agents and control replicas by statsd

Cause: only entries sent metrics; what an upstream is asked for and what control answers was to be seen in log lines alone.

Change: `--statsd` of `lycheefall agent` and `lycheefall control`, and of the replica within an entry. Agents count attempts by result code and send the upstream's load as gauges; replicas count the results of commands by kind and code.

Before: no agent or control metric.

The queues of an entry have no gauge yet.

--- a/src/lycheefall/_agent/service.py
+++ b/src/lycheefall/_agent/service.py
@@ -33,10 +33,11 @@
 from lycheefall._core.ids import Address, Incarnation
 from lycheefall._core.log import log
 from lycheefall._core.messages.control import Changes
-from lycheefall._core.messages.dispatch import Dispatch, Refused, Resolved, ToEntry
+from lycheefall._core.messages.dispatch import Dispatch, Finished, Refused, Resolved, ToEntry
 from lycheefall._core.messages.membership import EntryMember, Member, UpstreamMember
 from lycheefall._core.pipeline import Inbox, run_owner, tick
 from lycheefall._core.process import new_incarnation, run_until
+from lycheefall._operate.metrics import Count, Metrics
 from lycheefall._rules import attempts as attempts_rule
 from lycheefall._wire.announcer import Announcer
 from lycheefall._wire.codec import decode_to_agent, encode
@@ -44,6 +45,7 @@
 
 CHECK_INBOX_MESSAGES = 10_000
 TICK_S = 0.05
+METRICS_PREFIX = "lycheefall.agent"
 # After its last attempt an agent goes on for this long: a socket drops unsent messages when it is
 # closed, dispatches on their way must be refused, and an entry with a silent link asks for the
 # results over a new one, within 2 s.
@@ -59,6 +61,7 @@
     incarnation = new_incarnation()
     inbox: Inbox[ToCheck] = Inbox(CHECK_INBOX_MESSAGES)
     drained, left = asyncio.Event(), asyncio.Event()
+    metrics = Metrics(settings.statsd, METRICS_PREFIX)
     announcer = Announcer()
     announcer.send_to(set(settings.control))
     router = RouterEnd(settings.listen, lambda peer, payload: _receive(peer, payload, inbox, send))
@@ -79,10 +82,11 @@
     try:
         await run_until(
             left,
-            run_owner(inbox, state, check, _emit(attempts, send, announcer, drained)),
+            run_owner(inbox, state, check, _emit(attempts, send, announcer, drained, metrics)),
             tick(inbox, Tick(), TICK_S),
             report_load(settings.upstream_address, inbox.offer),
             announcer.run(),
+            metrics.run(),
             run_client(new_client(), settings.control, on_changes),
             run_rank_of(settings, incarnation),
             _leave(stop, inbox, drained, settings.drain_s, left),
@@ -139,17 +143,21 @@
     send: SendToPeer,
     announcer: Announcer,
     drained: asyncio.Event,
+    metrics: Metrics,
 ) -> Callable[[FromCheck], None]:
     def emit(message: FromCheck) -> None:
         match message:
             case ToPeer():
-                _log_check(message.message)
+                _log_check(message.message, metrics.count)
                 send(message.peer, message.message)
             case Forward():
+                metrics.count("attempts.started", 1)
                 attempts.start(message)
             case Steer():
                 attempts.steer(message.message)
             case Present():
+                metrics.gauge("running", message.member.load.running)
+                metrics.gauge("waiting", message.member.load.waiting)
                 announcer.present(message.member)
             case Drained():
                 drained.set()
@@ -157,9 +165,12 @@
     return emit
 
 
-def _log_check(message: ToEntry) -> None:
-    if isinstance(message, Refused):
+def _log_check(message: ToEntry, count: Count) -> None:
+    if isinstance(message, Finished):
+        count(f"attempts.{int(message.code)}", 1)
+    elif isinstance(message, Refused):
         code = message.code
+        count(f"attempts.{int(code)}", 1)
         log(Event.ATTEMPT_REFUSED, request=message.request, attempt=message.attempt, code=int(code))
     elif isinstance(message, Resolved) and message.state is AttemptState.RELEASED:
         log(Event.ATTEMPT_RELEASED, request=message.request, attempt=message.attempt)
--- a/src/lycheefall/_agent/settings.py
+++ b/src/lycheefall/_agent/settings.py
@@ -44,3 +44,4 @@
     member: RankSettings | None = None
     # Where entries connect when that isn't the listening address, as behind a forwarder.
     announce_as: Address | None = None
+    statsd: Address | None = None
--- a/src/lycheefall/_control/service.py
+++ b/src/lycheefall/_control/service.py
@@ -1,7 +1,7 @@
 """A control replica: receive | step | sync | apply | publish."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from concurrent.futures import ThreadPoolExecutor
 from functools import partial
 from random import SystemRandom
@@ -29,7 +29,10 @@
 from lycheefall._core.ids import Address, Incarnation
 from lycheefall._core.log import log
 from lycheefall._core.messages.consensus import Replica
+from lycheefall._core.messages.control import FromControl, Proposed
+from lycheefall._core.messages.groups import FromReplica
 from lycheefall._core.pipeline import Inbox, tick
+from lycheefall._operate.metrics import Count, Metrics
 from lycheefall._rules.consensus.state import Consensus, Tick
 from lycheefall._rules.consensus.step import initial
 from lycheefall._rules.replicated import machine
@@ -40,9 +43,13 @@
 PUBLISH_INBOX_MESSAGES = 10_000
 COORDINATION_INBOX_MESSAGES = 10_000
 TICK_PERIOD_S = 0.025
+METRICS_PREFIX = "lycheefall.control"
 _SEED_BITS = 64
 
 
+Answer = Callable[[bytes, FromControl | FromReplica], None]
+
+
 class _Inboxes(Struct, frozen=True):
     step: Inbox[ToStep]
     apply: Inbox[ToApply]
@@ -94,7 +101,8 @@
     sockets = receive.Sockets(instance=settings.instance, routes=routes, now=loop.time)
     send = partial(receive.send_to, sockets)
     greet = partial(receive.greet, sockets)
-    answer = partial(receive.answer, sockets)
+    metrics = Metrics(settings.statsd, METRICS_PREFIX)
+    answer = _counting(partial(receive.answer, sockets), metrics.count)
     step_outlets = StepOutlets(send, greet, inboxes.apply, inboxes.publish)
     apply_outlets = ApplyOutlets(answer, inboxes.step, inboxes.publish)
     receive.open_sockets(
@@ -116,6 +124,7 @@
                 inboxes.coordination, _client_addresses(settings), answer, settings.plan_period_s
             ),
             tick(inboxes.step, Tick(), TICK_PERIOD_S),
+            metrics.run(),
         )
     finally:
         receive.close_sockets(sockets)
@@ -134,6 +143,18 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
+def _counting(answer: Answer, count: Count) -> Answer:
+    """Return an `answer` that also counts the results of commands by their code."""
+
+    def counted(peer: bytes, message: FromControl | FromReplica) -> None:
+        if isinstance(message, Proposed):
+            kind = type(message.result).__name__.removesuffix("Result").lower()
+            count(f"results.{kind}.{int(message.result.code)}", 1)
+        answer(peer, message)
+
+    return counted
+
+
 def _client_addresses(settings: ControlSettings) -> tuple[Address, ...]:
     """Return where the replicas serve clients, this one first."""
     others = [each for each in settings.voters if each.instance != settings.instance]
--- a/src/lycheefall/_control/settings.py
+++ b/src/lycheefall/_control/settings.py
@@ -40,3 +40,4 @@
     snapshot_entries: int = DEFAULT_SNAPSHOT_ENTRIES
     # Time between two plans of the placement of a group.
     plan_period_s: float = PLAN_PERIOD_S
+    statsd: Address | None = None
--- a/src/lycheefall/_entry/service.py
+++ b/src/lycheefall/_entry/service.py
@@ -64,7 +64,7 @@
 from lycheefall._entry.settings import EntrySettings
 from lycheefall._entry.suspects import end_suspect, record_crash, take_lease
 from lycheefall._entry.upstreams import FORGET_S, receive_announce, step_upstreams
-from lycheefall._operate.metrics import Count, Metrics, ignore_counts
+from lycheefall._operate.metrics import Count, Metrics
 from lycheefall._rules import membership
 from lycheefall._rules.bookings import BookingsState, step_bookings
 from lycheefall._rules.call_state import CallsState
@@ -243,8 +243,8 @@
     policies: Policies = IN_USE,
 ) -> None:
     """Run an entry until it is told to stop and its requests have ended."""
-    metrics = Metrics(settings.statsd, METRICS_PREFIX) if settings.statsd else None
-    parts = Parts(settings, metrics.count if metrics else ignore_counts)
+    metrics = Metrics(settings.statsd, METRICS_PREFIX)
+    parts = Parts(settings, metrics.count)
     parts.present(MemberState.STARTING)
     parts.announcer.send_to(set(settings.control))
     announcements = RouterEnd(settings.announce_listen, receive_announce(parts.upstreams.offer))
@@ -280,7 +280,7 @@
             parts.announcer.run(),
             run_client(parts.client, settings.control, on_changes),
             _drain(stop, parts, runner, drained),
-            *([metrics.run()] if metrics else []),
+            metrics.run(),
         )
     finally:
         await runner.cleanup()
--- a/src/lycheefall/_operate/commands.py
+++ b/src/lycheefall/_operate/commands.py
@@ -32,7 +32,12 @@
 from lycheefall._operate import settings as checks
 from lycheefall._operate.configuration_file import digest_of, parse_configuration, replaces_of
 from lycheefall._operate.daemon import run_daemon
-from lycheefall._operate.daemon_settings import control_settings, drain_time_s, rank_settings
+from lycheefall._operate.daemon_settings import (
+    control_settings,
+    drain_time_s,
+    rank_settings,
+    statsd_address,
+)
 from lycheefall._operate.demo import run_demo
 from lycheefall._operate.load_command import load_and_report
 from lycheefall._operate.logging import LogForm, LogLevel, configure_logging
@@ -86,13 +91,13 @@
         announce_listen=checks.checked_address("announce_listen", announce_listen),
         control=checks.checked_addresses("control", control),
         drain_s=drain_time_s(drain_s),
-        statsd=checks.checked_address("statsd", statsd) if statsd else None,
+        statsd=statsd_address(statsd),
     )
     if not with_control:
         run_daemon(partial(run_entry, settings))
         return
     replica = control_settings(
-        instance, data_centre, control_listen, peer_listen, voters, data_folder
+        instance, data_centre, control_listen, peer_listen, voters, data_folder, statsd
     )
     run_daemon(partial(_entry_with_control, settings, replica))
 
@@ -105,6 +110,7 @@
     peer_listen: str,
     voters: str,
     data_folder: str,
+    statsd: str = "",
     log_form: str = "json",
     log_level: str = "info",
 ) -> None:
@@ -116,11 +122,14 @@
     :param peer_listen: IP:PORT where the other replicas connect
     :param voters: initial voters, NAME=PEER_IP:PORT/CLIENT_IP:PORT with commas between
     :param data_folder: folder for the log; it must last as long as the instance
+    :param statsd: IP:PORT of a statsd server; empty for none
     :param log_form: json or console
     :param log_level: debug, info, warning or error
     """
     _logging(log_form, log_level, instance, "control")
-    replica = control_settings(instance, data_centre, listen, peer_listen, voters, data_folder)
+    replica = control_settings(
+        instance, data_centre, listen, peer_listen, voters, data_folder, statsd
+    )
     run_daemon(partial(_control_until, replica))
 
 
@@ -140,6 +149,7 @@
     rank: str = "",
     rank_listen: str = "",
     drain_s: str = "60",
+    statsd: str = "",
     log_form: str = "json",
     log_level: str = "info",
 ) -> None:
@@ -159,6 +169,7 @@
     :param rank: with --group: number of the rank, from 0
     :param rank_listen: with --group: loopback IP:PORT where the rank's runtime connects
     :param drain_s: longest wait of a shutdown for attempts that run, in seconds
+    :param statsd: IP:PORT of a statsd server; empty for none
     :param log_form: json or console
     :param log_level: debug, info, warning or error
     """
@@ -177,6 +188,7 @@
         drain_s=drain_time_s(drain_s),
         member=rank_settings(group, rank, rank_listen) if group else None,
         announce_as=checks.checked_address("announce_as", announce_as) if announce_as else None,
+        statsd=statsd_address(statsd),
     )
     run_daemon(partial(run_agent, settings))
 
--- a/src/lycheefall/_operate/daemon_settings.py
+++ b/src/lycheefall/_operate/daemon_settings.py
@@ -4,7 +4,7 @@
 
 from lycheefall._agent.settings import RankSettings
 from lycheefall._control.settings import ControlSettings, Voter
-from lycheefall._core.ids import DataCentreId, GroupId, InstanceId, RankId
+from lycheefall._core.ids import Address, DataCentreId, GroupId, InstanceId, RankId
 from lycheefall._operate import settings as checks
 
 LONGEST_DRAIN_S = 3_600.0
@@ -16,6 +16,11 @@
     return checks.checked_number("drain_s", text, float, 0.0, LONGEST_DRAIN_S)
 
 
+def statsd_address(text: str) -> Address | None:
+    """Return the address of the statsd server, or None when none is set."""
+    return checks.checked_address("statsd", text) if text else None
+
+
 def rank_settings(group: str, rank: str, listen: str) -> RankSettings:
     """Return the settings of a rank's duties."""
     return RankSettings(
@@ -32,6 +37,7 @@
     peer_listen: str,
     voters: str,
     data_folder: str,
+    statsd: str,
 ) -> ControlSettings:
     """Return the settings of a control replica."""
     return ControlSettings(
@@ -41,6 +47,7 @@
         peer_listen=checks.checked_address("peer_listen", peer_listen),
         voters=tuple(_voter(part.strip()) for part in voters.split(",")),
         data_folder=Path(checks.checked_name("data_folder", data_folder)),
+        statsd=statsd_address(statsd),
     )
 
 
--- a/src/lycheefall/_operate/metrics.py
+++ b/src/lycheefall/_operate/metrics.py
@@ -14,33 +14,44 @@
 Count = Callable[[str, int], None]
 
 
-def ignore_counts(name: str, number: int) -> None:
-    """Drop a count; used when no statsd server is set."""
+# Sets the gauge of a name.
+Gauge = Callable[[str, float], None]
 
 
 class Metrics:
-    """Counters since the last flush."""
+    """Counters and gauges since the last flush; without a server they are dropped."""
 
-    __slots__ = ("_client", "_counters")
+    __slots__ = ("_client", "_counters", "_gauges")
 
-    def __init__(self, address: Address, prefix: str) -> None:
-        host, _, port = address.rpartition(":")
-        self._client = statsd.StatsClient(host, int(port), prefix=prefix)
+    def __init__(self, address: Address | None, prefix: str) -> None:
+        self._client: statsd.StatsClient | None = None
+        if address is not None:
+            host, _, port = address.rpartition(":")
+            self._client = statsd.StatsClient(host, int(port), prefix=prefix)
         self._counters: Counter[str] = Counter()
+        self._gauges: dict[str, float] = {}
 
     def count(self, name: str, number: int) -> None:
         """Add to a counter; the sum is sent at the next flush."""
         self._counters[name] += number
 
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge; the last value is sent at the next flush."""
+        self._gauges[name] = value
+
     async def run(self) -> None:
-        """Send the counters once a period."""
+        """Flush once a period."""
         while True:
             await asyncio.sleep(FLUSH_PERIOD_S)
             self.flush()
 
     def flush(self) -> None:
-        """Send the counters in one batch."""
-        with self._client.pipeline() as batch:
-            for name, number in self._counters.items():
-                batch.incr(name, number)
+        """Send what has changed in one batch."""
+        if self._client is not None:
+            with self._client.pipeline() as batch:
+                for name, number in self._counters.items():
+                    batch.incr(name, number)
+                for name, value in self._gauges.items():
+                    batch.gauge(name, value)
         self._counters.clear()
+        self._gauges.clear()
