Give an expert above the mean of the ranks another replica first

In a trace one expert without a replica had a load of 1.06 times the mean; its rank stays the slowest whatever else moves, and another replica makes the second rank the slowest for the moment, so no single change helped. 97 of 1,435 plans began above 1.1; of the first 60 of those 57 moved nothing.

Change: the search gives such an expert another replica, even if the new holder is slower for now, and goes on from there; the best plan on the way is kept as before.

Ruled out: a chain of two changes that frees a slot at a light rank for an expert of the slowest one.

The new example in tests/test_placement.py fails without the change.

--- a/src/lycheefall/_rules/placement.py
+++ b/src/lycheefall/_rules/placement.py
@@ -163,7 +163,9 @@
     for _ in range(CHANGES_MAX):
         if skew(layout.time) <= SKEW_REACHED:
             break
-        change = _best_change(layout, TARGETS) or _best_change(layout, limits.ranks)
+        change = (
+            _split(layout) or _best_change(layout, TARGETS) or _best_change(layout, limits.ranks)
+        )
         if change is None:
             break
         _carry_out(layout, change)
@@ -264,6 +266,27 @@
     return best
 
 
+def _split(layout: Layout) -> _Change | None:
+    """Return another replica for an expert whose share alone takes longer than the mean.
+
+    Its rank stays the slowest whatever else is moved. The new holder may become the slowest for
+    now; the search goes on from there and keeps the result only if it pays.
+    """
+    source = max(range(len(layout.time)), key=layout.time.__getitem__)
+    added = max(layout.held[source], key=lambda e: (layout.load[e] / len(layout.holders[e]), e))
+    share = layout.load[added] / len(layout.holders[added]) * layout.slowness[source]
+    if share * len(layout.time) <= sum(layout.time):
+        return None
+    ways = (
+        _Change(added, removed, source, target, swap=False)
+        for target in range(len(layout.time))
+        if added not in layout.held[target]
+        for removed in sorted(layout.held[target])
+        if len(layout.holders[removed]) > 1
+    )
+    return min(ways, key=lambda change: _reached(layout, change), default=None)
+
+
 def _changes(layout: Layout, added: int, removed: int, source: int, target: int) -> list[_Change]:
     """Return the ways to bring an expert of the slowest rank to another rank."""
     changes = []
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lycheefall._core.ids import RankId
 from lycheefall._core.messages.groups import Placement
 from lycheefall._rules.placement import Limits, Plan, count_moves, fresh, plan
 
@@ -71,6 +72,17 @@
         assert moved.skew_before > 1.8
         assert moved.skew_ratio <= 1.1
 
+    def test_expert_above_the_mean(self) -> None:
+        """Guards against an expert that alone keeps its rank slowest and gets no replica."""
+        limits = Limits(4, 10, 3, 10**9, store_bytes_per_s=2e9)
+        load = [1.11, 0.01, 0.01, *[0.48] * 6, 0.0]
+        held = ((0,), (0, 1), (0, 2), (1,), (1,), (2,), (2,), (3,), (3,), (3,))
+        before = tuple(tuple(RankId(rank) for rank in ranks) for ranks in held)
+        moved = plan(limits, load, [1.0] * 4, before)
+        assert moved.skew_before > 1.1
+        assert moved.skew_ratio <= 1.1
+        check_valid(moved.placement, limits)
+
     def test_time(self) -> None:
         """Guards against a plan that holds up the coordinator's task."""
         taken = []
