Deliver changes of configuration as differences

Change: a watch names the revision and a digest of the encoding that its process holds. Control keeps up to 32 revisions (4 MiB) as lines, one for each item of a table, and answers with copies of runs and new lines when it keeps that revision with that digest and the difference is smaller, else with the whole. It computes a difference once for a pair of revisions. The receiver checks the digest of the result and asks for the whole after a wrong one (event 4003). The rule is _rules/configuration_delta.py, the encoding _wire/configuration_codec.py. Watches without a digest, as of older processes, get the whole.

Tests: tests/test_configuration_delta.py, 6 pass; with the digest of the result not checked 1 fails, with the digest of the base not compared 2 fail.

--- a/bench/control_slopes.py
+++ b/bench/control_slopes.py
@@ -1,10 +1,12 @@
 """Cost of heartbeats, watchers and delivered files to a control replica and to watchers.
 
 Run: PYTHONPATH=src:tests:. python -m bench.control_slopes
+With `deliveries` behind it, only the delivery of files is measured.
 """
 
 import asyncio
 import contextlib
+import sys
 import tempfile
 import time
 from pathlib import Path
@@ -13,13 +15,18 @@
 
 from bench.slopes import ROUNDS, Point, processor_s, resident_mb, shares, show
 from bench.system import apply_teams, counts_of, crowd, replicas
-from lycheefall._core.ids import Address, Revision
+from lycheefall._control.held import Held, resolve
+from lycheefall._core.ids import Address, Incarnation, Revision
+from lycheefall._core.messages.control import Changes, Watch
+from lycheefall._wire.codec import encode
+from processes.scaffold import ask
 
 BEATS_PER_S = 4
 ANNOUNCERS = (25, 50, 100, 200)
 WATCHERS = (0, 50, 100, 200)
 MEMBERS = 100
 CROWDS = 4
+TEAMS = 570
 WINDOW_S = 1.5
 SETTLE_S = 1.5
 ARRIVE_S = 4.0
@@ -27,6 +34,9 @@
 
 def main() -> None:
     """Print points and slopes."""
+    if sys.argv[1:] == ["deliveries"]:
+        deliveries()
+        return
     for changes in (False, True):
         heartbeats(changes)
     watchers("watchers, no members", 0, False)
@@ -78,23 +88,46 @@
 
 
 def deliveries() -> None:
-    """Measure the time until a file of 570 teams is in force at all watchers."""
+    """Measure the time until a file of 570 teams with one more is in force at all watchers."""
+    sizes = uvloop.run(_sizes())
+    print(f"one more team than 570: {sizes[0]} bytes to a process, {sizes[1]} as a whole")
     times, cost, receiving = [], [], []
     for count in WATCHERS[1:]:
         trials = uvloop.run(_deliver(count))
         times.append(Point(count, tuple(each[0] for each in trials)))
         cost.append(Point(count, tuple(each[1] for each in trials)))
         receiving.append(Point(count, tuple(each[2] for each in trials)))
-    show("file of 570 teams in force everywhere, one replica", "watchers", "s", times)
-    show("replica, one such file above idle", "watchers", "processor s", cost)
-    show("watchers together, one such file above idle", "watchers", "processor s", receiving)
+    show("one more team than 570 in force everywhere, one replica", "watchers", "s", times)
+    show("replica, one such change above idle", "watchers", "processor s", cost)
+    show("watchers together, one such change above idle", "watchers", "processor s", receiving)
+
+
+async def _sizes() -> tuple[int, int]:
+    """Return the bytes of the answer that brings a change, and of a whole configuration."""
+    with tempfile.TemporaryDirectory() as folder, replicas(Path(folder), 1) as running:
+        address = running[0][1]
+        await apply_teams((address,))
+        first = await _answer(address, Held())
+        await _apply(address, 1)
+        answer = await _answer(address, resolve(Held(), first)[0])
+    return len(encode(answer)), len(encode(first))
+
+
+async def _answer(address: Address, held: Held) -> Changes:
+    """Ask as a process that holds this until a revision comes that it lacks."""
+    watch = Watch(1, held.revision, Incarnation(""), 0, 0, held.digest)
+    while True:
+        answer = await ask(address, watch)
+        assert isinstance(answer, Changes)
+        if answer.revision > held.revision:
+            return answer
 
 
 async def _deliver(count: int) -> list[tuple[float, float, float]]:
     with contextlib.ExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         process, address = stack.enter_context(replicas(folder, 1))[0]
-        await apply_teams((address,), teams=10)
+        await apply_teams((address,))
         watch = {"watchers": count // CROWDS, "watch": [address]}
         crowds = [stack.enter_context(crowd(**watch)) for _ in range(CROWDS)]
         await asyncio.sleep(SETTLE_S)
@@ -117,7 +150,7 @@
 
 
 async def _apply(address: Address, revision: int) -> None:
-    await apply_teams((address,), Revision(revision))
+    await apply_teams((address,), Revision(revision), TEAMS + revision)
 
 
 def _spent(pids: list[int]) -> tuple[float, float]:
--- a/bench/state_slopes.py
+++ b/bench/state_slopes.py
@@ -1,10 +1,14 @@
 """Bytes, memory and time of the state that roles hold, at sizes up to the one to design for.
 
 Run: PYTHONPATH=src:tests:. python -m bench.state_slopes
+With `differences` behind it, only the differences between configurations are measured.
 Everything runs in one process without sockets. Times are processor time.
 """
 
+import difflib
 import gc
+import statistics
+import sys
 import time
 import tracemalloc
 from collections.abc import Callable, Iterator, Sequence
@@ -13,17 +17,20 @@
 from logging import ERROR
 
 import structlog
+from msgspec import structs
 
 from bench.bench_claims import fill
 from bench.rules_cost import admission_run, table_of
 from bench.slopes import ROUNDS, Point, show
+from lycheefall._control.held import Held, resolve
 from lycheefall._control.messages import AppliedView, ReplicaView
-from lycheefall._control.publish import Published, changes
+from lycheefall._control.publish import Published, changes, take_applied
 from lycheefall._core.configuration import Configuration
 from lycheefall._core.enums import MemberState, ReplicaRole, UpstreamKind
 from lycheefall._core.ids import (
     Address,
     DataCentreId,
+    Digest,
     Incarnation,
     InstanceId,
     LogIndex,
@@ -32,15 +39,17 @@
     Term,
     UpstreamId,
 )
-from lycheefall._core.messages.control import Changes, Watch
+from lycheefall._core.messages.control import Changes, Copy, Edit, Insert, Watch
 from lycheefall._core.messages.membership import Announce, EntryMember, Load, Member, UpstreamMember
 from lycheefall._entry.catalogue import build_catalogue
 from lycheefall._entry.upstreams import FORGET_S, step_upstreams
 from lycheefall._operate.configuration_file import parse_configuration
-from lycheefall._rules import membership
+from lycheefall._rules import configuration_delta, membership
+from lycheefall._rules.configuration_delta import Kept
 from lycheefall._rules.membership import MembershipState, Sweep
 from lycheefall._rules.replicated import machine
 from lycheefall._wire.codec import decode_from_control, encode
+from lycheefall._wire.configuration_codec import digest_of_lines, lines_of
 from processes.fleet import configuration_text
 
 MEMBERS = (123, 410, 820, 1_230)
@@ -55,8 +64,12 @@
 def main() -> None:
     """Print points and slopes."""
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(ERROR))
+    if sys.argv[1:] == ["differences"]:
+        differences()
+        return
     watch_answers()
     configurations()
+    differences()
     claims()
     entry_state()
 
@@ -168,6 +181,88 @@
     return encode(Changes(1, ends, None, Revision(1), configuration, 1, False, (), (), ()))
 
 
+def differences() -> None:
+    """Compare two ways to find the difference between files of 570 teams, and its cost."""
+    old = parse_configuration(configuration_text(0, 570), Revision(1))
+    teams = old.teams
+    limits = structs.replace(old.limits, queue_s=old.limits.queue_s + 1)
+    kinds = {
+        "one changed limit": structs.replace(old, limits=limits),
+        "one added team": parse_configuration(configuration_text(1, 571), Revision(2)),
+        "a block of 100 teams moved": structs.replace(
+            old, teams=teams[100:300] + teams[:100] + teams[300:]
+        ),
+    }
+    for name, changed in kinds.items():
+        new = structs.replace(changed, revision=Revision(2), digest=Digest("0" * 32))
+        pair = lines_of(old), lines_of(new)
+        for way, find in (("runs", configuration_delta.difference), ("difflib", _by_difflib)):
+            assert configuration_delta.apply_edits(pair[0], find(*pair)) == pair[1]
+            median_us = statistics.median(cost_us(partial(find, *pair)))
+            print(f"{name}, {way}: {len(encode(find(*pair)))} bytes, {median_us:.0f} us")
+        _deliveries(name, old, new)
+
+
+def _deliveries(name: str, old: Configuration, new: Configuration) -> None:
+    """Print what one change costs a replica, once and a watcher, and each watcher."""
+    state, views = published(0), [AppliedView(LogIndex(1), each, 0) for each in (old, new)]
+    lines = lines_of(old)
+    held = Held(Revision(1), digest_of_lines(lines), lines)
+
+    def once() -> None:
+        state.kept = Kept()
+        for view in views:
+            take_applied(state, view)
+
+    def pair() -> None:
+        state.kept.deltas.clear()
+        configuration_delta.delta_for(state.kept, Revision(1), held.digest, Revision(2))
+
+    def change(watch: Watch) -> None:
+        once()
+        for _ in range(MEMBERS[-1]):
+            answer(state, watch)
+
+    once()
+    watch = Watch(1, Revision(1), Incarnation("p"), state.members.version, 0, held.digest)
+    whole = structs.replace(watch, digest=Digest(""))
+    arrived = changes(state, watch, SEEN_S)
+    figures = {
+        "replica, lines and digest of a revision": (once, 2),
+        "replica, difference of a pair": (pair, 1),
+        "replica, answer with the difference": (partial(answer, state, watch), 1),
+        "replica, answer with the whole": (partial(answer, state, whole), 1),
+        "replica, two revisions and 1,230 differences": (partial(change, watch), 1),
+        "replica, two revisions and 1,230 wholes": (partial(change, whole), 1),
+        "watcher, difference": (partial(_receive, held, answer(state, watch)), 1),
+        "watcher, whole": (partial(_receive, Held(), answer(state, whole)), 1),
+        "watcher, decoding the whole alone": (
+            partial(decode_from_control, answer(state, whole)),
+            1,
+        ),
+    }
+    print(f"  {len(encode(arrived))} bytes, {len(answer(state, whole))} as a whole")
+    for title, (call, parts) in figures.items():
+        print(f"  {title}: {statistics.median(cost_us(call)) / parts:.0f} us")
+
+
+def _receive(held: Held, payload: bytes) -> None:
+    message = decode_from_control(payload)
+    assert isinstance(message, Changes)
+    assert resolve(held, message)[1].configuration is not None
+
+
+def _by_difflib(old: tuple[bytes, ...], new: tuple[bytes, ...]) -> tuple[Edit, ...]:
+    matcher = difflib.SequenceMatcher(None, old, new, autojunk=False)
+    edits: list[Edit] = []
+    for kind, start, end, new_start, new_end in matcher.get_opcodes():
+        if kind == "equal":
+            edits.append(Copy(start, end - start))
+        elif new_end > new_start:
+            edits.append(Insert(new[new_start:new_end]))
+    return tuple(edits)
+
+
 def claims() -> None:
     """Measure memory and snapshot of answered claims."""
     memory, snapshot, encoding = [], [], []
--- a/src/lycheefall/_control/client.py
+++ b/src/lycheefall/_control/client.py
@@ -4,12 +4,13 @@
 from collections.abc import Callable
 from uuid import uuid4
 
-from msgspec import Struct, field, structs
+from msgspec import Struct, field
 
+from lycheefall._control.held import Held, resolve
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.events import Event
 from lycheefall._core.exceptions import ControlUnavailable
-from lycheefall._core.ids import NO_REVISION, Address, CommandId, Incarnation, Revision
+from lycheefall._core.ids import NO_REVISION, Address, CommandId, Incarnation
 from lycheefall._core.log import log
 from lycheefall._core.messages.control import (
     Changes,
@@ -100,7 +101,7 @@
     reached_s: float = 0.0
     is_lost: bool = False
     sequence: int = 0
-    revision: Revision = NO_REVISION
+    held: Held = Held()
     replica: Incarnation = Incarnation("")
     membership_version: int = 0
     suspects_version: int = 0
@@ -223,10 +224,11 @@
     state.sequence += 1
     watch = Watch(
         state.sequence,
-        state.revision,
+        state.held.revision,
         state.replica,
         state.membership_version,
         state.suspects_version,
+        state.held.digest,
     )
     return _send(state, watch)
 
@@ -313,7 +315,7 @@
     if message.leader is not None:
         state.current_s = now_s
         _note_reached(state, now_s)
-    is_first = state.revision == NO_REVISION
+    is_first = state.held.revision == NO_REVISION
     _deliver(state, message)
     if is_first:
         _move_for_first_copy(state, message, inbox, now_s)
@@ -328,17 +330,13 @@
 
 def _deliver(state: Client, message: Changes) -> None:
     """Deliver changes, without a configuration that is older than the one delivered last."""
-    configuration = message.configuration
-    if configuration is not None and configuration.revision <= state.revision:
-        configuration = None
-        message = structs.replace(message, configuration=None)
+    held, message = resolve(state.held, message)
     if not state.watch(message):
         return
+    state.held = held
     state.replica = message.replica
     state.membership_version = message.membership_version
     state.suspects_version = max(state.suspects_version, message.suspects_version)
-    if configuration is not None:
-        state.revision = configuration.revision
 
 
 def _move_for_first_copy(
@@ -346,7 +344,7 @@
 ) -> None:
     """Go to the leader for the first copy and then back, so that watches are spread."""
     home = state.addresses[state.position]
-    if state.revision == NO_REVISION:
+    if state.held.revision == NO_REVISION:
         if message.leader is not None and message.leader != state.address:
             _connect(state, message.leader, inbox, now_s)
     elif state.address != home and not state.pending:
--- a/src/lycheefall/_control/publish.py
+++ b/src/lycheefall/_control/publish.py
@@ -13,11 +13,20 @@
     Revision,
     UpstreamId,
 )
-from lycheefall._core.messages.control import Changes, FromControl, StatusQuery, StatusReport, Watch
+from lycheefall._core.messages.control import (
+    Changes,
+    ConfigurationDelta,
+    FromControl,
+    StatusQuery,
+    StatusReport,
+    Watch,
+)
 from lycheefall._core.messages.membership import Announce
 from lycheefall._core.pipeline import Inbox
-from lycheefall._rules import membership
+from lycheefall._rules import configuration_delta, membership
+from lycheefall._rules.configuration_delta import Kept, KeptRevision
 from lycheefall._rules.membership import MemberKey, MemberKind, MembershipState, Sweep
+from lycheefall._wire.configuration_codec import digest_of_lines, lines_of
 
 # A member is left out after this time without a heartbeat.
 SILENT_AFTER_S = 1.0
@@ -33,6 +42,7 @@
     process: Incarnation
     view: ReplicaView
     applied: AppliedView
+    kept: Kept = field(default_factory=Kept)
     members: MembershipState = field(default_factory=lambda: membership.initial(SILENT_AFTER_S))
 
 
@@ -50,12 +60,22 @@
             if isinstance(message, ReplicaView):
                 state.view = message
             elif isinstance(message, AppliedView):
-                state.applied = message
+                take_applied(state, message)
         for message in batch:
             if isinstance(message, ClientMessage):
                 _on_client(state, message, answer, now_s)
 
 
+def take_applied(state: Published, view: AppliedView) -> None:
+    """Take what the state machine holds, and keep its configuration for differences."""
+    state.applied = view
+    configuration = view.configuration
+    if configuration.revision > state.kept.last:
+        lines = lines_of(configuration)
+        accepted = KeptRevision(configuration.revision, digest_of_lines(lines), lines)
+        configuration_delta.keep(state.kept, accepted)
+
+
 def _on_client(
     state: Published,
     message: ClientMessage,
@@ -90,22 +110,29 @@
     revision = known_revision(state, watch, now_s)
     is_known = watch.replica == state.process and watch.membership_version > 0
     since = watch.membership_version if is_known else _NO_VERSION
-    delta = membership.changes_since(state.members, since)
+    members = membership.changes_since(state.members, since)
+    is_new = revision > watch.revision
+    delta = _delta(state, watch, revision) if is_new else None
     return Changes(
         watch.sequence,
         state.process,
         state.view.leader,
         revision,
-        state.applied.configuration if revision > watch.revision else None,
-        delta.version,
-        delta.full,
-        delta.members,
-        tuple(UpstreamId(name) for name in _names(delta.removed, MemberKind.UPSTREAM)),
-        tuple(InstanceId(name) for name in _names(delta.removed, MemberKind.ENTRY)),
+        state.applied.configuration if is_new and delta is None else None,
+        members.version,
+        members.full,
+        members.members,
+        tuple(UpstreamId(name) for name in _names(members.removed, MemberKind.UPSTREAM)),
+        tuple(InstanceId(name) for name in _names(members.removed, MemberKind.ENTRY)),
         *_crashes(state.applied, watch),
+        delta,
     )
 
 
+def _delta(state: Published, watch: Watch, revision: Revision) -> ConfigurationDelta | None:
+    return configuration_delta.delta_for(state.kept, watch.revision, watch.digest, revision)
+
+
 def _crashes(
     applied: AppliedView, watch: Watch
 ) -> tuple[int, tuple[Fingerprint, ...] | None, tuple[Fingerprint, ...] | None]:
--- a/src/lycheefall/_control/service.py
+++ b/src/lycheefall/_control/service.py
@@ -19,7 +19,7 @@
     ToPublish,
     ToStep,
 )
-from lycheefall._control.publish import Published, run_publish
+from lycheefall._control.publish import Published, run_publish, take_applied
 from lycheefall._control.settings import ControlSettings
 from lycheefall._control.step import StepOutlets, run_step
 from lycheefall._control.storage import Loaded, close_storage, open_storage
@@ -169,9 +169,12 @@
 def _published(settings: ControlSettings, consensus: Consensus, applied: Applied) -> Published:
     never_s = float("-inf")
     view = ReplicaView(consensus.role, consensus.term, consensus.commit, None, (), never_s, never_s)
-    return Published(
+    held = view_of(applied)
+    published = Published(
         instance=settings.instance,
         process=Incarnation(uuid4().hex),
         view=view,
-        applied=view_of(applied),
+        applied=held,
     )
+    take_applied(published, held)
+    return published
--- a/src/lycheefall/_core/messages/control.py
+++ b/src/lycheefall/_core/messages/control.py
@@ -210,6 +210,8 @@
     replica: Incarnation
     membership_version: int
     suspects_version: int = 0
+    # Of the encoded configuration that is held; without it the whole one is sent.
+    digest: Digest = Digest("")
 
 
 class EpochInForce(Struct, frozen=True, array_like=True):
@@ -221,6 +223,32 @@
     placement: tuple[tuple[RankId, ...], ...]
 
 
+class Copy(Struct, frozen=True, array_like=True, tag=57):
+    """Take a run of lines of the configuration that is held."""
+
+    start: int
+    count: int
+
+
+class Insert(Struct, frozen=True, array_like=True, tag=58):
+    """Take new lines."""
+
+    lines: tuple[bytes, ...]
+
+
+Edit = Copy | Insert
+
+
+class ConfigurationDelta(Struct, frozen=True, array_like=True):
+    """The difference between two revisions, in the order of the new lines."""
+
+    base: Revision
+    revision: Revision
+    # Of all lines of the new configuration.
+    digest: Digest
+    edits: tuple[Edit, ...]
+
+
 class Changes(Struct, frozen=True, array_like=True, tag=54):
     """Answer a watch; parts that have not changed are absent."""
 
@@ -239,6 +267,8 @@
     suspects_version: int = 0
     refused: tuple[Fingerprint, ...] | None = None
     suspects: tuple[Fingerprint, ...] | None = None
+    # Stands for the configuration; the control client puts the whole one in its place.
+    delta: ConfigurationDelta | None = None
 
 
 class StatusQuery(Struct, frozen=True, array_like=True, tag=55):
--- /dev/null
+++ b/tests/test_configuration_delta.py
@@ -0,0 +1,134 @@
+"""Tests of differences between configurations, and of who is sent one."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from msgspec import structs
+
+from lycheefall._control.held import NO_DIGEST, Held, resolve
+from lycheefall._control.messages import AppliedView, ReplicaView
+from lycheefall._control.publish import Published, changes, take_applied
+from lycheefall._core.configuration import Configuration
+from lycheefall._core.enums import ReplicaRole
+from lycheefall._core.ids import Digest, Incarnation, InstanceId, LogIndex, Revision, Term
+from lycheefall._core.messages.control import Changes, Insert, Watch
+from lycheefall._operate.configuration_file import parse_configuration
+from lycheefall._rules.configuration_delta import (
+    KEPT_BYTES,
+    KEPT_REVISIONS,
+    Kept,
+    KeptRevision,
+    apply_edits,
+    delta_for,
+    difference,
+    keep,
+    size_of,
+)
+from lycheefall._wire.codec import decode_from_control, encode
+from lycheefall._wire.configuration_codec import configuration_of, lines_of
+from processes.fleet import configuration_text
+
+LINES = st.lists(st.binary(max_size=3), max_size=12).map(tuple)
+CHECKED = settings(max_examples=200, deadline=None, derandomize=True)
+
+
+def configuration(revision: int) -> Configuration:
+    """Return a configuration that has one team more in each revision."""
+    text = configuration_text(revision - 1, 30 + revision)
+    return parse_configuration(text, Revision(revision))
+
+
+def replica(*revisions: int) -> Published:
+    """Return a settled replica that has published these revisions."""
+    view = ReplicaView(ReplicaRole.LEADER, Term(1), LogIndex(1), None, (), 9.0, 9.0)
+    views = [AppliedView(LogIndex(1), configuration(each), 0) for each in revisions]
+    state = Published(
+        instance=InstanceId("a"), process=Incarnation("p"), view=view, applied=views[0]
+    )
+    for each in views:
+        take_applied(state, each)
+    return state
+
+
+def ask(state: Published, held: Held) -> Changes:
+    """Return the answer to a process, as it arrives."""
+    watch = Watch(1, held.revision, Incarnation(""), 0, 0, held.digest)
+    answer = decode_from_control(encode(changes(state, watch, 0.0)))
+    assert isinstance(answer, Changes)
+    return answer
+
+
+class TestRule:
+    @given(LINES, LINES)
+    @CHECKED
+    def test_difference(self, old: tuple[bytes, ...], new: tuple[bytes, ...]) -> None:
+        """Guards against a difference that doesn't give the new lines."""
+        edits = difference(old, new)
+        assert apply_edits(old, edits) == new
+        inserted = [each for edit in edits if isinstance(edit, Insert) for each in edit.lines]
+        assert not set(inserted) & set(old)
+
+    @given(st.lists(st.tuples(st.integers(1, 3), LINES), max_size=80), st.integers(0, 90))
+    @CHECKED
+    def test_form(self, accepted: list[tuple[int, tuple[bytes, ...]]], base: int) -> None:
+        """Guards against a difference against a revision that isn't kept, and against a lost one.
+
+        The oracle is the list of all revisions.
+        """
+        state, known = Kept(), {}
+        revision = 0
+        for step, lines in accepted:
+            revision += step
+            # Long lines, so that differences are worth it.
+            known[revision] = tuple(line * 100 for line in lines)
+            keep(state, KeptRevision(Revision(revision), Digest("d"), known[revision]))
+        recent = list(known)[-KEPT_REVISIONS:]
+        delta = delta_for(state, Revision(base), Digest("d"), Revision(revision))
+        assert delta_for(state, Revision(base), Digest("e"), Revision(revision)) is None
+        if delta is not None:
+            assert base in recent
+            assert apply_edits(known[base], delta.edits) == known[revision]
+            assert len(encode(delta.edits)) < size_of(known[revision])
+        elif base in recent:
+            edits = difference(known[base], known[revision])
+            assert len(encode(edits)) + 20 * (len(known[revision]) + 1) > size_of(known[revision])
+
+    def test_bounded_bytes(self) -> None:
+        """Guards against kept revisions that fill the memory of a replica."""
+        state = Kept()
+        for number in range(1, 8):
+            keep(state, KeptRevision(Revision(number), Digest("d"), (bytes(KEPT_BYTES // 4),)))
+        assert list(state.revisions) == [4, 5, 6, 7]
+        keep(state, KeptRevision(Revision(8), Digest("d"), (bytes(KEPT_BYTES + 1),)))
+        assert (list(state.revisions), state.total_bytes) == ([], 0)
+
+
+class TestDelivery:
+    def test_codec(self) -> None:
+        """Guards against a field of the configuration that its lines don't hold."""
+        assert configuration_of(lines_of(configuration(3))) == configuration(3)
+        assert configuration_of(lines_of(Configuration())) == Configuration()
+
+    def test_delta(self) -> None:
+        """Guards against a whole copy for each change, and against one that is never sent."""
+        held, first = resolve(Held(), ask(replica(1), Held()))
+        assert first.configuration == configuration(1)
+        answer = ask(replica(1, 2), held)
+        assert answer.delta is not None and answer.configuration is None
+        assert len(encode(answer)) < len(encode(first)) / 5
+        after, second = resolve(held, answer)
+        assert second.configuration == configuration(2)
+        assert resolve(after, answer) == (after, structs.replace(second, configuration=None))
+        # A replica that doesn't keep the base, and a watcher with other lines of it.
+        assert ask(replica(2), held).configuration == configuration(2)
+        assert ask(replica(1, 2), structs.replace(held, digest=Digest("x"))).delta is None
+
+    def test_wrong_digest(self) -> None:
+        """Guards against a process that works with the result of a damaged difference."""
+        held, _ = resolve(Held(), ask(replica(1), Held()))
+        answer = ask(replica(1, 2), held)
+        assert answer.delta is not None
+        damaged = structs.replace(answer.delta, edits=answer.delta.edits[1:])
+        refused, shown = resolve(held, structs.replace(answer, delta=damaged))
+        assert (shown.configuration, refused.revision, refused.digest) == (None, 1, NO_DIGEST)
+        _, repaired = resolve(refused, ask(replica(1, 2), refused))
+        assert repaired.configuration == configuration(2)
