Let agents admit chats by their own exact count

Cause: an agent refused only above twice the concurrency, so a request that an entry sent to a full engine waited there behind long answers.

Change: an agent lets a chat of the n-th priority begin only while n slots stay free (none for the first, never more than a quarter), or while the priority holds less than its share. An entry foresees this with the same rule and the last count. A refusal is no attempt towards the limit of four, spends no retry, is neither an answer nor an error, and does not lower the adaptive limit. The request takes its other upstream or waits in the entry, by priority and arrival, until a count shows a slot. It waits until its deadline; the bound of 2 s holds only while no upstream is up. Lookups and bookings keep the bound of twice the concurrency.

A test of choice.py expected a lost request to be sent to one of its own upstreams though both were full. It now expects one of them for each count below that, and no upstream when both are full.

--- a/src/lycheefall/_agent/check.py
+++ b/src/lycheefall/_agent/check.py
@@ -26,7 +26,7 @@
 )
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.configuration import Configuration
-from lycheefall._core.enums import AttemptState, MemberState
+from lycheefall._core.enums import AttemptState, MemberState, RouteKind
 from lycheefall._core.ids import NO_REVISION
 from lycheefall._core.messages.dispatch import (
     Cancel,
@@ -45,8 +45,10 @@
 from lycheefall._core.messages.membership import Load, UpstreamMember
 from lycheefall._rules import attempts
 from lycheefall._rules.attempts import AttemptsState, SetDraining, SetKeyRetention
+from lycheefall._rules.slots import may_begin
 
-# Attempts beyond the concurrency that may wait in the upstream, as a multiple of it.
+# Lookups and bookings beyond the concurrency that may wait in the upstream, as a multiple of it.
+# They are short, and a booking that is refused costs a commit.
 BACKLOG_RATIO = 1.0
 # Load queries that may fail before the upstream counts as failed.
 SILENT_LOAD_QUERIES = 2
@@ -70,6 +72,8 @@
     attempts: AttemptsState
     revision: int = NO_REVISION
     drained_by_file: bool = False
+    # Shares of the priorities of the file, in its order.
+    share_ratios: tuple[float, ...] = ()
     stopping: bool = False
     silent_queries: int = 0
     load_read_s: float = 0.0
@@ -173,6 +177,11 @@
         return ResultCode.UPSTREAM_BUSY if is_full else ResultCode.OK
     if state.alone is not None or state.waiting_alone:
         return ResultCode.UPSTREAM_BUSY
+    if dispatch.kind is RouteKind.CHAT:
+        held = [forward.dispatch.rank for forward in state.running.values()]
+        ratio = state.share_ratios[dispatch.rank] if dispatch.rank < len(state.share_ratios) else 0
+        begins = may_begin(held, dispatch.rank, state.member.concurrency, ratio)
+        return ResultCode.OK if begins else ResultCode.UPSTREAM_BUSY
     if len(state.running) >= state.member.concurrency * (1 + BACKLOG_RATIO):
         return ResultCode.UPSTREAM_BUSY
     return ResultCode.OK
@@ -272,6 +281,7 @@
 
 def _take_configuration(state: CheckState, configuration: Configuration, now_s: float) -> None:
     state.revision = configuration.revision
+    state.share_ratios = tuple(each.share_ratio for each in configuration.priorities)
     state.drained_by_file = any(
         pool.name == state.member.pool and state.member.upstream in pool.drain
         for pool in configuration.pools
--- a/src/lycheefall/_rules/call_state.py
+++ b/src/lycheefall/_rules/call_state.py
@@ -55,6 +55,8 @@
     stream: StreamState | None = None
     unread_frames: int = 0
     tried: set[UpstreamId] = field(default_factory=set)
+    # Attempts that agents refused for want of a free slot; they are no failures.
+    busy_refusals: int = 0
     # An attempt may have run without its end being known.
     lost: bool = False
     parked_s: float | None = None
@@ -169,6 +171,14 @@
     call.occupied = None
 
 
+def withdraw(state: CallsState, call: Call) -> None:
+    """Take the call off an upstream that refused it."""
+    table = table_of(state, call.upstream)
+    if table is not None and call.occupied is not None:
+        upstreams.refused(table, call.upstream, call.occupied)
+    call.occupied = None
+
+
 def make_dispatch(state: CallsState, call: Call, now_s: float) -> Dispatch:
     """Return the dispatch of the call's attempt."""
     request = call.call
--- a/src/lycheefall/_rules/calls.py
+++ b/src/lycheefall/_rules/calls.py
@@ -61,23 +61,24 @@
     make_dispatch,
     occupy,
     table_of,
+    withdraw,
 )
 from lycheefall._rules.call_streams import begin_stream, credit
 from lycheefall._rules.known_upstreams import (
     capacities,
     configure,
+    is_full,
     learn_refusal,
     link_down,
     link_up,
     upstream_heard,
     upstream_left,
 )
+from lycheefall._rules.parking import due, park
 from lycheefall._rules.refusals import refuse
 from lycheefall._rules.retries import RetryAdvice
 
 MAX_ATTEMPTS = 4
-# A call waits this long for an upstream that can take it.
-PARK_S = 2.0
 REFUSED_DETAIL = "this request has crashed upstreams and is refused for now"
 
 
@@ -149,12 +150,12 @@
         return end(state, call, code, REFUSED_DETAIL, now_s)
     if suspect_calls.must_wait(state, call):
         return suspect_calls.wait(state, call, now_s)
-    if call.attempt >= MAX_ATTEMPTS and call.lease is None:
+    if call.attempt - call.busy_refusals >= MAX_ATTEMPTS and call.lease is None:
         detail = f"{call.attempt} upstreams could not take the request"
         return end(state, call, otherwise, detail, now_s)
     upstream = choose(state, call, call.tried, now_s) or choose(state, call, set(), now_s)
     if upstream is None:
-        return _park(state, call, otherwise, now_s)
+        return park(state, call, otherwise, now_s)
     state.parked.pop(call.call.request, None)
     call.parked_s = None
     call.attempt = AttemptNumber(call.attempt + 1)
@@ -163,20 +164,9 @@
     return [ToLink(upstream, make_dispatch(state, call, now_s))]
 
 
-def _park(state: CallsState, call: Call, otherwise: ResultCode, now_s: float) -> list[FromDispatch]:
-    if call.parked_s is None:
-        call.parked_s = now_s
-        state.parked[call.call.request] = call
-    if now_s - call.parked_s < PARK_S or call.lease is not None:
-        return []
-    detail = "no upstream of the route can take the request"
-    return end(state, call, otherwise, detail, now_s)
-
-
 def _unpark(state: CallsState, now_s: float) -> list[FromDispatch]:
     results: list[FromDispatch] = []
-    due = [call for call in state.parked.values() if call.not_before_s <= now_s]
-    for call in due:
+    for call in due(state, now_s):
         code = ResultCode.UPSTREAM_LOST if call.lost else ResultCode.NO_UPSTREAM
         results += _attempt(state, call, code, now_s)
     return results
@@ -281,20 +271,25 @@
     # The refused copy of a duplicate is the second one; the first one started.
     if call is None or call.occupied is None or refused.code is ResultCode.DUPLICATE_ATTEMPT:
         return []
-    leave(state, call, now_s)
-    learn_refusal(state, source, refused.code, now_s)
+    withdraw(state, call)
+    learn_refusal(state, source, refused, now_s)
     if call.lease is not None:
         # A suspect has one upstream only, so the next tick tries again.
-        return _park(state, call, refused.code, now_s)
+        return park(state, call, refused.code, now_s)
     # A refusal speaks of its own attempt only; an earlier one may have run.
     code = ResultCode.UPSTREAM_LOST if call.lost else refused.code
+    if is_full(call, refused):
+        # The agent's count now keeps the call from this upstream until a slot is free there.
+        call.tried.discard(source)
+        call.busy_refusals += 1
+        return _attempt(state, call, code, now_s)
     if retries.advise(refused.code, True) is RetryAdvice.NEVER:
         return end(state, call, code, "the agent refused the attempt", now_s)
     is_down = refused.code is ResultCode.NOT_CONNECTED
     if is_down or choose(state, call, call.tried, now_s) is None:
         # By then a crash that brought the upstream down is known to every entry.
         call.not_before_s = now_s + WIDEN_AFTER_S
-        return _park(state, call, refused.code, now_s)
+        return park(state, call, refused.code, now_s)
     # A refused attempt cost the upstream nothing, so it takes nothing from the retry budget.
     return _attempt(state, call, code, now_s)
 
--- a/src/lycheefall/_rules/choice.py
+++ b/src/lycheefall/_rules/choice.py
@@ -11,11 +11,13 @@
 
 from msgspec import Struct
 
+from lycheefall._core.enums import RouteKind
 from lycheefall._core.ids import PoolId, UpstreamId
 from lycheefall._core.messages.entry import CallerRequest
 from lycheefall._rules import rendezvous
 from lycheefall._rules.routing import Ask, Picker
-from lycheefall._rules.upstreams import Table
+from lycheefall._rules.slots import kept_free
+from lycheefall._rules.upstreams import Table, free_slots
 
 
 class Wish(Struct, frozen=True, kw_only=True):
@@ -42,12 +44,23 @@
         return pick(table, Ask(excluded=narrow, alone=True), now_s)
     # A cached prompt saves less than the wait for a slot behind long answers.
     scopes = (narrow, blocked) if wish.may_widen else (narrow,)
-    # Less urgent requests leave a slot at each upstream for urgent ones, if they can.
-    needs = (1, 0) if call.rank == 0 else (2, 1, 0)
-    asks = (Ask(excluded=scope, free_slots=need) for need in needs for scope in scopes)
+    # Less urgent requests leave the slots that agents keep, and after a wait ask for their share.
+    needs = (call.rank + 1, 1) if wish.may_widen else (call.rank + 1,)
+    asks = [Ask(excluded=scope, free_slots=need) for need in needs for scope in scopes]
+    # What is left has recent errors, or no free slot; an agent would refuse a chat there.
+    full = _full(table, call) if call.route.kind is RouteKind.CHAT else frozenset()
+    asks += [Ask(excluded=scope | full) for scope in scopes]
     return next((found for ask in asks if (found := pick(table, ask, now_s))), None)
 
 
+def _full(table: Table, call: CallerRequest) -> frozenset[UpstreamId]:
+    return frozenset(
+        each.member.upstream
+        for each in table.subset
+        if free_slots(each) <= kept_free(call.rank, each.member.concurrency)
+    )
+
+
 def own_upstreams(
     call: CallerRequest, names: Iterable[UpstreamId], *, alone: bool
 ) -> frozenset[UpstreamId]:
--- a/src/lycheefall/_rules/known_upstreams.py
+++ b/src/lycheefall/_rules/known_upstreams.py
@@ -2,8 +2,9 @@
 
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.configuration import Configuration
-from lycheefall._core.enums import MemberState
+from lycheefall._core.enums import MemberState, RouteKind
 from lycheefall._core.ids import NO_REVISION, UpstreamId
+from lycheefall._core.messages.dispatch import Refused
 from lycheefall._core.messages.entry import (
     BookingLinkLost,
     Capacity,
@@ -14,7 +15,7 @@
     UpstreamLeft,
 )
 from lycheefall._rules import limits, upstreams
-from lycheefall._rules.call_state import CallsState, table_of
+from lycheefall._rules.call_state import Call, CallsState, table_of
 from lycheefall._rules.upstreams import Table
 
 
@@ -54,15 +55,26 @@
     return [BookingLinkLost(down.upstream)]
 
 
-def learn_refusal(state: CallsState, source: UpstreamId, code: ResultCode, now_s: float) -> None:
-    """Take an upstream for draining or full when it refused for that reason."""
+def learn_refusal(state: CallsState, source: UpstreamId, refused: Refused, now_s: float) -> None:
+    """Take an upstream for draining or congested when it refused for that reason."""
     table = table_of(state, source)
-    if table is None or source not in table.upstreams:
+    known = table.upstreams.get(source) if table is not None else None
+    if table is None or known is None:
         return
-    if code is ResultCode.UPSTREAM_DRAINING:
+    if refused.code is ResultCode.UPSTREAM_DRAINING:
         upstreams.set_state(table, source, MemberState.DRAINING)
-    elif code is ResultCode.UPSTREAM_BUSY:
-        limits.observe_refusal(table.upstreams[source].limit, now_s)
+    elif refused.code is ResultCode.UPSTREAM_BUSY:
+        # An agent that keeps or has no free slot is not congested: nothing waits behind it.
+        occupancy = refused.occupancy
+        if occupancy is None or occupancy.attempts > known.member.concurrency:
+            limits.observe_refusal(known.limit, now_s)
+
+
+def is_full(call: Call, refused: Refused) -> bool:
+    """Tell whether an agent refused a chat for want of a free slot."""
+    is_chat = call.call.route.kind is RouteKind.CHAT
+    counted = refused.occupancy is not None
+    return is_chat and counted and refused.code is ResultCode.UPSTREAM_BUSY
 
 
 def configure(state: CallsState, configuration: Configuration) -> list[FromDispatch]:
--- a/src/lycheefall/_rules/routing.py
+++ b/src/lycheefall/_rules/routing.py
@@ -12,6 +12,7 @@
 from lycheefall._core.ids import UpstreamId
 from lycheefall._rules import limits, upstreams
 from lycheefall._rules.prefix_cache import longest_match
+from lycheefall._rules.slots import kept_free
 from lycheefall._rules.upstreams import Table, Upstream
 
 # Queued tokens that weigh as much as one request.
@@ -34,7 +35,7 @@
     excluded: frozenset[UpstreamId] = frozenset()
     # A suspect of a crash: takes the upstream with the least work.
     alone: bool = False
-    # Only an upstream that seems to have this many free slots will do.
+    # Only an upstream that seems to have this many free slots will do, or as many as it keeps.
     free_slots: int = 0
 
 
@@ -116,7 +117,7 @@
     """Return whether an upstream has free slots that are not free because it fails at once."""
     if upstreams.recent_errors(upstream, now_s) >= _TOLERATED_ERRORS:
         return False
-    return upstreams.free_slots(upstream) >= slots
+    return upstreams.free_slots(upstream) > kept_free(slots - 1, upstream.member.concurrency)
 
 
 def expected_cost(table: Table, upstream: Upstream, now_s: float) -> float:
--- a/src/lycheefall/_rules/upstreams.py
+++ b/src/lycheefall/_rules/upstreams.py
@@ -274,6 +274,20 @@
     return table
 
 
+def refused(table: Table, upstream: UpstreamId, attempt: AttemptKey) -> Table:
+    """Uncount an attempt that its agent refused; it is neither an answer nor an error."""
+    known = table.upstreams.get(upstream)
+    begun = None if known is None else known.attempts.pop(attempt, None)
+    if known is None or begun is None:
+        return table
+    if begun.is_pending:
+        known.pending -= 1
+    elif begun.at_s >= known.measured_s:
+        known.unreported -= 1
+        known.unreported_tokens -= begun.tokens
+    return table
+
+
 def recent_errors(upstream: Upstream, now_s: float) -> float:
     """Return the recent errors that count: the fewer, the more answers there are beside them."""
     errors = upstream.errors
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -7,7 +7,15 @@
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.configuration import Route
 from lycheefall._core.enums import MemberState, RouteKind, UpstreamKind
-from lycheefall._core.messages.dispatch import Cancel, Dispatch, Finished, Frame, Refused
+from lycheefall._core.messages.dispatch import (
+    Cancel,
+    Dispatch,
+    Finished,
+    Frame,
+    Occupancy,
+    Pong,
+    Refused,
+)
 from lycheefall._core.messages.entry import (
     CallerRequest,
     FromAgent,
@@ -15,6 +23,7 @@
     ReplyEnd,
     ReplyTokens,
     Run,
+    Tick,
     ToLink,
     UpstreamHeard,
 )
@@ -123,3 +132,61 @@
         first = entry.dispatched(entry.send(Run(request()))).upstream
         refused = Refused("r", 1, ResultCode.DUPLICATE_ATTEMPT)  # type: ignore[arg-type]
         assert entry.send(FromAgent(first, refused)) == []
+
+
+class TestFull:
+    """Three engines of 16 slots; agents refuse by their own count."""
+
+    def refuse(self, entry: Entry, link: ToLink, now_s: float = 0.0) -> list[Any]:
+        assert isinstance(link.message, Dispatch)
+        attempt = (link.message.request, link.message.attempt, ResultCode.UPSTREAM_BUSY)
+        return entry.send(FromAgent(link.upstream, Refused(*attempt, Occupancy(16, 0))), now_s)
+
+    def test_refusals_cost_nothing(self) -> None:
+        """Guards against full upstreams that count as failing, spend budgets or end requests."""
+        entry = Entry()
+        link = entry.dispatched(entry.send(Run(request())))
+        table = entry.state.tables["pool"]  # type: ignore[index]
+        known = table.upstreams[link.upstream]
+        limit, saved = known.limit.limit, entry.state.budgets.total.tokens
+        now_s = 0.0
+        for _ in range(8):
+            other = entry.dispatched(self.refuse(entry, link, now_s))
+            assert other.upstream != link.upstream
+            # Both are full now, so the request waits and sends nothing.
+            assert self.refuse(entry, other, now_s) == []
+            assert not [each for each in entry.send(Tick(), now_s) if isinstance(each, ToLink)]
+            now_s += 0.25
+            for number in range(3):
+                held = 16 - (f"u{number}" == link.upstream)
+                pong = Pong(1, "1", MemberState.READY, LOAD, occupancy=Occupancy(held, 0))  # type: ignore[arg-type]
+                entry.send(FromAgent(f"u{number}", pong), now_s)  # type: ignore[arg-type]
+            link = entry.dispatched(entry.send(Tick(), now_s))
+            now_s += 0.25
+            pong = Pong(1, "1", MemberState.READY, LOAD, occupancy=Occupancy(0, 0))  # type: ignore[arg-type]
+            entry.send(FromAgent(other.upstream, pong), now_s)
+        assert (known.errors, known.answers, known.limit.limit) == (0.0, 0.0, limit)
+        assert entry.state.budgets.total.tokens == saved
+
+    def test_inbox_of_an_agent_is_full(self) -> None:
+        """Guards against an attempt that is sent again at once to an agent that told no count."""
+        entry = Entry()
+        results = entry.send(Run(request()))
+        for _ in range(2):
+            link = entry.dispatched(results)
+            assert isinstance(link.message, Dispatch)
+            refused = Refused("r", link.message.attempt, ResultCode.UPSTREAM_BUSY)  # type: ignore[arg-type]
+            results = entry.send(FromAgent(link.upstream, refused))
+        assert results == []
+
+    def test_waits_in_order_of_urgency(self) -> None:
+        """Guards against a slot that goes to batch work while an urgent request waits for it."""
+        entry = Entry()
+        results = entry.send(Run(request("batch", rank=1, fingerprint="same")))
+        self.refuse(entry, entry.dispatched(self.refuse(entry, entry.dispatched(results))))
+        assert entry.send(Run(request("urgent", fingerprint="same"))) == []
+        for number in range(3):
+            pong = Pong(1, "1", MemberState.READY, LOAD, occupancy=Occupancy(15, 0))  # type: ignore[arg-type]
+            entry.send(FromAgent(f"u{number}", pong), 0.25)  # type: ignore[arg-type]
+        sent = [each.message for each in entry.send(Tick(), 0.25) if isinstance(each, ToLink)]
+        assert [each.request for each in sent] == ["urgent"]
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -25,11 +25,13 @@
     def send(self, message: Any) -> list[Any]:
         return check(self.state, message, 0.0)[1]
 
-    def ask(self, *, peer: bytes = b"a") -> ResultCode:
+    def ask(
+        self, rank: int = 0, kind: RouteKind = RouteKind.CHAT, *, peer: bytes = b"a"
+    ) -> ResultCode:
         """Send the next attempt; return the code of its refusal, or OK."""
         self.count += 1
-        fields: Any = (f"r{self.count}", 1, "1", 10.0, RouteKind.CHAT, "POST", "/", "", b"{}", "p")
-        (result,) = self.send(FromEntry(peer, Dispatch(*fields, 0, "f")))
+        fields: Any = (f"r{self.count}", 1, "1", 10.0, kind, "POST", "/", "", b"{}", "p", rank)
+        (result,) = self.send(FromEntry(peer, Dispatch(*fields, "f")))
         refused = isinstance(result, ToPeer) and isinstance(result.message, Refused)
         return result.message.code if refused else ResultCode.OK
 
@@ -56,3 +58,24 @@
         assert agent.occupancy(b"b") == Occupancy(3, 1)
         assert agent.end(1).occupancy == Occupancy(2, 1)
         assert agent.occupancy(b"c") == Occupancy(2, 0)
+
+
+class TestAdmission:
+    def test_by_rank(self) -> None:
+        """Guards against urgent requests that wait in an engine behind long batch answers."""
+        agent = Agent()
+        agent.state.share_ratios = (0.2, 0.1, 0.05)
+        batch = [agent.ask(2) for _ in range(CONCURRENCY)]
+        assert batch.count(ResultCode.OK) == CONCURRENCY - 2
+        assert {agent.ask(), agent.ask()} == {ResultCode.OK}
+        assert agent.ask() is ResultCode.UPSTREAM_BUSY
+        agent.end(1)
+        # The share of a priority is not kept from it, and is not more than its share.
+        assert [agent.ask(1), agent.ask(1)] == [ResultCode.OK, ResultCode.UPSTREAM_BUSY]
+
+    def test_short_calls(self) -> None:
+        """Guards against bookings that cost a commit more because a service is busy."""
+        agent = Agent()
+        codes = [agent.ask(0, RouteKind.BOOKING) for _ in range(2 * CONCURRENCY + 1)]
+        assert codes.count(ResultCode.OK) == 2 * CONCURRENCY
+        assert codes[-1] is ResultCode.UPSTREAM_BUSY
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -94,9 +94,12 @@
     def test_lost_attempt_stays_with_its_own_upstreams(self) -> None:
         """Guards against a request that crashes upstreams reaching a third one."""
         own = own_upstreams(URGENT_CALL, SIX, alone=False)
-        table = table_with({name: 8 if name in own else 0 for name in SIX})
         wish = Wish(may_widen=False)
-        assert choose(weighted_two_choices(), table, URGENT_CALL, wish, 0.0) in own
+        for running in range(8):
+            table = table_with({name: running if name in own else 0 for name in SIX})
+            assert choose(weighted_two_choices(), table, URGENT_CALL, wish, 0.0) in own
+        table = table_with({name: 8 if name in own else 0 for name in SIX})
+        assert choose(weighted_two_choices(), table, URGENT_CALL, wish, 0.0) is None
 
     def test_last_slot_is_left_to_urgent_requests(self) -> None:
         """Guards against less urgent work that fills an upstream while others have more room."""
@@ -106,6 +109,23 @@
         assert choose(weighted_two_choices(), table, URGENT_CALL, wish, 0.0) in own
         assert choose(weighted_two_choices(), table, LATER_CALL, wish, 0.0) not in own
 
+    def test_kept_slot_after_a_wait(self) -> None:
+        """Guards against a share of less urgent work that is never asked for."""
+        table = table_with(dict.fromkeys(SIX, 7))
+        pick = weighted_two_choices()
+        assert choose(pick, table, LATER_CALL, Wish(may_widen=False), 0.0) is None
+        assert choose(pick, table, LATER_CALL, Wish(), 0.0) is not None
+        assert choose(pick, table_with(dict.fromkeys(SIX, 8)), LATER_CALL, Wish(), 0.0) is None
+
+    def test_only_upstream_has_recent_errors(self) -> None:
+        """Guards against requests that wait beside free slots until old errors are forgotten."""
+        own = own_upstreams(URGENT_CALL, SIX, alone=False)
+        table = table_with(dict.fromkeys(SIX, 8) | dict.fromkeys(own, 6))
+        for name in own:
+            upstreams.sent(table, name, (URGENT_CALL.request, AttemptNumber(1)), 10.0, 0.0)
+            upstreams.ended(table, name, (URGENT_CALL.request, AttemptNumber(1)), True, 0.0)
+        assert choose(weighted_two_choices(), table, URGENT_CALL, Wish(), 0.0) in own
+
     def test_free_slots_of_a_failing_upstream(self) -> None:
         """Guards against an upstream that errs at once attracting work by its free slots."""
         own = own_upstreams(URGENT_CALL, SIX, alone=False)
