--- a/src/lycheefall/_agent/check.py
+++ b/src/lycheefall/_agent/check.py
@@ -26,7 +26,7 @@
 )
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.configuration import Configuration
-from lycheefall._core.enums import AttemptState, MemberState
+from lycheefall._core.enums import AttemptState, MemberState, RouteKind
 from lycheefall._core.ids import NO_REVISION
 from lycheefall._core.messages.dispatch import (
     Cancel,
@@ -34,6 +34,7 @@
     Credit,
     Dispatch,
     Finished,
+    Occupancy,
     Ping,
     Pong,
     Refused,
@@ -44,8 +45,10 @@
 from lycheefall._core.messages.membership import Load, UpstreamMember
 from lycheefall._rules import attempts
 from lycheefall._rules.attempts import AttemptsState, SetDraining, SetKeyRetention
+from lycheefall._rules.slots import may_begin
 
-# Attempts beyond the concurrency that may wait in the upstream, as a multiple of it.
+# Lookups and bookings beyond the concurrency that may wait in the upstream, as a multiple of it.
+# They are short, and a booking that is refused costs a commit.
 BACKLOG_RATIO = 1.0
 # Load queries that may fail before the upstream counts as failed.
 SILENT_LOAD_QUERIES = 2
@@ -69,10 +72,12 @@
     attempts: AttemptsState
     revision: int = NO_REVISION
     drained_by_file: bool = False
+    # Shares of the priorities of the file, in its order.
+    share_ratios: tuple[float, ...] = ()
     stopping: bool = False
     silent_queries: int = 0
     load_read_s: float = 0.0
-    running: dict[AttemptId, Dispatch] = field(default_factory=dict)
+    running: dict[AttemptId, Forward] = field(default_factory=dict)
     # Results of claimed attempts, for flows that ask after a lost connection.
     finished: dict[ClaimToken, Finished] = field(default_factory=dict)
     # Suspects that wait until nothing else runs, with the times at which they must have started.
@@ -82,27 +87,46 @@
 
 def check(state: CheckState, message: ToCheck, now_s: float) -> tuple[CheckState, list[FromCheck]]:
     """Apply one message to the state of the check filter."""
+    results = _check(state, message, now_s)
+    return state, [_counted(state, result) for result in results]
+
+
+def _check(state: CheckState, message: ToCheck, now_s: float) -> list[FromCheck]:
     match message:
         case FromEntry():
-            return state, _from_entry(state, message, now_s)
+            return _from_entry(state, message, now_s)
         case AttemptEnded():
-            return state, _ended(state, message, now_s)
+            return _ended(state, message, now_s)
         case LoadRead():
             state.silent_queries = 0
             state.load_read_s = now_s
-            return state, _present(state, message.load)
+            return _present(state, message.load)
         case UpstreamSilent():
             state.silent_queries += 1
-            return state, _present(state, state.member.load)
+            return _present(state, state.member.load)
         case ConfigurationSeen():
             _take_configuration(state, message.configuration, now_s)
-            return state, _present(state, state.member.load)
+            return _present(state, state.member.load)
         case DrainOrdered():
             state.stopping = True
             _set_draining(state, now_s)
-            return state, _present(state, state.member.load) + _drained(state)
+            return _present(state, state.member.load) + _drained(state)
         case Tick():
-            return state, _start_alone(state, now_s) + _drained(state)
+            return _start_alone(state, now_s) + _drained(state)
+
+
+def _counted(state: CheckState, result: FromCheck) -> FromCheck:
+    """Add the present count of attempts to a message that can carry it."""
+    if not isinstance(result, ToPeer) or not isinstance(result.message, Refused | Finished | Pong):
+        return result
+    held = [*state.running.values(), *(waiting.forward for waiting in state.waiting_alone)]
+    own = sum(forward.peer == result.peer for forward in held)
+    attempts_now = len(held)
+    if state.alone is not None or state.waiting_alone:
+        # Nothing starts beside a suspect, so there is no free slot.
+        attempts_now = max(attempts_now, state.member.concurrency)
+    counted = structs.replace(result.message, occupancy=Occupancy(attempts_now, own))
+    return ToPeer(result.peer, counted)
 
 
 def _from_entry(state: CheckState, received: FromEntry, now_s: float) -> list[FromCheck]:
@@ -153,6 +177,11 @@
         return ResultCode.UPSTREAM_BUSY if is_full else ResultCode.OK
     if state.alone is not None or state.waiting_alone:
         return ResultCode.UPSTREAM_BUSY
+    if dispatch.kind is RouteKind.CHAT:
+        held = [forward.dispatch.rank for forward in state.running.values()]
+        ratio = state.share_ratios[dispatch.rank] if dispatch.rank < len(state.share_ratios) else 0
+        begins = may_begin(held, dispatch.rank, state.member.concurrency, ratio)
+        return ResultCode.OK if begins else ResultCode.UPSTREAM_BUSY
     if len(state.running) >= state.member.concurrency * (1 + BACKLOG_RATIO):
         return ResultCode.UPSTREAM_BUSY
     return ResultCode.OK
@@ -173,7 +202,7 @@
 def _start(state: CheckState, forward: Forward) -> list[FromCheck]:
     dispatch = forward.dispatch
     attempt = AttemptId(dispatch.request, dispatch.attempt)
-    state.running[attempt] = dispatch
+    state.running[attempt] = forward
     if dispatch.alone:
         state.alone = attempt
     if dispatch.claim is None:
@@ -216,13 +245,13 @@
     result = ended.result
     assert isinstance(result, Finished | Refused)
     attempt = AttemptId(result.request, result.attempt)
-    dispatch = state.running.pop(attempt, None)
+    forward = state.running.pop(attempt, None)
     if state.alone == attempt:
         state.alone = None
     finished = _as_finished(result)
     state.attempts, _ = attempts.step(state.attempts, finished, now_s)
-    if dispatch is not None and dispatch.claim is not None:
-        _keep(state, dispatch.claim, finished)
+    if forward is not None and forward.dispatch.claim is not None:
+        _keep(state, forward.dispatch.claim, finished)
     return [ToPeer(ended.peer, result), *_start_alone(state, now_s), *_drained(state)]
 
 
@@ -252,6 +281,7 @@
 
 def _take_configuration(state: CheckState, configuration: Configuration, now_s: float) -> None:
     state.revision = configuration.revision
+    state.share_ratios = tuple(each.share_ratio for each in configuration.priorities)
     state.drained_by_file = any(
         pool.name == state.member.pool and state.member.upstream in pool.drain
         for pool in configuration.pools
