Keep a lost upstream among a request's own two until its crash is known

Cause: in a failing run (12 parallel copies, machine loaded) engine-1 and engine-2, the own two, crashed, and control took 0.9 s to commit the first record. Meanwhile their agents announced "failed", which took both out of the set that own upstreams are computed over. A parked copy then belonged to engine-0, another to engine-3, and both crashed: 4 lost. A copy that was refused as not connected could also widen after 0.5 s, before "failed" was announced.

Change: agents announce for 5 s which fingerprints were in flight at a crash, in the same message as "failed" and at once, and refuse further copies of these; entries suspect them before control has the record. A lost upstream stays one of the two until its agent has failed with nothing in flight, or for 1.5 s; requests that are not named move on at once. A request goes beyond its two only if neither was lost and it was not refused as down within 1.5 s. A suspect whose crash is being recorded asks for no lease.

Each part taken out fails one of the new unit tests.

--- a/src/lycheefall/_agent/check.py
+++ b/src/lycheefall/_agent/check.py
@@ -27,7 +27,7 @@
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.configuration import Configuration
 from lycheefall._core.enums import AttemptState, MemberState
-from lycheefall._core.ids import NO_REVISION
+from lycheefall._core.ids import NO_REVISION, Fingerprint
 from lycheefall._core.messages.dispatch import (
     Cancel,
     ClaimToken,
@@ -53,6 +53,8 @@
 KEPT_RESULTS = 10_000
 # Suspects that may wait to run alone; an upstream's concurrency is of this order.
 WAITING_ALONE = 64
+# Longer than an entry waits for the record of a crash, after which control knows the suspects.
+CRASHED_KEPT_S = 5.0
 
 
 class Waiting(Struct, frozen=True):
@@ -78,6 +80,8 @@
     # Suspects that wait until nothing else runs, with the times at which they must have started.
     waiting_alone: deque[Waiting] = field(default_factory=deque)
     alone: AttemptId | None = None
+    # Fingerprints in flight at a crash of the upstream, and when their attempts ended.
+    crashed_s: dict[Fingerprint, float] = field(default_factory=dict)
 
 
 def check(state: CheckState, message: ToCheck, now_s: float) -> tuple[CheckState, list[FromCheck]]:
@@ -90,17 +94,17 @@
         case LoadRead():
             state.silent_queries = 0
             state.load_read_s = now_s
-            return state, _present(state, message.load)
+            return state, _present(state, message.load, now_s)
         case UpstreamSilent():
             state.silent_queries += 1
-            return state, _present(state, state.member.load)
+            return state, _present(state, state.member.load, now_s)
         case ConfigurationSeen():
             _take_configuration(state, message.configuration, now_s)
-            return state, _present(state, state.member.load)
+            return state, _present(state, state.member.load, now_s)
         case DrainOrdered():
             state.stopping = True
             _set_draining(state, now_s)
-            return state, _present(state, state.member.load) + _drained(state)
+            return state, _present(state, state.member.load, now_s) + _drained(state)
         case Tick():
             return state, _start_alone(state, now_s) + _drained(state)
 
@@ -151,6 +155,9 @@
     if dispatch.alone:
         is_full = len(state.waiting_alone) >= WAITING_ALONE
         return ResultCode.UPSTREAM_BUSY if is_full else ResultCode.OK
+    if dispatch.fingerprint in state.crashed_s:
+        # Its entry learns of the crash from the next announcement.
+        return ResultCode.NOT_READY
     if state.alone is not None or state.waiting_alone:
         return ResultCode.UPSTREAM_BUSY
     if len(state.running) >= state.member.concurrency * (1 + BACKLOG_RATIO):
@@ -223,7 +230,13 @@
     state.attempts, _ = attempts.step(state.attempts, finished, now_s)
     if dispatch is not None and dispatch.claim is not None:
         _keep(state, dispatch.claim, finished)
-    return [ToPeer(ended.peer, result), *_start_alone(state, now_s), *_drained(state)]
+    if finished.crash is not None:
+        state.crashed_s[finished.crash.fingerprint] = now_s
+        # It refuses connections, so the next load queries need not be waited for.
+        state.silent_queries = SILENT_LOAD_QUERIES
+    has_failed = state.silent_queries >= SILENT_LOAD_QUERIES
+    present = _present(state, state.member.load, now_s) if has_failed else []
+    return [ToPeer(ended.peer, result), *present, *_start_alone(state, now_s), *_drained(state)]
 
 
 def _as_finished(result: Finished | Refused) -> Finished:
@@ -266,8 +279,16 @@
     state.attempts, _ = attempts.step(state.attempts, draining, now_s)
 
 
-def _present(state: CheckState, load: Load) -> list[FromCheck]:
-    state.member = structs.replace(state.member, state=_state_now(state), load=load)
+def _present(state: CheckState, load: Load, now_s: float) -> list[FromCheck]:
+    state.crashed_s = {f: s for f, s in state.crashed_s.items() if now_s - s < CRASHED_KEPT_S}
+    member_state = _state_now(state)
+    state.member = structs.replace(
+        state.member,
+        state=member_state,
+        load=load,
+        crashed=tuple(state.crashed_s),
+        has_open_attempts=member_state is MemberState.FAILED and bool(state.running),
+    )
     return [Present(state.member)]
 
 
--- a/src/lycheefall/_core/messages/membership.py
+++ b/src/lycheefall/_core/messages/membership.py
@@ -6,6 +6,7 @@
 from lycheefall._core.ids import (
     Address,
     DataCentreId,
+    Fingerprint,
     Incarnation,
     InstanceId,
     PoolId,
@@ -38,6 +39,10 @@
     # Requests that the upstream runs at one time.
     concurrency: int
     load: Load = Load()
+    # Fingerprints that were in flight at recent crashes of the upstream.
+    crashed: tuple[Fingerprint, ...] = ()
+    # The upstream has failed, and attempts that were in flight have not ended yet.
+    has_open_attempts: bool = False
 
 
 class EntryMember(Struct, frozen=True, array_like=True, tag=2):
--- a/src/lycheefall/_rules/call_state.py
+++ b/src/lycheefall/_rules/call_state.py
@@ -37,6 +37,10 @@
 WINDOW_FRAMES = 256
 # By then a crash that a copy of the request brought on elsewhere is known to every entry.
 WIDEN_AFTER_S = 0.5
+# A lost upstream stays the own one of its requests for this long, unless its agent has named all
+# that was in flight: a copy must not move on before the crash is known. Shorter than the wait for
+# an upstream, so that a request whose own upstreams are both lost is not refused.
+LOSS_HELD_S = 1.5
 
 NO_UPSTREAM = UpstreamId("")
 NO_INCARNATION = Incarnation("")
@@ -60,6 +64,8 @@
     parked_s: float | None = None
     # No attempt is made before this time.
     not_before_s: float = 0.0
+    # No other upstreams than its own are used before this time.
+    narrow_until_s: float = 0.0
     # The attempt ended with a crash that is being recorded.
     crashing: bool = False
     # Grant of the lease of a suspect, and when to ask for it next.
@@ -85,6 +91,9 @@
     tables: dict[PoolId, Table] = field(default_factory=dict)
     pools: dict[UpstreamId, PoolId] = field(default_factory=dict)
     connected: dict[UpstreamId, Incarnation] = field(default_factory=dict)
+    # Upstreams that could be used when last heard, and when others were lost.
+    usable: set[UpstreamId] = field(default_factory=set)
+    lost_s: dict[UpstreamId, float] = field(default_factory=dict)
     calls: dict[RequestId, Call] = field(default_factory=dict)
     # Calls that no upstream could take yet, in the order of their wait.
     parked: dict[RequestId, Call] = field(default_factory=dict)
@@ -96,6 +105,9 @@
     # When this entry learned of each suspect, and when it recorded one itself.
     suspected_s: dict[Fingerprint, float] = field(default_factory=dict)
     recorded_s: dict[Fingerprint, float] = field(default_factory=dict)
+    # Suspects that control named last, and when.
+    listed: frozenset[Fingerprint] = frozenset()
+    listed_s: float = float("-inf")
     # Leases to give back at the next tick.
     suspects_ended: list[SuspectEnded] = field(default_factory=list)
 
@@ -110,6 +122,7 @@
 ) -> UpstreamId | None:
     """Return an upstream that can take the call now."""
     alone = call.call.fingerprint in state.suspects
+    lost = frozenset(name for name, at_s in state.lost_s.items() if now_s - at_s < LOSS_HELD_S)
     for pool in call.call.route.pools:
         table = state.tables.get(pool)
         if table is None:
@@ -117,6 +130,8 @@
         wish = Wish(
             tried=frozenset(tried),
             offline=frozenset(name for name in table.upstreams if name not in state.connected),
+            # The claim of a booking keeps copies of it from running elsewhere.
+            lost=_of(table, lost) if call.call.operation is None else frozenset(),
             alone=alone,
             may_widen=may_widen(call, now_s),
         )
@@ -126,6 +141,10 @@
     return None
 
 
+def _of(table: Table, names: frozenset[UpstreamId]) -> frozenset[UpstreamId]:
+    return frozenset(name for name in names if name in table.upstreams)
+
+
 def may_widen(call: Call, now_s: float) -> bool:
     """Tell whether the call may go beyond its own upstreams.
 
@@ -135,7 +154,7 @@
     if call.call.operation is not None:
         return True
     has_waited = call.parked_s is not None and now_s - call.parked_s >= WIDEN_AFTER_S
-    return has_waited and not call.lost
+    return has_waited and not call.lost and now_s >= call.narrow_until_s
 
 
 def occupy(state: CallsState, call: Call, upstream: UpstreamId, now_s: float) -> None:
--- a/src/lycheefall/_rules/calls.py
+++ b/src/lycheefall/_rules/calls.py
@@ -49,6 +49,7 @@
     start_booking,
 )
 from lycheefall._rules.call_state import (
+    LOSS_HELD_S,
     WIDEN_AFTER_S,
     Call,
     CallsState,
@@ -69,6 +70,7 @@
     learn_refusal,
     link_down,
     link_up,
+    note_presence,
     upstream_heard,
     upstream_left,
 )
@@ -95,13 +97,14 @@
         case Abandon():
             return state, _abandon(state, message.request, now_s)
         case UpstreamHeard():
-            return state, upstream_heard(state, message, now_s)
+            stopped = suspect_calls.hear(state, message.member.crashed, now_s)
+            return state, upstream_heard(state, message, now_s) + _stop(state, stopped, now_s)
         case UpstreamLeft():
             return state, upstream_left(state, message)
         case LinkUp():
-            return state, link_up(state, message)
+            return state, link_up(state, message, now_s)
         case LinkDown():
-            return state, link_down(state, message) + _lose_all(state, message, now_s)
+            return state, link_down(state, message, now_s) + _lose_all(state, message, now_s)
         case ConfigurationChanged():
             return state, configure(state, message.configuration)
         case FingerprintsChanged():
@@ -122,6 +125,7 @@
         case BookingAnswered():
             return state, booking_answered(state, message, now_s)
         case Tick():
+            suspect_calls.expire(state, now_s)
             results = _expire(state, now_s) + _unpark(state, now_s) + capacities(state, now_s)
             ended, state.suspects_ended = state.suspects_ended, []
             return state, [*results, *ended]
@@ -190,6 +194,7 @@
         if table is not None:
             upstreams.report(table, source, message.incarnation, message.load, now_s)
             upstreams.set_state(table, source, message.state)
+            note_presence(state, source, now_s)
         return []
     if isinstance(message, Finished) and message.crash is not None:
         return suspect_calls.crash_seen(state, CrashSeen(source, message))
@@ -289,6 +294,8 @@
     if retries.advise(refused.code, True) is RetryAdvice.NEVER:
         return end(state, call, code, "the agent refused the attempt", now_s)
     is_down = refused.code is ResultCode.NOT_CONNECTED
+    if is_down or refused.code is ResultCode.NOT_READY:
+        call.narrow_until_s = now_s + LOSS_HELD_S
     if is_down or choose(state, call, call.tried, now_s) is None:
         # By then a crash that brought the upstream down is known to every entry.
         call.not_before_s = now_s + WIDEN_AFTER_S
--- a/src/lycheefall/_rules/choice.py
+++ b/src/lycheefall/_rules/choice.py
@@ -3,8 +3,9 @@
 Each request has two upstreams of its own, which all entries compute alike: one by the start of its
 prompt, whose prefix cache is likely to hold it, and one by its fingerprint, which spreads requests
 with a popular prefix. Copies of one request that are sent through several entries then run at two
-upstreams at most, so a request that crashes upstreams can't take more. The picker compares the two
-by load, which keeps the balance of two random choices.
+upstreams at most, so a request that crashes upstreams can't take more. An upstream that is lost
+stays among the two until its crash is known, or copies would go on to a third one. The picker
+compares the two by load, which keeps the balance of two random choices.
 """
 
 from collections.abc import Iterable
@@ -22,8 +23,10 @@
     """What limits the choice for one attempt."""
 
     tried: frozenset[UpstreamId] = frozenset()
-    # Upstreams without a connection; they are nobody's own.
+    # Upstreams without a connection; they are nobody's own unless they are lost.
     offline: frozenset[UpstreamId] = frozenset()
+    # Upstreams that were lost a moment ago; they stay somebody's own.
+    lost: frozenset[UpstreamId] = frozenset()
     # A suspect runs at the upstream of its pool that all suspects share.
     alone: bool = False
     # Whether another upstream beside the request's own two may be risked.
@@ -35,13 +38,14 @@
 ) -> UpstreamId | None:
     """Return the upstream for an attempt, or None when none can take it now."""
     subset = frozenset(each.member.upstream for each in table.subset)
-    own = own_upstreams(call, subset - wish.offline, alone=wish.alone)
+    lost = frozenset() if wish.alone else wish.lost
+    own = own_upstreams(call, subset - wish.offline | lost, alone=wish.alone)
     blocked = wish.tried | wish.offline
     narrow = blocked | subset - own
     if wish.alone:
         return pick(table, Ask(excluded=narrow, alone=True), now_s)
     # A cached prompt saves less than the wait for a slot behind long answers.
-    scopes = (narrow, blocked) if wish.may_widen else (narrow,)
+    scopes = (narrow, blocked) if wish.may_widen and not own & lost else (narrow,)
     # Less urgent requests leave a slot at each upstream for urgent ones, if they can.
     needs = (1, 0) if call.rank == 0 else (2, 1, 0)
     asks = (Ask(excluded=scope, free_slots=need) for need in needs for scope in scopes)
--- a/src/lycheefall/_rules/known_upstreams.py
+++ b/src/lycheefall/_rules/known_upstreams.py
@@ -31,26 +31,51 @@
     table.entries = state.entries
     state.pools[member.upstream] = member.pool
     upstreams.announce(table, member, heard.sequence, now_s)
+    has_failed = member.state is MemberState.FAILED and not member.has_open_attempts
+    note_presence(state, member.upstream, now_s, is_settled=has_failed)
     return []
 
 
+def note_presence(
+    state: CallsState, upstream: UpstreamId, now_s: float, *, is_settled: bool = False
+) -> None:
+    """Note when an upstream is lost; `is_settled` when its agent has named all suspects."""
+    table = table_of(state, upstream)
+    known = None if table is None else table.upstreams.get(upstream)
+    if known is None:
+        return
+    is_ready = known.member.state is MemberState.READY
+    if is_ready and upstream in state.connected:
+        state.usable.add(upstream)
+        state.lost_s.pop(upstream, None)
+    elif upstream in state.usable:
+        state.usable.discard(upstream)
+        state.lost_s[upstream] = now_s
+    if is_settled or known.member.state is MemberState.DRAINING:
+        state.lost_s.pop(upstream, None)
+
+
 def upstream_left(state: CallsState, left: UpstreamLeft) -> list[FromDispatch]:
     """Forget an upstream that has been silent for long."""
     pool = state.pools.pop(left.upstream, None)
     if pool is not None:
         upstreams.leave(state.tables[pool], left.upstream)
+    state.usable.discard(left.upstream)
+    state.lost_s.pop(left.upstream, None)
     return []
 
 
-def link_up(state: CallsState, up: LinkUp) -> list[FromDispatch]:
+def link_up(state: CallsState, up: LinkUp, now_s: float) -> list[FromDispatch]:
     """Use an upstream whose agent answers."""
     state.connected[up.upstream] = up.incarnation
+    note_presence(state, up.upstream, now_s)
     return []
 
 
-def link_down(state: CallsState, down: LinkDown) -> list[FromDispatch]:
+def link_down(state: CallsState, down: LinkDown, now_s: float) -> list[FromDispatch]:
     """Stop using an upstream, and let the flows of bookings resolve their attempts there."""
     state.connected.pop(down.upstream, None)
+    note_presence(state, down.upstream, now_s)
     return [BookingLinkLost(down.upstream)]
 
 
--- a/src/lycheefall/_rules/suspect_calls.py
+++ b/src/lycheefall/_rules/suspect_calls.py
@@ -51,12 +51,41 @@
     state.recorded_s = {f: at_s for f, at_s in state.recorded_s.items() if now_s - at_s < KEPT_S}
     kept = frozenset(state.recorded_s)
     before = state.suspects | state.refused
+    state.listed, state.listed_s = changed.suspects, now_s
     state.refused = changed.refused | (kept & state.refused)
     state.suspects = (changed.suspects | kept) - state.refused
     state.suspected_s = {f: state.suspected_s.get(f, now_s) for f in state.suspects}
     return _copies(state, (state.suspects | state.refused) - before)
 
 
+def hear(state: CallsState, crashed: tuple[Fingerprint, ...], now_s: float) -> list[Call]:
+    """Suspect what an agent says was in flight at a crash, before control knows of it.
+
+    Return the calls with copies in flight that must stop.
+    """
+    if not crashed:
+        return []
+    suspects = frozenset(crashed) - state.refused
+    added = suspects - state.suspects
+    for fingerprint in suspects:
+        state.recorded_s[fingerprint] = now_s
+        state.suspected_s.setdefault(fingerprint, now_s)
+    state.suspects |= added
+    return _copies(state, added)
+
+
+def expire(state: CallsState, now_s: float) -> None:
+    """Drop suspects of agents that control has not named since; it cleared them."""
+    for fingerprint, at_s in list(state.recorded_s.items()):
+        if now_s - at_s < KEPT_S:
+            continue
+        del state.recorded_s[fingerprint]
+        is_known = state.suspected_s.get(fingerprint, now_s) <= state.listed_s
+        if is_known and fingerprint not in state.listed:
+            state.suspects -= {fingerprint}
+            state.suspected_s.pop(fingerprint, None)
+
+
 def must_wait(state: CallsState, call: Call) -> bool:
     """Tell whether the call needs a lease before it may be dispatched."""
     return call.call.fingerprint in state.suspects and call.lease is None
@@ -67,7 +96,7 @@
     request = call.call
     state.parked[request.request] = call
     settled_s = state.suspected_s.get(request.fingerprint, now_s) + SETTLE_S
-    if now_s < max(settled_s, call.lease_due_s):
+    if call.crashing or now_s < max(settled_s, call.lease_due_s):
         return []
     call.lease_due_s = now_s + LEASE_ANSWER_S
     duration_s = max(0.0, request.deadline_s - now_s) + LEASE_MARGIN_S
--- a/src/lycheefall/_wire/announcer.py
+++ b/src/lycheefall/_wire/announcer.py
@@ -2,8 +2,10 @@
 
 import asyncio
 
+from msgspec.structs import replace
+
 from lycheefall._core.ids import Address
-from lycheefall._core.messages.membership import Announce, Member
+from lycheefall._core.messages.membership import Announce, Load, Member, UpstreamMember
 from lycheefall._wire.codec import encode
 from lycheefall._wire.zmq_ends import DealerEnd
 
@@ -22,8 +24,8 @@
         self._changed = asyncio.Event()
 
     def present(self, member: Member) -> None:
-        """Announce this member from now on, at once if its state has changed."""
-        if self._member is None or member.state is not self._member.state:
+        """Announce this member from now on, at once if more than its load has changed."""
+        if self._member is None or _without_load(member) != _without_load(self._member):
             self._changed.set()
         self._member = member
 
@@ -52,6 +54,10 @@
             end.send(payload)
 
 
+def _without_load(member: Member) -> Member:
+    return replace(member, load=Load()) if isinstance(member, UpstreamMember) else member
+
+
 def _ignore(payload: bytes) -> None:
     """Drop what a listener sends; announcements are not answered."""
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -84,12 +84,14 @@
 
 class TestChoose:
     def test_full_own_upstreams_are_left(self) -> None:
-        """Guards against a request that waits at a full upstream while another has free slots."""
+        """Guards against a request that waits at full upstreams, or leaves a lost one too soon."""
         own = own_upstreams(URGENT_CALL, SIX, alone=False)
         (free,) = [name for name in SIX if name not in own][:1]
         table = table_with(dict.fromkeys(SIX, 8) | {free: 7})
         wish = Wish()
         assert choose(weighted_two_choices(), table, URGENT_CALL, wish, 0.0) == free
+        lost = Wish(lost=frozenset([min(own)]))
+        assert choose(weighted_two_choices(), table, URGENT_CALL, lost, 0.0) in own
 
     def test_lost_attempt_stays_with_its_own_upstreams(self) -> None:
         """Guards against a request that crashes upstreams reaching a third one."""
--- a/tests/test_suspect_calls.py
+++ b/tests/test_suspect_calls.py
@@ -2,8 +2,18 @@
 
 from typing import Any
 
-from lycheefall._agent.check import CheckState, check
-from lycheefall._agent.messages import AttemptEnded, Forward, FromEntry, Steer, ToPeer
+from msgspec.structs import replace
+
+from lycheefall._agent.check import CRASHED_KEPT_S, CheckState, check
+from lycheefall._agent.messages import (
+    AttemptEnded,
+    Forward,
+    FromEntry,
+    LoadRead,
+    Present,
+    Steer,
+    ToPeer,
+)
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.enums import MemberState, RouteKind, UpstreamKind
 from lycheefall._core.messages.dispatch import Cancel, Crash, Dispatch, Finished, Refused
@@ -21,10 +31,12 @@
     SuspectEnded,
     Tick,
     ToLink,
+    UpstreamHeard,
 )
 from lycheefall._core.messages.membership import Load, UpstreamMember
 from lycheefall._rules import attempts
-from lycheefall._rules.suspect_calls import SETTLE_S
+from lycheefall._rules.call_state import LOSS_HELD_S
+from lycheefall._rules.suspect_calls import KEPT_S, SETTLE_S
 from test_calls import Entry, request
 
 PRINT = "print of r"
@@ -46,7 +58,70 @@
     return [each for each in sent if isinstance(each, Dispatch)]
 
 
+def hear(entry: Entry, upstream: str, now_s: float, **changes: Any) -> list[Any]:
+    """Let the agent of an upstream announce what has changed."""
+    known = entry.state.tables["pool"].upstreams[upstream]  # type: ignore[index]
+    return entry.send(UpstreamHeard(replace(known.member, **changes), known.sequence + 1), now_s)
+
+
+def refuse_both(entry: Entry) -> str:
+    """Have a request refused by its own two upstreams, which failed; return the third one."""
+    first = entry.dispatched(entry.send(Run(request()))).upstream
+    down = ResultCode.NOT_CONNECTED
+    entry.send(FromAgent(first, Refused("r", 1, down)))  # type: ignore[arg-type]
+    hear(entry, first, 0.1, state=MemberState.FAILED, has_open_attempts=True)
+    second = entry.dispatched(entry.send(Tick(), 0.6)).upstream
+    entry.send(FromAgent(second, Refused("r", 2, ResultCode.NOT_READY)), 0.6)  # type: ignore[arg-type]
+    hear(entry, second, 0.6, state=MemberState.FAILED, has_open_attempts=True)
+    (third,) = entry.state.usable
+    return third
+
+
 class TestEntry:
+    def test_no_third_upstream_after_a_loss(self) -> None:
+        """Guards against a copy that moves on before the crash of its upstreams is known."""
+        entry = Entry()
+        third = refuse_both(entry)
+        hear(entry, third, 1.5)
+        assert dispatches(entry.send(Tick(), 1.5)) == []
+        assert entry.dispatched(entry.send(Tick(), 0.6 + LOSS_HELD_S)).upstream == third
+
+    def test_no_third_upstream_before_news(self) -> None:
+        """Guards against a copy that moves on because heartbeats from before a crash come late."""
+        entry = Entry()
+        upstreams = [entry.dispatched(entry.send(Run(request()))).upstream]
+        for attempt, now_s in ((1, 0.5), (2, 1.0), (3, 1.5)):
+            refused = Refused("r", attempt, ResultCode.NOT_CONNECTED)  # type: ignore[arg-type]
+            entry.send(FromAgent(upstreams[-1], refused), now_s - 0.5)
+            for upstream in list(entry.state.usable):
+                hear(entry, upstream, now_s)
+            upstreams.append(entry.dispatched(entry.send(Tick(), now_s)).upstream)
+        assert len(set(upstreams)) == 2
+
+    def test_agent_names_a_suspect(self) -> None:
+        """Guards against a copy that runs on while control is slow to record the crash."""
+        entry = Entry()
+        names = ("r", "s")
+        runs = [entry.send(Run(request(name, fingerprint=PRINT))) for name in names]
+        first, second = (entry.dispatched(results).upstream for results in runs)
+        results = hear(entry, first, 0.1, state=MemberState.FAILED, crashed=(PRINT,))
+        assert ToLink(second, Cancel("s", 1)) in results  # type: ignore[arg-type]
+        late = entry.send(Tick(), 0.1 + SETTLE_S)
+        assert dispatches(results + late) == []
+        assert sum(isinstance(each, LeaseWanted) for each in late) == 2
+
+    def test_others_move_on_at_once(self) -> None:
+        """Guards against innocent requests that wait, or run alone, after a crash of others."""
+        entry = Entry()
+        third = refuse_both(entry)
+        for upstream in list(entry.state.lost_s):
+            hear(entry, upstream, 0.7, has_open_attempts=False, crashed=("other",))
+        new = Run(request("new", fingerprint=PRINT))
+        assert entry.dispatched(entry.send(new, 0.7)).upstream == third
+        entry.send(FingerprintsChanged(frozenset(), frozenset()), 1.0)
+        entry.send(Tick(), 0.7 + KEPT_S)
+        assert entry.state.suspects == frozenset()
+
     def test_nothing_before_the_record(self) -> None:
         """Guards against a retry or an answer before the crash is in the log."""
         entry = Entry()
@@ -126,6 +201,28 @@
 
 
 class TestAgent:
+    def test_crash(self) -> None:
+        """Guards against an upstream that is lost again to a copy, and a crash told too late."""
+        agent = Agent()
+        agent.state.revision = 1  # type: ignore[assignment]
+        agent.send(LoadRead(Load()), 1.0)
+        agent.ask("a", alone=False)
+        agent.ask("b", alone=False)
+        told = []
+        for name, crash in (("a", Crash("run-1", "f")), ("b", None)):  # type: ignore[arg-type]
+            lost = Finished(name, 1, ResultCode.UPSTREAM_LOST, crash=crash)  # type: ignore[arg-type]
+            results = agent.send(AttemptEnded(b"peer", lost), 1.0)
+            told += [each.member for each in results if isinstance(each, Present)]
+        assert [(each.crashed, each.has_open_attempts) for each in told] == [
+            (("f",), True),
+            (("f",), False),
+        ]
+        agent.send(LoadRead(Load()), 2.0)
+        not_ready = ToPeer(b"peer", Refused("c", 1, ResultCode.NOT_READY))  # type: ignore[arg-type]
+        assert agent.ask("c", alone=False) == [not_ready]
+        agent.send(LoadRead(Load()), 1.0 + CRASHED_KEPT_S)
+        assert isinstance(agent.ask("d", alone=False)[0], Forward)
+
     def test_one_after_another(self) -> None:
         """Guards against a suspect that runs beside other work, or keeps others from running."""
         agent = Agent()
