Count a crash that follows the cancel of an attempt

Cause: an entry that learns of a suspect cancels its copies. In a failing run a copy was cancelled at engine-2 44 ms before that engine was announced as failed, so no attempt ended with the crash, control counted one crash instead of two, and the suspect took engine-0 when it ran alone.

Change: after a cancel the agent watches for 0.3 s whether the upstream goes down, and then ends the attempt once more with the name of the crash, which the entry records as any other.

Conclusion: what remains is an upstream that goes down more than 0.3 s after the cancel.

--- a/src/lycheefall/_agent/forward.py
+++ b/src/lycheefall/_agent/forward.py
@@ -6,12 +6,13 @@
 
 import aiohttp
 import msgspec
+from msgspec import structs
 
 from lycheefall._agent.messages import AttemptEnded
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.enums import UpstreamKind
 from lycheefall._core.ids import Address
-from lycheefall._core.messages.dispatch import Dispatch, Finished, Frame, Refused, ToEntry
+from lycheefall._core.messages.dispatch import Crash, Dispatch, Finished, Frame, Refused, ToEntry
 from lycheefall._wire.sse import EventParser, TokenEvent
 
 EVENT_STREAM = "text/event-stream"
@@ -101,9 +102,10 @@
         return _ended(dispatch, ResultCode.UPSTREAM_LOST)
 
 
-def cancelled(peer: bytes, dispatch: Dispatch) -> AttemptEnded:
+def cancelled(peer: bytes, dispatch: Dispatch, crash: Crash | None = None) -> AttemptEnded:
     """Return the end of an attempt that was cancelled while the upstream ran it."""
-    return AttemptEnded(peer, _ended(dispatch, ResultCode.CANCELLED_AFTER_START))
+    ended = _ended(dispatch, ResultCode.CANCELLED_AFTER_START)
+    return AttemptEnded(peer, structs.replace(ended, crash=crash))
 
 
 def _ended(dispatch: Dispatch, code: ResultCode) -> Finished:
--- a/src/lycheefall/_agent/run_attempts.py
+++ b/src/lycheefall/_agent/run_attempts.py
@@ -26,6 +26,7 @@
     """Tasks of the attempts that run, and their flow-control windows."""
 
     __slots__ = (
+        "_cancelled",
         "_crash_s",
         "_crashes",
         "_ended",
@@ -36,6 +37,7 @@
         "_single",
         "_tasks",
         "_upstream",
+        "_watch",
         "_windows",
     )
 
@@ -63,16 +65,20 @@
         self._single = aiohttp.ClientSession(connector=_connector(force_close=True))
         self._tasks: dict[AttemptId, asyncio.Task[ToEntry]] = {}
         self._windows: dict[AttemptId, Window] = {}
+        # Attempts that were cancelled, with their starts; they may still bring the upstream down.
+        self._cancelled: list[tuple[Forward, float]] = []
+        self._watch: asyncio.Task[None] | None = None
 
     def start(self, message: Forward) -> None:
         """Start the task of an attempt."""
         dispatch = message.dispatch
         attempt = AttemptId(dispatch.request, dispatch.attempt)
         self._windows[attempt] = Window(dispatch.credit)
-        task = asyncio.create_task(self._call(message, self._windows[attempt]))
+        started_s = asyncio.get_running_loop().time()
+        task = asyncio.create_task(self._call(message, self._windows[attempt], started_s))
         self._tasks[attempt] = task
         # A task that is cancelled before it first runs executes nothing of its coroutine.
-        task.add_done_callback(partial(self._done, attempt, message))
+        task.add_done_callback(partial(self._done, attempt, message, started_s))
 
     def steer(self, message: Cancel | Credit) -> None:
         """Pass a cancel or a credit on to the attempt, if it still runs."""
@@ -85,13 +91,14 @@
 
     async def close(self) -> None:
         """Close the connections to the upstream."""
+        if self._watch is not None:
+            self._watch.cancel()
         await self._kept.close()
         await self._single.close()
 
-    async def _call(self, message: Forward, window: Window) -> ToEntry:
+    async def _call(self, message: Forward, window: Window, started_s: float) -> ToEntry:
         dispatch = message.dispatch
         booking = dispatch.kind is RouteKind.BOOKING
-        started_s = asyncio.get_running_loop().time()
         result = await forward(
             self._single if booking else self._kept,
             self._upstream,
@@ -100,27 +107,45 @@
             window,
             lambda part: self._send(message.peer, part),
         )
-        if isinstance(result, Finished) and result.code is ResultCode.UPSTREAM_LOST:
-            return structs.replace(result, crash=await self._crash(dispatch, started_s))
+        is_lost = isinstance(result, Finished) and result.code is ResultCode.UPSTREAM_LOST
+        if is_lost and await is_down(self._upstream):
+            return structs.replace(result, crash=self._crash(dispatch, started_s))
         return result
 
-    async def _crash(self, dispatch: Dispatch, started_s: float) -> Crash | None:
+    def _crash(self, dispatch: Dispatch, started_s: float) -> Crash:
         """Return the crash that ended an attempt, the same one for all that it ended."""
-        if not await is_down(self._upstream):
-            return None
         if started_s > self._crash_s:
             self._crashes += 1
             self._crash_s = asyncio.get_running_loop().time()
         run = Incarnation(f"{self._incarnation}/{self._crashes}")
         return Crash(run, dispatch.fingerprint)
 
-    def _done(self, attempt: AttemptId, message: Forward, task: asyncio.Task[ToEntry]) -> None:
+    def _done(
+        self, attempt: AttemptId, message: Forward, started_s: float, task: asyncio.Task[ToEntry]
+    ) -> None:
         del self._tasks[attempt]
         del self._windows[attempt]
-        if task.cancelled():
-            self._ended(cancelled(message.peer, message.dispatch))
-        else:
+        if not task.cancelled():
             self._ended(AttemptEnded(message.peer, task.result()))
+            return
+        self._ended(cancelled(message.peer, message.dispatch))
+        self._cancelled.append((message, started_s))
+        if self._watch is None or self._watch.done():
+            self._watch = asyncio.create_task(self._watch_cancelled())
+
+    async def _watch_cancelled(self) -> None:
+        """Name the crash of an upstream that goes down just after attempts were cancelled.
+
+        Entries cancel copies of a suspect. Without the name such a crash would not count, and the
+        suspect would be run once more.
+        """
+        while self._cancelled:
+            watched, self._cancelled = self._cancelled, []
+            if not await is_down(self._upstream):
+                continue
+            for message, started_s in watched:
+                crash = self._crash(message.dispatch, started_s)
+                self._ended(cancelled(message.peer, message.dispatch, crash))
 
 
 async def is_down(upstream: Address) -> bool:
