Grant no lease of a fingerprint that is refused

Cause: read in the code, not seen in a run. An entry hears of a refused fingerprint with its next question to control, up to 0.1 s after the second crash is committed, and could be granted the lease in between, as its holder gives it back at once.

Change: the state machine answers AcquireLease for the lease of a refused fingerprint with FINGERPRINT_REFUSED. The log orders the two, so no time is involved.

Measured: the new test fails without the rule; the state machine test of suspects now also compares the question that the rule asks with its dictionary.

Conclusion: a suspect can't run alone after its second recorded crash.

--- a/src/lycheefall/_rules/replicated/machine.py
+++ b/src/lycheefall/_rules/replicated/machine.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct, field
 
+from lycheefall._core.codes import ResultCode
 from lycheefall._core.ids import CommandId
 from lycheefall._core.messages.consensus import Submitted
 from lycheefall._core.messages.control import (
@@ -13,6 +14,7 @@
     ClearSuspects,
     Command,
     CommitEpoch,
+    Failed,
     Reassign,
     RecordCrash,
     RecordOutcome,
@@ -25,6 +27,7 @@
 from lycheefall._rules.replicated.leases import Leases
 from lycheefall._rules.replicated.revisions import Revisions
 from lycheefall._rules.replicated.suspects import SuspectsState
+from lycheefall._rules.suspect_routing import suspect_of
 
 # A command sent again within this time gets the first result; clients give up well before.
 RESULT_KEPT_MS = 30_000
@@ -91,6 +94,11 @@
         case Claim() | Reassign() | RecordOutcome():
             limits = state.revisions.configuration.limits
             state.claims, result = claims.apply(state.claims, command, stamp_ms, limits)
+        case AcquireLease() if suspects.is_refused(
+            state.suspects, suspect_of(command.name), stamp_ms
+        ):
+            # An entry may ask for it before it hears of the second crash.
+            result = Failed(ResultCode.FINGERPRINT_REFUSED, "the request crashed two upstreams")
         case AcquireLease() | RenewLease():
             state.leases, result = leases.apply(state.leases, command, stamp_ms)
         case CommitEpoch():
--- a/src/lycheefall/_rules/replicated/suspects.py
+++ b/src/lycheefall/_rules/replicated/suspects.py
@@ -67,6 +67,14 @@
     return tuple(f for f, s in _current(state) if len(s.incarnations) >= CRASHES_TO_REFUSE)
 
 
+def is_refused(state: SuspectsState, fingerprint: Fingerprint | None, stamp_ms: int) -> bool:
+    """Tell whether no upstream may run a fingerprint."""
+    known = None if fingerprint is None else state.suspects.get(fingerprint)
+    if known is None or known.until_ms <= stamp_ms:
+        return False
+    return len(known.incarnations) >= CRASHES_TO_REFUSE
+
+
 def suspects(state: SuspectsState) -> tuple[Fingerprint, ...]:
     """Return the fingerprints that must run alone."""
     return tuple(f for f, s in _current(state) if len(s.incarnations) < CRASHES_TO_REFUSE)
--- a/src/lycheefall/_rules/suspect_routing.py
+++ b/src/lycheefall/_rules/suspect_routing.py
@@ -12,7 +12,14 @@
 
 from lycheefall._core.ids import Fingerprint, LeaseName
 
+_PREFIX = "suspect/"
+
 
 def suspect_lease(fingerprint: Fingerprint) -> LeaseName:
     """Return the name of the lease."""
-    return LeaseName(f"suspect/{fingerprint}")
+    return LeaseName(f"{_PREFIX}{fingerprint}")
+
+
+def suspect_of(name: LeaseName) -> Fingerprint | None:
+    """Return whose lease it is; None for a lease of something else."""
+    return Fingerprint(name.removeprefix(_PREFIX)) if name.startswith(_PREFIX) else None
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -7,9 +7,12 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from lycheefall._core.configuration import Limits
-from lycheefall._core.messages.control import ClearSuspects, RecordCrash
-from lycheefall._rules.replicated import suspects
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.configuration import Configuration, Limits
+from lycheefall._core.messages.consensus import Submitted
+from lycheefall._core.messages.control import AcquireLease, ClearSuspects, RecordCrash
+from lycheefall._rules.replicated import machine, suspects
+from lycheefall._rules.suspect_routing import suspect_lease
 
 FINGERPRINTS = st.sets(st.sampled_from("fgh"), max_size=2)
 LIMITS = Limits(fingerprint_refusal_s=10.0)
@@ -54,9 +57,25 @@
     def agrees(self) -> None:
         refused = {f for f, (seen, _) in self.oracle.items() if len(seen) == 2}
         assert set(suspects.refused(self.state)) == refused
+        asked = {f for f in "fgh" if suspects.is_refused(self.state, f, self.stamp_ms)}  # type: ignore[arg-type]
+        assert asked == refused
         assert set(suspects.suspects(self.state)) == set(self.oracle) - refused
         assert set(self.state.suspects) == set(self.oracle)
 
 
 TestSuspectsMachine = SuspectsMachine.TestCase
 TestSuspectsMachine.settings = settings(max_examples=100, deadline=None)
+
+
+class TestLease:
+    def test_no_lease_after_the_second_crash(self) -> None:
+        """Guards against a third crash by an entry that has not heard of the second one."""
+        apply = machine.applier(lambda text: Configuration())
+        state = machine.initial()
+        lease = AcquireLease(suspect_lease("f"), "holder", 1.0)  # type: ignore[arg-type]
+        crashes = [RecordCrash("u", run, ("f",)) for run in "12"]  # type: ignore[arg-type]
+        codes = []
+        for number, command in enumerate([crashes[0], lease, crashes[1], lease]):
+            submitted = Submitted(str(number), command)  # type: ignore[arg-type]
+            codes.append(apply(state, submitted, number * 2_000)[1].code)
+        assert codes[1::2] == [ResultCode.OK, ResultCode.FINGERPRINT_REFUSED]
