Let suspect bookings run under the lease, and tell what came of a key

Cause: no test crashed a service under a booking. A claim keeps one key from running twice, but says nothing about copies under other keys: 48 keys of one crashing booking, sent by 12 callers through four entries, went on to further services at once, and suspect bookings needed no lease. A booking whose fingerprint was refused was answered 4004 ("unknown, try again") whether its key was new or had run.

Change: a suspect booking claims its key without an upstream, which answers a key that ran, and picks one only under the lease of suspects. An attempt that is claimed is not sent if a copy has crashed an upstream since. The lease of a booking whose caller left is kept until it expires, since the attempt goes on. A lost upstream stays among the own two of bookings as well. A refused booking claims its key too: a new one is given up and answered 3007, one that ran is answered 4000.

Conclusion: the bound of two holds for bookings where it holds for other requests. Bookings still widen at once when their own two are full.

--- a/src/lycheefall/_rules/booking_calls.py
+++ b/src/lycheefall/_rules/booking_calls.py
@@ -15,7 +15,7 @@
     Repick,
     ToLink,
 )
-from lycheefall._rules import upstreams
+from lycheefall._rules import suspect_calls, upstreams
 from lycheefall._rules.call_state import (
     NO_INCARNATION,
     NO_UPSTREAM,
@@ -36,12 +36,21 @@
     return call.call.operation is not None
 
 
+def may_run(state: CallsState, call: Call) -> bool:
+    """Tell whether a booking may be sent, as it is no suspect or holds its lease.
+
+    A claim says nothing about copies under other keys, so a suspect needs a lease beside it.
+    """
+    is_refused = call.call.fingerprint in state.refused
+    return not is_refused and not suspect_calls.must_wait(state, call)
+
+
 def start_booking(state: CallsState, call: Call, now_s: float) -> list[FromDispatch]:
     """Choose an upstream and begin the flow; it claims the operation even without one.
 
     An earlier try of the key may have run, so only control can tell that nothing did.
     """
-    upstream = choose(state, call, set(), now_s)
+    upstream = choose(state, call, set(), now_s) if may_run(state, call) else None
     if upstream is None:
         return [BookingStarted(call.call, NO_UPSTREAM, NO_INCARNATION)]
     occupy(state, call, upstream, now_s)
@@ -53,8 +62,9 @@
 ) -> list[FromDispatch]:
     """Dispatch an attempt whose claim is committed."""
     call = state.calls.get(claimed.request)
-    if call is None:
-        # The caller has left; the attempt was not sent and never will be.
+    if call is None or not may_run(state, call):
+        # The caller has left, or a copy has crashed an upstream since the upstream was chosen.
+        # The attempt was not sent and never will be.
         code = ResultCode.CANCELLED_BEFORE_START
         return [BookingReply(Refused(claimed.request, claimed.attempt, code))]
     call.attempt = claimed.attempt
@@ -77,17 +87,21 @@
         begun(state, call, now_s)
 
 
-def repick(state: CallsState, request: Repick, now_s: float) -> BookingPicked:
-    """Choose another upstream that the flow has not tried."""
+def repick(state: CallsState, request: Repick, now_s: float) -> list[FromDispatch]:
+    """Choose another upstream that the flow has not tried; a suspect asks for its lease first."""
     call = state.calls.get(request.request)
     if call is None:
-        return _no_pick(request)
+        return [_no_pick(request)]
     leave(state, call, now_s)
+    if not may_run(state, call):
+        if call.call.fingerprint in state.refused:
+            return [_no_pick(request, ResultCode.FINGERPRINT_REFUSED)]
+        return [_no_pick(request), *suspect_calls.want_lease(state, call, now_s)]
     upstream = choose(state, call, set(request.tried), now_s)
     if upstream is None:
-        return _no_pick(request)
+        return [_no_pick(request)]
     occupy(state, call, upstream, now_s)
-    return BookingPicked(request.request, call.upstream, call.incarnation, ResultCode.OK)
+    return [BookingPicked(request.request, call.upstream, call.incarnation, ResultCode.OK)]
 
 
 def booking_answered(
@@ -97,6 +111,8 @@
     call = state.calls.get(answered.end.request)
     if call is None:
         return [answered.end]
+    if answered.end.code is ResultCode.OK:
+        suspect_calls.cleared(state, call)
     end = structs.replace(answered.end, upstream=_origin(call), attempts=call.attempt)
     return [end, close(state, call, now_s)]
 
@@ -106,5 +122,5 @@
     return call.upstream if call.attempt else NO_UPSTREAM
 
 
-def _no_pick(request: Repick) -> BookingPicked:
-    return BookingPicked(request.request, None, NO_INCARNATION, ResultCode.NO_UPSTREAM)
+def _no_pick(request: Repick, code: ResultCode = ResultCode.NO_UPSTREAM) -> BookingPicked:
+    return BookingPicked(request.request, None, NO_INCARNATION, code)
--- a/src/lycheefall/_rules/bookings.py
+++ b/src/lycheefall/_rules/bookings.py
@@ -47,6 +47,7 @@
     ResultCode.OUTCOME_UNKNOWN: "the operation may have run and is not run again",
     ResultCode.KEY_EXPIRED: "the key is past its retention; this try was not run, "
     "but an earlier one may have been",
+    ResultCode.FINGERPRINT_REFUSED: "a booking with this content has crashed upstreams",
     ResultCode.KEY_REUSED: "the key was used for another request",
 }
 
--- a/src/lycheefall/_rules/call_state.py
+++ b/src/lycheefall/_rules/call_state.py
@@ -130,8 +130,7 @@
         wish = Wish(
             tried=frozenset(tried),
             offline=frozenset(name for name in table.upstreams if name not in state.connected),
-            # The claim of a booking keeps copies of it from running elsewhere.
-            lost=_of(table, lost) if call.call.operation is None else frozenset(),
+            lost=_of(table, lost),
             alone=alone,
             may_widen=may_widen(call, now_s),
         )
@@ -148,8 +147,9 @@
 def may_widen(call: Call, now_s: float) -> bool:
     """Tell whether the call may go beyond its own upstreams.
 
-    A booking may, since its claim keeps copies of it from running. Another request may once it
-    has waited, so that copies through several entries don't crash more than its own upstreams.
+    A booking may, since it would be refused, and its claim keeps copies under its key from
+    running. Another request may once it has waited, so that copies through several entries don't
+    crash more than its own upstreams.
     """
     if call.call.operation is not None:
         return True
--- a/src/lycheefall/_rules/calls.py
+++ b/src/lycheefall/_rules/calls.py
@@ -119,7 +119,7 @@
         case DispatchClaimed():
             return state, dispatch_claimed(state, message, now_s)
         case Repick():
-            return state, [repick(state, message, now_s)]
+            return state, repick(state, message, now_s)
         case ToLink():
             return state, [message]
         case BookingAnswered():
@@ -136,7 +136,7 @@
     state.calls[request.request] = call
     ratio = state.team_ratios.get(request.team, 0.0)
     retries.first_try(state.budgets, request.team, ratio)
-    if request.fingerprint in state.refused:
+    if request.fingerprint in state.refused and not is_booking(call):
         refusal = refuse(request, ResultCode.FINGERPRINT_REFUSED, REFUSED_DETAIL)
         return [refusal, close(state, call, now_s)]
     if is_booking(call):
@@ -362,7 +362,7 @@
         return suspect_calls.give_back(answered)
     call.lease = answered.fencing
     call.lease_due_s = now_s + suspect_calls.LEASE_RETRY_S
-    if call.lease is None or call.occupied is not None:
+    if call.lease is None or call.occupied is not None or is_booking(call):
         return []
     code = ResultCode.UPSTREAM_LOST if call.lost else ResultCode.NO_UPSTREAM
     return _attempt(state, call, code, now_s)
@@ -373,7 +373,9 @@
     if call is None:
         return []
     if is_booking(call):
-        # An attempt that runs goes on: its outcome is recorded for the next try of the key.
+        # An attempt that runs goes on: its outcome is recorded for the next try of the key. A lease
+        # is kept until it expires, as it covers the attempt.
+        call.lease = None
         return [Abandon(request), close(state, call, now_s)]
     return [*_cancel(call), close(state, call, now_s)]
 
--- a/src/lycheefall/_rules/claim_flow.py
+++ b/src/lycheefall/_rules/claim_flow.py
@@ -154,7 +154,7 @@
         # The rest of the time is left for the commit that gives the claim up.
         wait_s = min(PICK_WAIT_S, (flow.booking.deadline_s - now_s) / 2)
         flow.pick_until_s = now_s + wait_s
-    if now_s >= flow.pick_until_s:
+    if now_s >= flow.pick_until_s or code is ResultCode.FINGERPRINT_REFUSED:
         return _give_up(flow, code)
     flow.tried = ()
     return []
--- a/src/lycheefall/_rules/suspect_calls.py
+++ b/src/lycheefall/_rules/suspect_calls.py
@@ -92,9 +92,14 @@
 
 
 def wait(state: CallsState, call: Call, now_s: float) -> list[FromDispatch]:
+    """Park a suspect and ask for its lease."""
+    state.parked[call.call.request] = call
+    return want_lease(state, call, now_s)
+
+
+def want_lease(state: CallsState, call: Call, now_s: float) -> list[FromDispatch]:
     """Ask for the lease of a suspect once copies elsewhere have stopped."""
     request = call.call
-    state.parked[request.request] = call
     settled_s = state.suspected_s.get(request.fingerprint, now_s) + SETTLE_S
     if call.crashing or now_s < max(settled_s, call.lease_due_s):
         return []
--- /dev/null
+++ b/tests/processes/test_crashing_bookings.py
@@ -0,0 +1,73 @@
+"""A booking that crashes each service that runs it, sent again under new keys."""
+
+import asyncio
+import json
+from collections import Counter
+from pathlib import Path
+
+import aiohttp
+
+from processes.fleet import Fleet, running
+from processes.test_crashing_requests import restart_crashed
+from processes.test_whole_path import TEAM, time_ms
+
+MARKER = "crashes services"
+SERVICES = 4
+CALLERS = 12
+KEYS = 4
+# Tries of each key; the later ones ask for what came of the first.
+TRIES = 2
+INNOCENT_CALLERS = 8
+LIMIT_S = 90.0
+
+# Code and run state of each try, by key.
+Told = dict[str, list[tuple[str, str]]]
+
+
+async def book(
+    fleet: Fleet, session: aiohttp.ClientSession, number: int, item: str, told: Told
+) -> None:
+    """Send one item under new keys through one entry, and repeat each key."""
+    url = fleet.url(number % 4, "/v1/services/counter/bookings")
+    for count in range(KEYS):
+        key = f"{time_ms()}-{item.replace(' ', '')}-{number}-{count}"
+        body = {"item": item}
+        for _ in range(TRIES):
+            headers = TEAM | {"Idempotency-Key": key}
+            async with session.post(url, json=body, headers=headers) as response:
+                names = ("X-Lycheefall-Code", "X-Lycheefall-Run")
+                code, run = (response.headers[name] for name in names)
+                told.setdefault(key, []).append((code, run))
+
+
+class TestCrashingBookings:
+    async def test_two_services_at_most(self, tmp_path: Path) -> None:
+        """Guards against a booking that takes one service after the other, or a wrong "not run"."""
+        services = [f"service-{n}" for n in range(SERVICES)]
+        flags = {name: ["--crash-marker", MARKER] for name in services}
+        fleet = Fleet(tmp_path, engines=1, services=SERVICES, fake_flags=flags)
+        fleet.plan()
+        lost: list[str] = []
+        told: Told = {}
+        innocent: Told = {}
+        async with running(fleet) as session:
+            restarts = asyncio.create_task(restart_crashed(fleet, lost, services))
+            async with asyncio.timeout(LIMIT_S):
+                await asyncio.gather(
+                    *(book(fleet, session, n, MARKER, told) for n in range(CALLERS)),
+                    *(
+                        book(fleet, session, n, f"item {n}", innocent)
+                        for n in range(INNOCENT_CALLERS)
+                    ),
+                )
+            restarts.cancel()
+            ran = Counter(json.loads(line)["key"] for line in fleet.executions())
+        print(f"lost {lost}, told {Counter(tuple(each) for each in told.values())}")
+        print(f"innocent {Counter(tuple(each) for each in innocent.values())}")
+        assert 1 <= len(lost) <= 2
+        assert max(ran.values()) == 1
+        answers = [(key, run) for each in (told, innocent) for key in each for _, run in each[key]]
+        assert [key for key, run in answers if run == "not-run" and ran[key]] == []
+        assert [key for key, run in answers if run == "ran" and not ran[key]] == []
+        assert any(("3007", "not-run") in each for each in told.values())
+        assert sum(each[-1][1] == "ran" for each in innocent.values()) > len(innocent) / 2
--- a/tests/processes/test_crashing_requests.py
+++ b/tests/processes/test_crashing_requests.py
@@ -26,10 +26,10 @@
 LIMIT_S = 60.0
 
 
-async def restart_crashed(fleet: Fleet, lost: list[str]) -> None:
-    """Start each engine again that has ended, and note it."""
+async def restart_crashed(fleet: Fleet, lost: list[str], names: list[str]) -> None:
+    """Start each upstream again that has ended, and note it."""
     while True:
-        for name in [f"engine-{n}" for n in range(ENGINES)]:
+        for name in names:
             if fleet.processes[name].poll() is not None:
                 lost.append(name)
                 await asyncio.sleep(RESTART_AFTER_S)
@@ -81,7 +81,7 @@
         lost: list[str] = []
         stop = asyncio.Event()
         async with running(fleet) as session:
-            restarts = asyncio.create_task(restart_crashed(fleet, lost))
+            restarts = asyncio.create_task(restart_crashed(fleet, lost, engines))
             innocent = [
                 asyncio.create_task(ask_innocent(fleet, session, number, stop))
                 for number in range(INNOCENT_CALLERS)
--- a/tests/test_suspect_calls.py
+++ b/tests/test_suspect_calls.py
@@ -16,16 +16,28 @@
 )
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.enums import MemberState, RouteKind, UpstreamKind
-from lycheefall._core.messages.dispatch import Cancel, Crash, Dispatch, Finished, Refused
+from lycheefall._core.messages.dispatch import (
+    Cancel,
+    ClaimToken,
+    Crash,
+    Dispatch,
+    Finished,
+    Refused,
+)
 from lycheefall._core.messages.entry import (
+    Abandon,
+    BookingAnswered,
     CallEnded,
     CrashRecorded,
     CrashSeen,
+    DispatchClaimed,
     FingerprintsChanged,
     FromAgent,
     LeaseAnswered,
     LeaseWanted,
     LinkDown,
+    OperationKey,
+    Repick,
     ReplyEnd,
     Run,
     SuspectEnded,
@@ -35,12 +47,15 @@
 )
 from lycheefall._core.messages.membership import Load, UpstreamMember
 from lycheefall._rules import attempts
-from lycheefall._rules.call_state import LOSS_HELD_S
+from lycheefall._rules.call_state import LOSS_HELD_S, NO_UPSTREAM
 from lycheefall._rules.suspect_calls import KEPT_S, SETTLE_S
 from test_calls import Entry, request
 
 PRINT = "print of r"
 CRASH = Crash("run-1", PRINT)  # type: ignore[arg-type]
+TOKEN = ClaimToken("t", "k", 1)  # type: ignore[arg-type]
+REPICK = Repick("r", ())  # type: ignore[arg-type]
+BOOKING = Run(request(operation=OperationKey("k", 0)))  # type: ignore[arg-type]
 
 
 def crashed(entry: Entry) -> CrashSeen:
@@ -173,6 +188,57 @@
         assert isinstance(closed, CallEnded)
 
 
+class TestBookings:
+    def test_waits_for_its_lease(self) -> None:
+        """Guards against copies under other keys that crash one upstream after the other."""
+        entry = Entry()
+        entry.send(FingerprintsChanged(frozenset([PRINT]), frozenset()))  # type: ignore[list-item]
+        (started,) = entry.send(BOOKING)
+        assert started.upstream == NO_UPSTREAM
+        (early,) = entry.send(REPICK)
+        late, wanted = entry.send(REPICK, SETTLE_S)
+        assert early.upstream is late.upstream is None
+        assert isinstance(wanted, LeaseWanted)
+        assert entry.send(LeaseAnswered("r", PRINT, 7), SETTLE_S) == []  # type: ignore[arg-type]
+        (picked,) = entry.send(REPICK, SETTLE_S)
+        claimed = DispatchClaimed("r", picked.upstream, "1", 1, TOKEN)  # type: ignore[arg-type]
+        (dispatched,) = dispatches(entry.send(claimed, SETTLE_S))
+        assert dispatched.alone
+        done = ReplyEnd(request="r", code=ResultCode.OK)  # type: ignore[arg-type]
+        entry.send(BookingAnswered(done), SETTLE_S)
+        ended = SuspectEnded("r", PRINT, 7, True)  # type: ignore[arg-type]
+        assert ended in entry.send(Tick(), SETTLE_S)
+
+    def test_refused(self) -> None:
+        """Guards against "unknown" for a new key of a refused booking, and a key not asked for."""
+        entry = Entry()
+        entry.send(FingerprintsChanged(frozenset(), frozenset([PRINT])))  # type: ignore[list-item]
+        (started,) = entry.send(BOOKING)
+        (picked,) = entry.send(REPICK)
+        assert (started.upstream, picked.upstream) == (NO_UPSTREAM, None)
+        assert picked.code is ResultCode.FINGERPRINT_REFUSED
+
+    def test_lease_outlives_the_caller(self) -> None:
+        """Guards against a second copy beside an attempt that runs on without its caller."""
+        entry = Entry()
+        entry.send(FingerprintsChanged(frozenset([PRINT]), frozenset()))  # type: ignore[list-item]
+        entry.send(BOOKING)
+        entry.send(LeaseAnswered("r", PRINT, 7))  # type: ignore[arg-type]
+        entry.send(Abandon("r"))  # type: ignore[arg-type]
+        assert not any(isinstance(each, SuspectEnded) for each in entry.send(Tick()))
+
+    def test_not_sent_after_a_crash(self) -> None:
+        """Guards against a booking that is sent although a copy crashed since it was claimed."""
+        entry = Entry()
+        (started,) = entry.send(BOOKING)
+        entry.send(FingerprintsChanged(frozenset([PRINT]), frozenset()))  # type: ignore[list-item]
+        claimed = DispatchClaimed("r", started.upstream, "1", 1, TOKEN)  # type: ignore[arg-type]
+        (reply,) = entry.send(claimed)
+        assert isinstance(reply.message, Refused)
+        (picked,) = entry.send(REPICK)
+        assert picked.upstream is None
+
+
 def dispatch(name: str, *, alone: bool) -> Dispatch:
     """Return a dispatch of ten seconds."""
     fields: Any = (name, 1, "1", 10.0, RouteKind.CHAT, "POST", "/", "", b"{}", "p", 0, "f")
