Keep the lease of a suspect for 1 s after a run that did not end well

When the caller of a suspect left, its attempt was cancelled and the lease given back at once, so the next copy could run before the agent had named a crash that followed the cancel (0.3 s) and control had recorded it.

Change: the rest of the lease is 1 s, unless the suspect finished well or the fingerprint is refused, for which there is no lease anyway.

Measured: the new test compares the rest of the lease after both ends; it fails with one rest for both.

Conclusion: a copy waits up to 1 s longer after a failed run alone. A record that takes control longer than that remains a window.

--- a/src/lycheefall/_entry/suspects.py
+++ b/src/lycheefall/_entry/suspects.py
@@ -28,6 +28,9 @@
 TIMEOUT_S = 4.0
 # There is no command that ends a lease, so its rest is made this short.
 ENDED_LEASE_S = 0.001
+# The rest of a lease whose suspect did not finish well: agents watch 0.3 s for a crash after a
+# cancel, and it has to be recorded before the next copy runs.
+FAILED_LEASE_S = 1.0
 
 
 async def record_crash(client: ControlClient, seen: CrashSeen) -> CrashRecorded:
@@ -59,12 +62,13 @@
 
 
 async def end_suspect(client: ControlClient, ended: SuspectEnded) -> None:
-    """Clear a suspect that finished well, and give its lease back."""
+    """Clear a suspect that finished well, and give its lease back, or soon if it did not."""
     if ended.is_clear:
         await _propose(client, ClearSuspects((ended.fingerprint,)))
     name = suspect_lease(ended.fingerprint)
     holder = Incarnation(ended.request)
-    await _propose(client, RenewLease(name, holder, ended.fencing, ENDED_LEASE_S))
+    rest_s = ENDED_LEASE_S if ended.is_clear else FAILED_LEASE_S
+    await _propose(client, RenewLease(name, holder, ended.fencing, rest_s))
 
 
 async def _propose(client: ControlClient, command: Command) -> Result | None:
--- a/tests/test_suspect_calls.py
+++ b/tests/test_suspect_calls.py
@@ -16,6 +16,7 @@
 )
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.enums import MemberState, RouteKind, UpstreamKind
+from lycheefall._core.messages.control import ClearSuspects
 from lycheefall._core.messages.dispatch import (
     Cancel,
     ClaimToken,
@@ -46,6 +47,7 @@
     UpstreamHeard,
 )
 from lycheefall._core.messages.membership import Load, UpstreamMember
+from lycheefall._entry.suspects import FAILED_LEASE_S, end_suspect
 from lycheefall._rules import attempts
 from lycheefall._rules.call_state import LOSS_HELD_S, NO_UPSTREAM
 from lycheefall._rules.suspect_calls import KEPT_S, SETTLE_S
@@ -188,6 +190,22 @@
         assert isinstance(closed, CallEnded)
 
 
+class TestLeaseEnd:
+    async def test_rest_of_a_lease(self) -> None:
+        """Guards against a copy that runs before a crash just after a cancel is recorded."""
+        commands: list[Any] = []
+
+        class Client:
+            async def propose(self, command: Any, timeout_s: float) -> None:
+                commands.append(command)
+
+        for is_clear in (False, True):
+            await end_suspect(Client(), SuspectEnded("r", PRINT, 7, is_clear))  # type: ignore[arg-type]
+        failed, clear, finished = commands
+        assert failed.duration_s == FAILED_LEASE_S > finished.duration_s
+        assert isinstance(clear, ClearSuspects)
+
+
 class TestBookings:
     def test_waits_for_its_lease(self) -> None:
         """Guards against copies under other keys that crash one upstream after the other."""
