--- a/src/lycheefall/_rules/calls.py
+++ b/src/lycheefall/_rules/calls.py
@@ -49,6 +49,7 @@
     start_booking,
 )
 from lycheefall._rules.call_state import (
+    LOSS_HELD_S,
     WIDEN_AFTER_S,
     Call,
     CallsState,
@@ -71,6 +72,7 @@
     learn_refusal,
     link_down,
     link_up,
+    note_presence,
     upstream_heard,
     upstream_left,
 )
@@ -96,13 +98,14 @@
         case Abandon():
             return state, _abandon(state, message.request, now_s)
         case UpstreamHeard():
-            return state, upstream_heard(state, message, now_s)
+            stopped = suspect_calls.hear(state, message.member.crashed, now_s)
+            return state, upstream_heard(state, message, now_s) + _stop(state, stopped, now_s)
         case UpstreamLeft():
             return state, upstream_left(state, message)
         case LinkUp():
-            return state, link_up(state, message)
+            return state, link_up(state, message, now_s)
         case LinkDown():
-            return state, link_down(state, message) + _lose_all(state, message, now_s)
+            return state, link_down(state, message, now_s) + _lose_all(state, message, now_s)
         case ConfigurationChanged():
             return state, configure(state, message.configuration)
         case FingerprintsChanged():
@@ -117,12 +120,13 @@
         case DispatchClaimed():
             return state, dispatch_claimed(state, message, now_s)
         case Repick():
-            return state, [repick(state, message, now_s)]
+            return state, repick(state, message, now_s)
         case ToLink():
             return state, [message]
         case BookingAnswered():
             return state, booking_answered(state, message, now_s)
         case Tick():
+            suspect_calls.expire(state, now_s)
             results = _expire(state, now_s) + _unpark(state, now_s) + capacities(state, now_s)
             ended, state.suspects_ended = state.suspects_ended, []
             return state, [*results, *ended]
@@ -133,7 +137,7 @@
     state.calls[request.request] = call
     ratio = state.team_ratios.get(request.team, 0.0)
     retries.first_try(state.budgets, request.team, ratio)
-    if request.fingerprint in state.refused:
+    if request.fingerprint in state.refused and not is_booking(call):
         refusal = refuse(request, ResultCode.FINGERPRINT_REFUSED, REFUSED_DETAIL)
         return [refusal, close(state, call, now_s)]
     if is_booking(call):
@@ -182,6 +186,7 @@
         if table is not None:
             upstreams.report(table, source, message.incarnation, message.load, now_s)
             upstreams.set_state(table, source, message.state)
+            note_presence(state, source, now_s)
         return []
     if isinstance(message, Finished) and message.crash is not None:
         return suspect_calls.crash_seen(state, CrashSeen(source, message))
@@ -286,6 +291,8 @@
     if retries.advise(refused.code, True) is RetryAdvice.NEVER:
         return end(state, call, code, "the agent refused the attempt", now_s)
     is_down = refused.code is ResultCode.NOT_CONNECTED
+    if is_down or refused.code is ResultCode.NOT_READY:
+        call.narrow_until_s = now_s + LOSS_HELD_S
     if is_down or choose(state, call, call.tried, now_s) is None:
         # By then a crash that brought the upstream down is known to every entry.
         call.not_before_s = now_s + WIDEN_AFTER_S
@@ -352,7 +359,7 @@
         return suspect_calls.give_back(answered)
     call.lease = answered.fencing
     call.lease_due_s = now_s + suspect_calls.LEASE_RETRY_S
-    if call.lease is None or call.occupied is not None:
+    if call.lease is None or call.occupied is not None or is_booking(call):
         return []
     code = ResultCode.UPSTREAM_LOST if call.lost else ResultCode.NO_UPSTREAM
     return _attempt(state, call, code, now_s)
@@ -363,7 +370,9 @@
     if call is None:
         return []
     if is_booking(call):
-        # An attempt that runs goes on: its outcome is recorded for the next try of the key.
+        # An attempt that runs goes on: its outcome is recorded for the next try of the key. A lease
+        # is kept until it expires, as it covers the attempt.
+        call.lease = None
         return [Abandon(request), close(state, call, now_s)]
     return [*_cancel(call), close(state, call, now_s)]
 
