Hold a booking while a starting entry waits for its configuration

Such an entry refuses at once, and a caller that retries without pause spends its tries on it. No 4004 came from a claim flow, whose callers leave after 1 s. Once a restarted replica listens, the first claim is granted after 0.66 s (median of 34, at most 1.66 s), so control keeps its 2 s.

Change: an entry without a configuration holds a request with an idempotency key for up to 2 s before it answers 4004. The timeout counts from the arrival, so the wait is a part of it. Requests without a key are still refused at once as not run.

Conclusion: restarted entries no longer use up tries.

--- a/src/lycheefall/_core/pipeline.py
+++ b/src/lycheefall/_core/pipeline.py
@@ -1,6 +1,7 @@
 """Parts that filters are joined with."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Iterable
 from typing import Any, Generic, TypeVar, overload
 
@@ -81,14 +82,22 @@
 class Latest(Generic[T]):
     """Value that its owner publishes and others only read; an older value is replaced."""
 
-    __slots__ = ("value",)
+    __slots__ = ("_published", "value")
 
     def __init__(self, value: T) -> None:
         self.value = value
+        self._published = asyncio.Event()
 
     def publish(self, value: T) -> None:
         """Replace the value."""
         self.value = value
+        self._published.set()
+
+    async def wait_published(self, timeout_s: float) -> None:
+        """Wait until a value was published, or until the time is over."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._published.wait()
 
 
 async def run_owner(
--- a/src/lycheefall/_entry/accept.py
+++ b/src/lycheefall/_entry/accept.py
@@ -25,6 +25,9 @@
 
 # One frame a message: the first credit of an attempt and the end of the answer fit.
 REPLY_PARTS = 320
+# A booking waits this long for the first configuration. Control grants claims again within 2 s, and
+# a refusal that comes at once would use up the tries of a caller that retries without pause.
+READY_WAIT_S = 2.0
 # A caller's own id is kept in the log up to this length.
 REQUEST_ID_CHARACTERS = 64
 
@@ -92,6 +95,10 @@
     async def _identified(
         self, http: web.Request, request: RequestId, service: str, path: str
     ) -> CallerRequest:
+        # The timeout counts from here, so that the wait is a part of it.
+        arrived_s = asyncio.get_running_loop().time()
+        if KEY_HEADER in http.headers:
+            await self.catalogue.wait_published(READY_WAIT_S)
         catalogue = self.catalogue.value
         if catalogue is None:
             raise RequestRefused(ResultCode.NOT_READY, "no committed configuration is known yet")
@@ -104,7 +111,7 @@
             query=http.query_string,
             headers=http.headers,
             body=body,
-            now_s=asyncio.get_running_loop().time(),
+            now_s=arrived_s,
         )
         return identify(catalogue)(raw)
 
--- /dev/null
+++ b/tests/test_accept.py
@@ -0,0 +1,89 @@
+"""Tests of how an entry takes requests from callers."""
+
+import asyncio
+
+import pytest
+from aiohttp import web
+from aiohttp.test_utils import make_mocked_request
+
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.configuration import Configuration, Priority, Route, Team
+from lycheefall._core.enums import RouteKind
+from lycheefall._core.messages.entry import Submit
+from lycheefall._entry.accept import READY_WAIT_S, Acceptor
+from lycheefall._entry.catalogue import build_catalogue
+from lycheefall._entry.identify import KEY_HEADER, TEAM_HEADER
+from requests_for_tests import POOL, URGENT
+
+TIMEOUT_S = 5.0
+ROUTE = Route(
+    name="bookings",  # type: ignore[arg-type]
+    kind=RouteKind.BOOKING,
+    pools=(POOL,),
+    service="counter",
+    path="bookings",
+    idempotent=False,
+    timeout_s=TIMEOUT_S,
+    priority=URGENT,
+)
+CATALOGUE = build_catalogue(
+    Configuration(
+        priorities=(Priority(name=URGENT, target_s=1.0, worth=1.0),),
+        teams=(Team(name="team"),),  # type: ignore[arg-type]
+        routes=(ROUTE,),
+    )
+)
+
+
+class Entry:
+    """An entry without a configuration, and what its requests passed on and were answered."""
+
+    def __init__(self) -> None:
+        self.passed: list[Submit] = []
+        self.acceptor = Acceptor("entry-0", "0123456789", self._offer)  # type: ignore[arg-type]
+
+    def _offer(self, message: object) -> bool:
+        if isinstance(message, Submit):
+            self.passed.append(message)
+        return True
+
+    def post(self, key: str | None) -> asyncio.Task[web.StreamResponse]:
+        """Send a request, as a booking if it has a key."""
+        headers = {TEAM_HEADER: "team"} | ({KEY_HEADER: key} if key else {})
+        request = make_mocked_request("POST", "/v1/services/counter/bookings", headers)
+        return asyncio.create_task(self.acceptor.handle(request, "counter", "bookings"))
+
+
+def code_of(task: asyncio.Task[web.StreamResponse]) -> str:
+    return task.result().headers["X-Lycheefall-Code"]
+
+
+@pytest.mark.looptime
+class TestWithoutConfiguration:
+    async def test_booking_waits(self) -> None:
+        """Guards against an entry that uses up a caller's tries of a booking while it starts."""
+        entry = Entry()
+        began_s = asyncio.get_running_loop().time()
+        task = entry.post("1-a")
+        await asyncio.sleep(READY_WAIT_S / 2)
+        assert not task.done()
+        entry.acceptor.catalogue.publish(CATALOGUE)
+        await asyncio.sleep(0.01)
+        # The timeout counts from the arrival, so the wait doesn't extend it.
+        assert [each.call.deadline_s for each in entry.passed] == [began_s + TIMEOUT_S]
+        task.cancel()
+
+    async def test_wait_is_bounded(self) -> None:
+        """Guards against a booking that is held for as long as control has no quorum."""
+        entry = Entry()
+        task = entry.post("1-a")
+        await asyncio.sleep(READY_WAIT_S + 0.01)
+        assert code_of(task) == str(int(ResultCode.CLAIM_UNCONFIRMED))
+        assert entry.passed == []
+
+    async def test_other_request_is_refused_at_once(self) -> None:
+        """Guards against a request that waits although another entry could run it now."""
+        entry = Entry()
+        task = entry.post(None)
+        await asyncio.sleep(0.01)
+        assert code_of(task) == str(int(ResultCode.NOT_READY))
