Fail the bookings under faults when a process ends by itself

Change: the fleet notes each process that ended without being told to, also when a later fault restarts it, and the test fails on one; it prints how the tries without an answer ended, by entry.

--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -136,6 +136,8 @@
     detours: dict[str, Address] = field(default_factory=dict)
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
     commands: dict[str, list[str]] = field(default_factory=dict)
+    # Exit codes of processes that had ended by themselves when they were to be killed.
+    ended: dict[str, int] = field(default_factory=dict)
 
     def plan(self) -> None:
         """Choose a port for each listener."""
@@ -275,9 +277,21 @@
     def kill(self, name: str) -> None:
         """End a process with SIGKILL."""
         process = self.processes.pop(name)
+        self._note_end(name, process)
         process.kill()
         process.wait()
 
+    def ended_alone(self) -> dict[str, int]:
+        """Return the exit codes of all processes that ended without being told to."""
+        for name, process in self.processes.items():
+            self._note_end(name, process)
+        return self.ended
+
+    def _note_end(self, name: str, process: subprocess.Popen[bytes]) -> None:
+        code = process.poll()
+        if code is not None:
+            self.ended[name] = code
+
     def terminate(self, name: str) -> subprocess.Popen[bytes]:
         """Ask a process to shut down and return it."""
         process = self.processes.pop(name)
--- a/tests/processes/test_bookings_under_faults.py
+++ b/tests/processes/test_bookings_under_faults.py
@@ -34,6 +34,8 @@
 
     key: str
     answers: list[tuple[str, str]] = field(default_factory=list)
+    # How the tries without an answer ended, and at which entry.
+    failures: list[tuple[str, int]] = field(default_factory=list)
     # True when the caller gave the key up after it was told that nothing ran.
     trusted_not_run: bool = False
 
@@ -74,7 +76,8 @@
             async with session.post(url, json=body, headers=headers) as response:
                 run = response.headers["X-Lycheefall-Run"]
                 operation.answers.append((run, await response.text()))
-        except (aiohttp.ClientError, TimeoutError):
+        except (aiohttp.ClientError, TimeoutError) as error:
+            operation.failures.append((type(error).__name__, entry))
             await asyncio.sleep(0.01)
             continue
         if run == "ran":
@@ -169,8 +172,13 @@
         async with forwarded(fleet, *names) as links, running(fleet):
             history = await run_history(fleet, links, seed)
             executions = Counter(json.loads(line)["key"] for line in fleet.executions())
+            ended = fleet.ended_alone()
         told = Counter(run for each in history.operations for run, _ in each.answers)
         print(f"seed {seed}: {len(history.operations)} keys, answers {dict(told)}")
+        failed = Counter(failure for each in history.operations for failure in each.failures)
+        print(f"tries without an answer, by entry: {dict(failed)}")
+        # A process that has gone by itself refuses at once, so callers spend their tries on it.
+        assert ended == {}
         assert history.violations(executions) == []
         finished = sum(any(run == "ran" for run, _ in each.answers) for each in history.operations)
         assert finished > len(history.operations) / 2
