End a replica at a limit on the size of files as at a full disk

Cause: no test started a replica whose disk is full. With a limit on the size of files (RLIMIT_FSIZE, set in the running process at 20 bytes behind the end of its log) the system takes 20 bytes of the batch and refuses the rest with EFBIG; the replica then ended with 6002 and event 1003, which says that it could not start.

Change: EFBIG counts as lack of space, so the replica ends with 6004 and event 5006. A process test does this to a leader and to a follower: no acknowledgement, the code and the event, the others go on within 2 s, and the replica returns with its data, cuts the part of the batch (5004) and then makes up the quorum.

Conclusion: the guarantee of a full disk holds for one replica of three. Not covered: several full disks, and an entry with control in its process, which ends with its replica.

--- a/src/lycheefall/_control/storage.py
+++ b/src/lycheefall/_control/storage.py
@@ -23,6 +23,9 @@
 SNAPSHOT_FILE = "snapshot"
 LOCK_FILE = "lock"
 
+# A limit on the size of files ends a write as a full disk does, and ends in the same way.
+_NO_SPACE = frozenset({errno.ENOSPC, errno.EDQUOT, errno.EFBIG})
+
 T = TypeVar("T")
 
 Write = Callable[[int, bytes], int]
@@ -287,6 +290,6 @@
 
 
 def _as_failure(error: OSError, folder: Path) -> DiskFull | DataFolderUnusable:
-    if error.errno in (errno.ENOSPC, errno.EDQUOT):
+    if error.errno in _NO_SPACE:
         return DiskFull(f"{folder}: {error.strerror}")
     return DataFolderUnusable(f"{folder}: {error}")
--- a/tests/processes/test_control_processes.py
+++ b/tests/processes/test_control_processes.py
@@ -4,12 +4,15 @@
 """
 
 import asyncio
+import json
+import resource
 from pathlib import Path
 
 import pytest
 
 from lycheefall._control.client import ControlClient
 from lycheefall._core.codes import ResultCode
+from lycheefall._core.events import Event
 from lycheefall._core.exceptions import ControlUnavailable
 from lycheefall._core.ids import CommandId, Incarnation, LeaseName
 from lycheefall._core.messages.control import AcquireLease, Changes, LeaseResult
@@ -35,6 +38,7 @@
 IN_FORCE_S = 2.0
 # The table has no bound for the return of a replica without its disk.
 REPAIR_S = 5.0
+FILL_BYTES = 50_000
 
 
 async def apply_resumes(client: ControlClient, replaces: int) -> float:
@@ -181,6 +185,65 @@
             await revision_everywhere(made, "ab", 4)
 
 
+class TestFullDisk:
+    @pytest.mark.parametrize("role", ["leader", "follower"])
+    async def test_full_disk(self, tmp_path: Path, role: str) -> None:
+        """Guards against an acknowledgement of what isn't on disk, and against lost data."""
+        async with (
+            cluster(tmp_path, log_files=True) as made,
+            client_of(made.clients()) as client,
+        ):
+            await apply_file(client, 0, 1)
+            # Makes the file of the replicated log larger than that of the log lines.
+            long_name = LeaseName("l" * FILL_BYTES)
+            await client.propose(AcquireLease(long_name, Incarnation("a"), 1.0), RESUME_S)
+            await revision_everywhere(made, "abc", 1)
+            leader = await leader_of(made, made.names)
+            full = leader if role == "leader" else next(n for n in made.names if n != leader)
+            limit_files(made, full)
+            async with client_of(made.clients(full)) as pinned:
+                refused = asyncio.ensure_future(apply_file(pinned, 1, 5, 1.0))
+                if role == "leader":
+                    resumed = asyncio.ensure_future(apply_resumes(client, 1))
+                    with pytest.raises(ControlUnavailable):
+                        await refused
+                    await resumed
+                else:
+                    # A follower names the leader, which goes on without it.
+                    assert (await refused).code is ResultCode.OK
+            await self.ended(made, full)
+            rest = "".join(name for name in made.names if name != full)
+            await revision_everywhere(made, rest, 2)
+            await made.start(full)
+            await revision_everywhere(made, full, 2)
+            # The system took a part of the batch that didn't fit.
+            assert Event.LOG_TAIL_CUT in {each["number"] for each in events_of(made, full)}
+            made.kill(rest[0])
+            await apply_resumes(client, 2)
+            await revision_everywhere(made, full, 3)
+
+    async def ended(self, made: Cluster, name: str) -> None:
+        """Wait until a replica has ended with the code of a full disk and said so."""
+        process = made.processes.pop(name)
+        assert process.stdout is not None
+        assert await asyncio.to_thread(process.wait, RESUME_S) == 1
+        assert process.stdout.read().startswith(b"[6004 DISK_FULL]")
+        last = events_of(made, name)[-1]
+        assert (last["number"], last["code"]) == (Event.DISK_FULL, 6004)
+
+
+def events_of(made: Cluster, name: str) -> list[dict[str, int]]:
+    """Return the lines that a replica wrote to its log."""
+    lines = (made.folder / f"{name}.log").read_text().splitlines()
+    return [json.loads(line) for line in lines]
+
+
+def limit_files(made: Cluster, name: str) -> None:
+    """Let the system refuse a few bytes after the end of a replica's log."""
+    size = (made.specs[name].folder / "log").stat().st_size + 20
+    resource.prlimit(made.processes[name].pid, resource.RLIMIT_FSIZE, (size, size))
+
+
 async def voters_are(made: Cluster, voters: set[str], asked: list[str]) -> None:
     """Wait until all the asked replicas know exactly these voters."""
     async with asyncio.timeout(REPAIR_S):
