Go on when a log line can't be written

Cause: log() passed on the error of the stream, so an entry, an agent or a replica whose standard error is a file on a full disk ended at its next log line. Found while the full disk of a replica was provoked: with the log file beyond the limit as well, the replica ended without event 5006.

Change: log() drops a line that can't be written.

Conclusion: the log no longer decides whether a process works. Lines that don't fit are lost and not counted.

--- a/src/lycheefall/_core/log.py
+++ b/src/lycheefall/_core/log.py
@@ -1,5 +1,6 @@
 """Log lines, one call an event."""
 
+import contextlib
 from typing import Any
 
 import structlog
@@ -10,7 +11,15 @@
 
 
 def log(event: Event, /, **fields: Any) -> None:
-    """Write one line for a numbered event, at the event's level."""
+    """Write one line for a numbered event, at the event's level.
+
+    A line that can't be written is lost: a full disk under the log must not end the work.
+    """
+    with contextlib.suppress(OSError):
+        _write(event, **fields)
+
+
+def _write(event: Event, /, **fields: Any) -> None:
     match level_of(event):
         case Level.INFO:
             _logger.info(event.name.lower(), number=int(event), **fields)
