Begin the adaptive limit at the upstream's concurrency

Cause: the limit of an entry at an upstream began at a quarter of the concurrency, 2 of 8 slots, and grows only while it is used. A trace shows urgent requests before the flood that waited 0.35 and 0.53 s since both their upstreams were at the limit (2 of 2.9 in flight) while these held 2 to 7 requests of 8. Agents now divide the slots by their own count.

Change: the limit begins at the concurrency. It falls as before, by delay and by requests that wait in the upstream.

--- a/src/lycheefall/_rules/limits.py
+++ b/src/lycheefall/_rules/limits.py
@@ -43,9 +43,11 @@
         "samples",
     )
 
-    def __init__(self, concurrency: int, entries: int) -> None:
+    def __init__(self, concurrency: int) -> None:
         self.concurrency = concurrency
-        self.limit = max(_MIN_LIMIT, concurrency / max(1, entries))
+        # The agent's count divides the slots; a limit that starts at a part of them holds back the
+        # first burst of an entry at an upstream that is nearly idle.
+        self.limit = max(_MIN_LIMIT, float(concurrency))
         self.recent_s = 0.0
         self.samples = 0
         self.baseline_s = 0.0
--- a/src/lycheefall/_rules/upstreams.py
+++ b/src/lycheefall/_rules/upstreams.py
@@ -69,9 +69,9 @@
         "unreported_tokens",
     )
 
-    def __init__(self, member: UpstreamMember, entries: int, now_s: float) -> None:
+    def __init__(self, member: UpstreamMember, now_s: float) -> None:
         self.member = member
-        self.limit = UpstreamLimit(member.concurrency, entries)
+        self.limit = UpstreamLimit(member.concurrency)
         self.attempts: dict[AttemptKey, Sent] = {}
         # When the last report was measured, on this entry's clock.
         self.measured_s = float("-inf")
@@ -127,7 +127,7 @@
     known = table.upstreams.get(member.upstream)
     if known is None or known.member.incarnation != member.incarnation:
         forget(table.hints, member.upstream)
-        known = table.upstreams[member.upstream] = Upstream(member, table.entries, now_s)
+        known = table.upstreams[member.upstream] = Upstream(member, now_s)
         _choose_subset(table)
     elif sequence <= known.sequence:
         return table
