Estimate no wait behind others for a team that goes next

An entry refuses a request early when its estimated wait exceeds queue_s (5 s). Batch work there lives on its share of 5%, about 22 tokens a second of 32 slots, so one waiting request of a large team (128 tokens and more) already means a refusal. The queue then never holds two requests whose order could be decided: the slot goes to the team that asks when the queue is empty, which is the one that asks most.

Change: a request of an idle team whose start tag is below all that wait goes next, so only its own tokens count as ahead.

Without the change test_team_that_was_served_less_goes_next fails: 200 tokens ahead instead of 100.

A failed try, not kept: entries divided the free slots by the weight of the teams that they serve; pings carried the weight and agents told each entry its part.

--- a/src/lycheefall/_rules/fairness.py
+++ b/src/lycheefall/_rules/fairness.py
@@ -150,6 +150,8 @@
     Each team is served at its share, so a short lane does not wait for a long one.
     """
     lane = queue.lanes.get(team)
+    if _goes_next(queue, lane):
+        return tokens
     own_tokens = tokens
     active_weight = queue.active_weight
     if lane is not None and lane.requests:
@@ -160,12 +162,25 @@
     return min(queue.backlog_tokens + tokens, at_fair_share)
 
 
-def _activate(queue: FairQueue, lane: Lane) -> None:
+def _goes_next(queue: FairQueue, lane: Lane | None) -> bool:
+    """Tell whether a new request of an idle team starts before all that wait."""
+    if lane is not None and lane.requests:
+        return False
+    first = _first(queue)
+    start = queue.virtual_time if lane is None else _start_of_idle(queue, lane)
+    return first is None or start < first.start
+
+
+def _start_of_idle(queue: FairQueue, lane: Lane) -> float:
     # The virtual time bounds the start tag from below: an idle team saves up no credit.
-    owed = lane.finish + lane.debt_tokens / lane.weight
+    return max(queue.virtual_time, lane.finish + lane.debt_tokens / lane.weight)
+
+
+def _activate(queue: FairQueue, lane: Lane) -> None:
+    start = _start_of_idle(queue, lane)
     lane.debt_tokens = 0.0
     queue.active_weight += lane.weight
-    _queue_by_start(queue, lane, owed)
+    _queue_by_start(queue, lane, start)
 
 
 def _queue_by_start(queue: FairQueue, lane: Lane, start: float) -> None:
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -130,3 +130,16 @@
             fairness.add(queue, TeamId("large"), 1.0, RequestId(str(number)), 10)
         assert fairness.tokens_ahead(queue, TeamId("small"), 1.0, 10) == 20
         assert fairness.tokens_ahead(queue, TeamId("large"), 1.0, 10) == 10_010
+
+    def test_team_that_was_served_less_goes_next(self) -> None:
+        """Guards against a small team that is refused while a large one that asks often is not."""
+        queue = FairQueue()
+        large, small = TeamId("large"), TeamId("small")
+        fairness.add(queue, large, 4.0, RequestId("first"), 100)
+        fairness.take(queue)
+        fairness.add(queue, large, 4.0, RequestId("second"), 100)
+        assert fairness.tokens_ahead(queue, small, 1.0, 100) == 100
+        fairness.add(queue, small, 1.0, RequestId("small"), 100)
+        assert fairness.take(queue) == "small"
+        # It has had its part now.
+        assert fairness.tokens_ahead(queue, small, 1.0, 100) == 200
