Move the attempts of calls into a module of their own

Change: starting, parking and retrying an attempt are in _rules/call_attempts.py; calls.py keeps the dispatch by message. `current` is with the state of calls. No behaviour changes.

--- /dev/null
+++ b/src/lycheefall/_rules/call_attempts.py
@@ -0,0 +1,118 @@
+"""Start, park and retry the attempts of an entry's calls."""
+
+from lycheefall._core.codes import ResultCode
+from lycheefall._core.ids import AttemptNumber, UpstreamId
+from lycheefall._core.messages.dispatch import Cancel, Refused
+from lycheefall._core.messages.entry import FromDispatch, ToLink
+from lycheefall._rules import retries, streams, suspect_calls
+from lycheefall._rules.call_state import (
+    WIDEN_AFTER_S,
+    Call,
+    CallsState,
+    choose,
+    current,
+    end,
+    leave,
+    make_dispatch,
+    occupy,
+)
+from lycheefall._rules.call_streams import begin_stream
+from lycheefall._rules.known_upstreams import learn_refusal
+from lycheefall._rules.retries import RetryAdvice
+
+MAX_ATTEMPTS = 4
+# A call waits this long for an upstream that can take it.
+PARK_S = 2.0
+REFUSED_DETAIL = "this request has crashed upstreams and is refused for now"
+
+
+def begin_attempt(
+    state: CallsState, call: Call, otherwise: ResultCode, now_s: float
+) -> list[FromDispatch]:
+    """Start the next attempt, wait for an upstream that can take it, or end with a code."""
+    if call.call.fingerprint in state.refused:
+        code = otherwise if call.lost else ResultCode.FINGERPRINT_REFUSED
+        return end(state, call, code, REFUSED_DETAIL, now_s)
+    if suspect_calls.must_wait(state, call):
+        return suspect_calls.wait(state, call, now_s)
+    if call.attempt >= MAX_ATTEMPTS and call.lease is None:
+        detail = f"{call.attempt} upstreams could not take the request"
+        return end(state, call, otherwise, detail, now_s)
+    upstream = choose(state, call, call.tried, now_s) or choose(state, call, set(), now_s)
+    if upstream is None:
+        return park(state, call, otherwise, now_s)
+    state.parked.pop(call.call.request, None)
+    call.parked_s = None
+    call.attempt = AttemptNumber(call.attempt + 1)
+    begin_stream(call, now_s)
+    occupy(state, call, upstream, now_s)
+    return [ToLink(upstream, make_dispatch(state, call, now_s))]
+
+
+def park(state: CallsState, call: Call, otherwise: ResultCode, now_s: float) -> list[FromDispatch]:
+    """Let a call wait for an upstream; end it once it has waited for long."""
+    if call.parked_s is None:
+        call.parked_s = now_s
+        state.parked[call.call.request] = call
+    if now_s - call.parked_s < PARK_S or call.lease is not None:
+        return []
+    detail = "no upstream of the route can take the request"
+    return end(state, call, otherwise, detail, now_s)
+
+
+def unpark(state: CallsState, now_s: float) -> list[FromDispatch]:
+    """Try the calls that wait for an upstream."""
+    results: list[FromDispatch] = []
+    due = [call for call in state.parked.values() if call.not_before_s <= now_s]
+    for call in due:
+        code = ResultCode.UPSTREAM_LOST if call.lost else ResultCode.NO_UPSTREAM
+        results += begin_attempt(state, call, code, now_s)
+    return results
+
+
+def after_refusal(
+    state: CallsState, source: UpstreamId, refused: Refused, now_s: float
+) -> list[FromDispatch]:
+    """Try elsewhere after a refusal, which proves that the attempt did not start."""
+    call = current(state, refused.request, refused.attempt)
+    # The refused copy of a duplicate is the second one; the first one started.
+    if call is None or call.occupied is None or refused.code is ResultCode.DUPLICATE_ATTEMPT:
+        return []
+    leave(state, call, now_s)
+    learn_refusal(state, source, refused.code, now_s)
+    if call.lease is not None:
+        # A suspect has one upstream only, so the next tick tries again.
+        return park(state, call, refused.code, now_s)
+    # A refusal speaks of its own attempt only; an earlier one may have run.
+    code = ResultCode.UPSTREAM_LOST if call.lost else refused.code
+    if retries.advise(refused.code, True) is RetryAdvice.NEVER:
+        return end(state, call, code, "the agent refused the attempt", now_s)
+    is_down = refused.code is ResultCode.NOT_CONNECTED
+    if is_down or choose(state, call, call.tried, now_s) is None:
+        # By then a crash that brought the upstream down is known to every entry.
+        call.not_before_s = now_s + WIDEN_AFTER_S
+        return park(state, call, refused.code, now_s)
+    # A refused attempt cost the upstream nothing, so it takes nothing from the retry budget.
+    return begin_attempt(state, call, code, now_s)
+
+
+def after_loss(state: CallsState, call: Call, code: ResultCode, now_s: float) -> list[FromDispatch]:
+    """Try elsewhere after an attempt that may have run."""
+    leave(state, call, now_s, failed=True)
+    call.lost = True
+    if call.stream is not None:
+        streams.step(call.stream, streams.AttemptLost(call.attempt), now_s)
+    # A stream that resumes repeats no tokens; any other retry is new work for the upstreams.
+    # Neither does a suspect bring on a storm, as it runs alone.
+    is_free = bool(call.tokens) or call.call.fingerprint in state.suspects
+    if not is_free and not state.spend_retry(state.budgets, call.call.team):
+        detail = "the upstream was lost and the retry budget is spent"
+        return end(state, call, code, detail, now_s)
+    return begin_attempt(state, call, code, now_s)
+
+
+def cancel(call: Call) -> list[FromDispatch]:
+    """Stop what runs for a call."""
+    if call.occupied is None:
+        return []
+    return [ToLink(call.upstream, Cancel(call.call.request, call.attempt))]
--- a/src/lycheefall/_rules/call_state.py
+++ b/src/lycheefall/_rules/call_state.py
@@ -105,6 +105,12 @@
     return state.tables.get(state.pools.get(upstream, PoolId("")))
 
 
+def current(state: CallsState, request: RequestId, attempt: AttemptNumber) -> Call | None:
+    """Return the call whose current attempt a message is about."""
+    call = state.calls.get(request)
+    return call if call is not None and call.attempt == attempt else None
+
+
 def choose(
     state: CallsState, call: Call, tried: set[UpstreamId], now_s: float
 ) -> UpstreamId | None:
--- a/src/lycheefall/_rules/calls.py
+++ b/src/lycheefall/_rules/calls.py
@@ -1,9 +1,8 @@
 """Decide what an entry does with each released request: pick, dispatch, retry, resume, end."""
 
 from lycheefall._core.codes import ResultCode
-from lycheefall._core.ids import AttemptNumber, RequestId, UpstreamId
+from lycheefall._core.ids import RequestId, UpstreamId
 from lycheefall._core.messages.dispatch import (
-    Cancel,
     Finished,
     Frame,
     Pong,
@@ -48,37 +47,34 @@
     repick,
     start_booking,
 )
+from lycheefall._rules.call_attempts import (
+    REFUSED_DETAIL,
+    after_loss,
+    after_refusal,
+    begin_attempt,
+    cancel,
+    unpark,
+)
 from lycheefall._rules.call_state import (
-    WIDEN_AFTER_S,
     Call,
     CallsState,
     begun,
-    choose,
     close,
+    current,
     end,
     late_code,
-    leave,
-    make_dispatch,
-    occupy,
     table_of,
 )
-from lycheefall._rules.call_streams import begin_stream, credit
+from lycheefall._rules.call_streams import credit
 from lycheefall._rules.known_upstreams import (
     capacities,
     configure,
-    learn_refusal,
     link_down,
     link_up,
     upstream_heard,
     upstream_left,
 )
 from lycheefall._rules.refusals import refuse
-from lycheefall._rules.retries import RetryAdvice
-
-MAX_ATTEMPTS = 4
-# A call waits this long for an upstream that can take it.
-PARK_S = 2.0
-REFUSED_DETAIL = "this request has crashed upstreams and is refused for now"
 
 
 def step_calls(
@@ -122,7 +118,7 @@
         case BookingAnswered():
             return state, booking_answered(state, message, now_s)
         case Tick():
-            results = _expire(state, now_s) + _unpark(state, now_s) + capacities(state, now_s)
+            results = _expire(state, now_s) + unpark(state, now_s) + capacities(state, now_s)
             ended, state.suspects_ended = state.suspects_ended, []
             return state, [*results, *ended]
 
@@ -137,49 +133,7 @@
         return [refusal, close(state, call, now_s)]
     if is_booking(call):
         return start_booking(state, call, now_s)
-    return _attempt(state, call, ResultCode.NO_UPSTREAM, now_s)
-
-
-def _attempt(
-    state: CallsState, call: Call, otherwise: ResultCode, now_s: float
-) -> list[FromDispatch]:
-    """Start the next attempt, wait for an upstream that can take it, or end with a code."""
-    if call.call.fingerprint in state.refused:
-        code = otherwise if call.lost else ResultCode.FINGERPRINT_REFUSED
-        return end(state, call, code, REFUSED_DETAIL, now_s)
-    if suspect_calls.must_wait(state, call):
-        return suspect_calls.wait(state, call, now_s)
-    if call.attempt >= MAX_ATTEMPTS and call.lease is None:
-        detail = f"{call.attempt} upstreams could not take the request"
-        return end(state, call, otherwise, detail, now_s)
-    upstream = choose(state, call, call.tried, now_s) or choose(state, call, set(), now_s)
-    if upstream is None:
-        return _park(state, call, otherwise, now_s)
-    state.parked.pop(call.call.request, None)
-    call.parked_s = None
-    call.attempt = AttemptNumber(call.attempt + 1)
-    begin_stream(call, now_s)
-    occupy(state, call, upstream, now_s)
-    return [ToLink(upstream, make_dispatch(state, call, now_s))]
-
-
-def _park(state: CallsState, call: Call, otherwise: ResultCode, now_s: float) -> list[FromDispatch]:
-    if call.parked_s is None:
-        call.parked_s = now_s
-        state.parked[call.call.request] = call
-    if now_s - call.parked_s < PARK_S or call.lease is not None:
-        return []
-    detail = "no upstream of the route can take the request"
-    return end(state, call, otherwise, detail, now_s)
-
-
-def _unpark(state: CallsState, now_s: float) -> list[FromDispatch]:
-    results: list[FromDispatch] = []
-    due = [call for call in state.parked.values() if call.not_before_s <= now_s]
-    for call in due:
-        code = ResultCode.UPSTREAM_LOST if call.lost else ResultCode.NO_UPSTREAM
-        results += _attempt(state, call, code, now_s)
-    return results
+    return begin_attempt(state, call, ResultCode.NO_UPSTREAM, now_s)
 
 
 def _from_agent(
@@ -212,16 +166,11 @@
         case Frame() | Finished():
             return _streamed(state, message, now_s)
         case Refused():
-            return _refused(state, source, message, now_s)
+            return after_refusal(state, source, message, now_s)
         case Started() | Resolved():
             return []
 
 
-def _current(state: CallsState, request: RequestId, attempt: AttemptNumber) -> Call | None:
-    call = state.calls.get(request)
-    return call if call is not None and call.attempt == attempt else None
-
-
 def _streamed(state: CallsState, message: Frame | Finished, now_s: float) -> list[FromDispatch]:
     call = state.calls.get(message.request)
     if call is None or call.stream is None or call.occupied is None:
@@ -248,8 +197,8 @@
     if finished is not None and finished.code is not ResultCode.UPSTREAM_LOST:
         return _answered(state, call, finished, now_s)
     # After a gap the attempt still runs.
-    cancel = _cancel(call) if ended.reason is streams.EndReason.GAP else []
-    return cancel + _lost(state, call, ResultCode.UPSTREAM_LOST, now_s)
+    stopped = cancel(call) if ended.reason is streams.EndReason.GAP else []
+    return stopped + after_loss(state, call, ResultCode.UPSTREAM_LOST, now_s)
 
 
 def _answered(
@@ -272,46 +221,6 @@
     return [reply, close(state, call, now_s, failed=finished.code is not ResultCode.OK)]
 
 
-def _refused(
-    state: CallsState, source: UpstreamId, refused: Refused, now_s: float
-) -> list[FromDispatch]:
-    call = _current(state, refused.request, refused.attempt)
-    # The refused copy of a duplicate is the second one; the first one started.
-    if call is None or call.occupied is None or refused.code is ResultCode.DUPLICATE_ATTEMPT:
-        return []
-    leave(state, call, now_s)
-    learn_refusal(state, source, refused.code, now_s)
-    if call.lease is not None:
-        # A suspect has one upstream only, so the next tick tries again.
-        return _park(state, call, refused.code, now_s)
-    # A refusal speaks of its own attempt only; an earlier one may have run.
-    code = ResultCode.UPSTREAM_LOST if call.lost else refused.code
-    if retries.advise(refused.code, True) is RetryAdvice.NEVER:
-        return end(state, call, code, "the agent refused the attempt", now_s)
-    is_down = refused.code is ResultCode.NOT_CONNECTED
-    if is_down or choose(state, call, call.tried, now_s) is None:
-        # By then a crash that brought the upstream down is known to every entry.
-        call.not_before_s = now_s + WIDEN_AFTER_S
-        return _park(state, call, refused.code, now_s)
-    # A refused attempt cost the upstream nothing, so it takes nothing from the retry budget.
-    return _attempt(state, call, code, now_s)
-
-
-def _lost(state: CallsState, call: Call, code: ResultCode, now_s: float) -> list[FromDispatch]:
-    """Try elsewhere after an attempt that may have run."""
-    leave(state, call, now_s, failed=True)
-    call.lost = True
-    if call.stream is not None:
-        streams.step(call.stream, streams.AttemptLost(call.attempt), now_s)
-    # A stream that resumes repeats no tokens; any other retry is new work for the upstreams.
-    # Neither does a suspect bring on a storm, as it runs alone.
-    is_free = bool(call.tokens) or call.call.fingerprint in state.suspects
-    if not is_free and not state.spend_retry(state.budgets, call.call.team):
-        detail = "the upstream was lost and the retry budget is spent"
-        return end(state, call, code, detail, now_s)
-    return _attempt(state, call, code, now_s)
-
-
 def _lose_all(state: CallsState, down: LinkDown, now_s: float) -> list[FromDispatch]:
     lost = [
         call
@@ -324,7 +233,7 @@
     ]
     results: list[FromDispatch] = []
     for call in lost:
-        results += _lost(state, call, ResultCode.UPSTREAM_LOST, now_s)
+        results += after_loss(state, call, ResultCode.UPSTREAM_LOST, now_s)
     return results
 
 
@@ -332,7 +241,7 @@
     """Take calls off their upstreams."""
     results: list[FromDispatch] = []
     for call in calls:
-        results += _cancel(call) + _lost(state, call, ResultCode.UPSTREAM_LOST, now_s)
+        results += cancel(call) + after_loss(state, call, ResultCode.UPSTREAM_LOST, now_s)
     return results
 
 
@@ -340,7 +249,7 @@
     """Go on with a call whose crash is in the log; without the record it may not run again."""
     finished = recorded.seen.finished
     stopped = _stop(state, suspect_calls.note_crash(state, recorded, now_s), now_s)
-    call = _current(state, finished.request, finished.attempt)
+    call = current(state, finished.request, finished.attempt)
     if call is not None:
         call.crashing = False
         if recorded.refused is None and not is_booking(call):
@@ -358,7 +267,7 @@
     if call.lease is None or call.occupied is not None:
         return []
     code = ResultCode.UPSTREAM_LOST if call.lost else ResultCode.NO_UPSTREAM
-    return _attempt(state, call, code, now_s)
+    return begin_attempt(state, call, code, now_s)
 
 
 def _abandon(state: CallsState, request: RequestId, now_s: float) -> list[FromDispatch]:
@@ -368,13 +277,7 @@
     if is_booking(call):
         # An attempt that runs goes on: its outcome is recorded for the next try of the key.
         return [Abandon(request), close(state, call, now_s)]
-    return [*_cancel(call), close(state, call, now_s)]
-
-
-def _cancel(call: Call) -> list[FromDispatch]:
-    if call.occupied is None:
-        return []
-    return [ToLink(call.upstream, Cancel(call.call.request, call.attempt))]
+    return [*cancel(call), close(state, call, now_s)]
 
 
 def _expire(state: CallsState, now_s: float) -> list[FromDispatch]:
@@ -385,6 +288,6 @@
     ]
     results: list[FromDispatch] = []
     for call in expired:
-        results += _cancel(call)
+        results += cancel(call)
         results += end(state, call, late_code(call), "the request ran into its timeout", now_s)
     return results
