--- a/src/lycheefall/_rules/calls.py
+++ b/src/lycheefall/_rules/calls.py
@@ -1,9 +1,8 @@
 """Decide what an entry does with each released request: pick, dispatch, retry, resume, end."""
 
 from lycheefall._core.codes import ResultCode
-from lycheefall._core.ids import AttemptNumber, RequestId, UpstreamId
+from lycheefall._core.ids import RequestId, UpstreamId
 from lycheefall._core.messages.dispatch import (
-    Cancel,
     Finished,
     Frame,
     Pong,
@@ -48,40 +47,35 @@
     repick,
     start_booking,
 )
+from lycheefall._rules.call_attempts import (
+    REFUSED_DETAIL,
+    after_loss,
+    after_refusal,
+    begin_attempt,
+    cancel,
+    unpark,
+)
 from lycheefall._rules.call_state import (
-    LOSS_HELD_S,
-    WIDEN_AFTER_S,
     Call,
     CallsState,
     begun,
-    choose,
     close,
+    current,
     end,
     late_code,
-    leave,
-    make_dispatch,
-    occupy,
     table_of,
-    withdraw,
 )
-from lycheefall._rules.call_streams import begin_stream, credit
+from lycheefall._rules.call_streams import credit
 from lycheefall._rules.known_upstreams import (
     capacities,
     configure,
-    is_full,
-    learn_refusal,
     link_down,
     link_up,
     note_presence,
     upstream_heard,
     upstream_left,
 )
-from lycheefall._rules.parking import due, park
 from lycheefall._rules.refusals import refuse
-from lycheefall._rules.retries import RetryAdvice
-
-MAX_ATTEMPTS = 4
-REFUSED_DETAIL = "this request has crashed upstreams and is refused for now"
 
 
 def step_calls(
@@ -127,7 +121,7 @@
             return state, booking_answered(state, message, now_s)
         case Tick():
             suspect_calls.expire(state, now_s)
-            results = _expire(state, now_s) + _unpark(state, now_s) + capacities(state, now_s)
+            results = _expire(state, now_s) + unpark(state, now_s) + capacities(state, now_s)
             ended, state.suspects_ended = state.suspects_ended, []
             return state, [*results, *ended]
 
@@ -142,38 +136,7 @@
         return [refusal, close(state, call, now_s)]
     if is_booking(call):
         return start_booking(state, call, now_s)
-    return _attempt(state, call, ResultCode.NO_UPSTREAM, now_s)
-
-
-def _attempt(
-    state: CallsState, call: Call, otherwise: ResultCode, now_s: float
-) -> list[FromDispatch]:
-    """Start the next attempt, wait for an upstream that can take it, or end with a code."""
-    if call.call.fingerprint in state.refused:
-        code = otherwise if call.lost else ResultCode.FINGERPRINT_REFUSED
-        return end(state, call, code, REFUSED_DETAIL, now_s)
-    if suspect_calls.must_wait(state, call):
-        return suspect_calls.wait(state, call, now_s)
-    if call.attempt - call.busy_refusals >= MAX_ATTEMPTS and call.lease is None:
-        detail = f"{call.attempt} upstreams could not take the request"
-        return end(state, call, otherwise, detail, now_s)
-    upstream = choose(state, call, call.tried, now_s) or choose(state, call, set(), now_s)
-    if upstream is None:
-        return park(state, call, otherwise, now_s)
-    state.parked.pop(call.call.request, None)
-    call.parked_s = None
-    call.attempt = AttemptNumber(call.attempt + 1)
-    begin_stream(call, now_s)
-    occupy(state, call, upstream, now_s)
-    return [ToLink(upstream, make_dispatch(state, call, now_s))]
-
-
-def _unpark(state: CallsState, now_s: float) -> list[FromDispatch]:
-    results: list[FromDispatch] = []
-    for call in due(state, now_s):
-        code = ResultCode.UPSTREAM_LOST if call.lost else ResultCode.NO_UPSTREAM
-        results += _attempt(state, call, code, now_s)
-    return results
+    return begin_attempt(state, call, ResultCode.NO_UPSTREAM, now_s)
 
 
 def _from_agent(
@@ -209,16 +172,11 @@
         case Frame() | Finished():
             return _streamed(state, message, now_s)
         case Refused():
-            return _refused(state, source, message, now_s)
+            return after_refusal(state, source, message, now_s)
         case Started() | Resolved():
             return []
 
 
-def _current(state: CallsState, request: RequestId, attempt: AttemptNumber) -> Call | None:
-    call = state.calls.get(request)
-    return call if call is not None and call.attempt == attempt else None
-
-
 def _streamed(state: CallsState, message: Frame | Finished, now_s: float) -> list[FromDispatch]:
     call = state.calls.get(message.request)
     if call is None or call.stream is None or call.occupied is None:
@@ -245,8 +203,8 @@
     if finished is not None and finished.code is not ResultCode.UPSTREAM_LOST:
         return _answered(state, call, finished, now_s)
     # After a gap the attempt still runs.
-    cancel = _cancel(call) if ended.reason is streams.EndReason.GAP else []
-    return cancel + _lost(state, call, ResultCode.UPSTREAM_LOST, now_s)
+    stopped = cancel(call) if ended.reason is streams.EndReason.GAP else []
+    return stopped + after_loss(state, call, ResultCode.UPSTREAM_LOST, now_s)
 
 
 def _answered(
@@ -269,53 +227,6 @@
     return [reply, close(state, call, now_s, failed=finished.code is not ResultCode.OK)]
 
 
-def _refused(
-    state: CallsState, source: UpstreamId, refused: Refused, now_s: float
-) -> list[FromDispatch]:
-    call = _current(state, refused.request, refused.attempt)
-    # The refused copy of a duplicate is the second one; the first one started.
-    if call is None or call.occupied is None or refused.code is ResultCode.DUPLICATE_ATTEMPT:
-        return []
-    withdraw(state, call)
-    learn_refusal(state, source, refused, now_s)
-    if call.lease is not None:
-        # A suspect has one upstream only, so the next tick tries again.
-        return park(state, call, refused.code, now_s)
-    # A refusal speaks of its own attempt only; an earlier one may have run.
-    code = ResultCode.UPSTREAM_LOST if call.lost else refused.code
-    if is_full(call, refused):
-        # The agent's count now keeps the call from this upstream until a slot is free there.
-        call.tried.discard(source)
-        call.busy_refusals += 1
-        return _attempt(state, call, code, now_s)
-    if retries.advise(refused.code, True) is RetryAdvice.NEVER:
-        return end(state, call, code, "the agent refused the attempt", now_s)
-    is_down = refused.code is ResultCode.NOT_CONNECTED
-    if is_down or refused.code is ResultCode.NOT_READY:
-        call.narrow_until_s = now_s + LOSS_HELD_S
-    if is_down or choose(state, call, call.tried, now_s) is None:
-        # By then a crash that brought the upstream down is known to every entry.
-        call.not_before_s = now_s + WIDEN_AFTER_S
-        return park(state, call, refused.code, now_s)
-    # A refused attempt cost the upstream nothing, so it takes nothing from the retry budget.
-    return _attempt(state, call, code, now_s)
-
-
-def _lost(state: CallsState, call: Call, code: ResultCode, now_s: float) -> list[FromDispatch]:
-    """Try elsewhere after an attempt that may have run."""
-    leave(state, call, now_s, failed=True)
-    call.lost = True
-    if call.stream is not None:
-        streams.step(call.stream, streams.AttemptLost(call.attempt), now_s)
-    # A stream that resumes repeats no tokens; any other retry is new work for the upstreams.
-    # Neither does a suspect bring on a storm, as it runs alone.
-    is_free = bool(call.tokens) or call.call.fingerprint in state.suspects
-    if not is_free and not state.spend_retry(state.budgets, call.call.team):
-        detail = "the upstream was lost and the retry budget is spent"
-        return end(state, call, code, detail, now_s)
-    return _attempt(state, call, code, now_s)
-
-
 def _lose_all(state: CallsState, down: LinkDown, now_s: float) -> list[FromDispatch]:
     lost = [
         call
@@ -328,7 +239,7 @@
     ]
     results: list[FromDispatch] = []
     for call in lost:
-        results += _lost(state, call, ResultCode.UPSTREAM_LOST, now_s)
+        results += after_loss(state, call, ResultCode.UPSTREAM_LOST, now_s)
     return results
 
 
@@ -336,7 +247,7 @@
     """Take calls off their upstreams."""
     results: list[FromDispatch] = []
     for call in calls:
-        results += _cancel(call) + _lost(state, call, ResultCode.UPSTREAM_LOST, now_s)
+        results += cancel(call) + after_loss(state, call, ResultCode.UPSTREAM_LOST, now_s)
     return results
 
 
@@ -344,7 +255,7 @@
     """Go on with a call whose crash is in the log; without the record it may not run again."""
     finished = recorded.seen.finished
     stopped = _stop(state, suspect_calls.note_crash(state, recorded, now_s), now_s)
-    call = _current(state, finished.request, finished.attempt)
+    call = current(state, finished.request, finished.attempt)
     if call is not None:
         call.crashing = False
         if recorded.refused is None and not is_booking(call):
@@ -362,7 +273,7 @@
     if call.lease is None or call.occupied is not None or is_booking(call):
         return []
     code = ResultCode.UPSTREAM_LOST if call.lost else ResultCode.NO_UPSTREAM
-    return _attempt(state, call, code, now_s)
+    return begin_attempt(state, call, code, now_s)
 
 
 def _abandon(state: CallsState, request: RequestId, now_s: float) -> list[FromDispatch]:
@@ -374,13 +285,7 @@
         # is kept until it expires, as it covers the attempt.
         call.lease = None
         return [Abandon(request), close(state, call, now_s)]
-    return [*_cancel(call), close(state, call, now_s)]
-
-
-def _cancel(call: Call) -> list[FromDispatch]:
-    if call.occupied is None:
-        return []
-    return [ToLink(call.upstream, Cancel(call.call.request, call.attempt))]
+    return [*cancel(call), close(state, call, now_s)]
 
 
 def _expire(state: CallsState, now_s: float) -> list[FromDispatch]:
@@ -391,6 +296,6 @@
     ]
     results: list[FromDispatch] = []
     for call in expired:
-        results += _cancel(call)
+        results += cancel(call)
         results += end(state, call, late_code(call), "the request ran into its timeout", now_s)
     return results
