Wait for all upstreams before a test of the whole path begins

Cause: test_whole_path failed in 1 of 6 runs on a busy machine (load average 31): 15 of 16 engines had served. `Fleet.ready` waited until each entry answers from any upstream, so an engine that starts late could miss all of the 200 chats.

--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -14,8 +14,10 @@
 
 import aiohttp
 
+from lycheefall._core.enums import MemberState
 from lycheefall._core.ids import Address
-from processes.scaffold import Forwarder, free_addresses
+from lycheefall._core.messages.membership import UpstreamMember
+from processes.scaffold import Forwarder, free_addresses, status_of
 
 SOURCE = Path(__file__).resolve().parents[2] / "src"
 START_TIMEOUT_S = 30.0
@@ -312,12 +314,20 @@
             self.kill(name)
 
     async def ready(self, session: aiohttp.ClientSession) -> None:
-        """Wait until every entry answers and routes to every pool."""
+        """Wait until all upstreams are announced, and every entry answers for every pool."""
         async with asyncio.timeout(START_TIMEOUT_S):
+            while not await self._all_announced():
+                await asyncio.sleep(POLL_S)
             for number in range(self.entries):
                 while not await self._serves(session, number):
                     await asyncio.sleep(POLL_S)
 
+    async def _all_announced(self) -> bool:
+        report = await status_of(self.addresses["client-0"])
+        upstreams = [each for each in report.members if isinstance(each, UpstreamMember)]
+        started = [each for each in upstreams if each.state is not MemberState.STARTING]
+        return len(started) == self.engines + self.services
+
     async def _serves(self, session: aiohttp.ClientSession, number: int) -> bool:
         headers = {"X-Lycheefall-Team": "team-0"}
         body = {"model": "m", "messages": [{"role": "user", "content": "ready?"}], "max_tokens": 1}
