Give each test process a loopback address of its own

All sessions draw from the same 17,000 ports of 127.0.0.1, and a process that a fault stops leaves its four ports free for a second or two; 54 ports of the range were taken by others while none of ours ran. Entries that reconnect then reach a foreign system, and the stopped process can't start again.

Change: the address is drawn once for each test process from 127.0.0.0/8; ports are drawn as before.

--- a/tests/processes/scaffold.py
+++ b/tests/processes/scaffold.py
@@ -34,17 +34,21 @@
 # Below the ports that the system gives to outgoing connections, which would take a chosen one
 # before its process listens.
 PORTS = range(15_000, 32_000)
+# Each test process listens on a loopback address of its own. On a shared one, another session
+# takes the port of a process that is down for a moment, so that it can't start again, and callers
+# and replicas reach a foreign system there.
+HOST = ".".join(["127", *(str(random.SystemRandom().randint(1, 254)) for _ in range(3))])
 
 
 def free_addresses(count: int) -> list[Address]:
-    """Return loopback addresses with ports that are free now and different."""
+    """Return addresses of this process's loopback host, with free and different ports."""
     found: set[int] = set()
     while len(found) < count:
         port = random.SystemRandom().choice(PORTS)
         with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
+            probe.bind((HOST, port))
             found.add(port)
-    return [Address(f"127.0.0.1:{port}") for port in found]
+    return [Address(f"{HOST}:{port}") for port in found]
 
 
 @dataclass
