--- a/src/lycheefall/_control/apply.py
+++ b/src/lycheefall/_control/apply.py
@@ -1,5 +1,6 @@
 """Filter that owns the state machine."""
 
+import asyncio
 from collections.abc import Callable
 
 from msgspec import Struct, field
@@ -24,11 +25,12 @@
 from lycheefall._rules.consensus.state import Committed, Compact, Restore
 from lycheefall._rules.replicated import epochs, suspects
 from lycheefall._rules.replicated.machine import Apply, Machine
-from lycheefall._wire.codec import encode
-from lycheefall._wire.consensus_codec import decode_machine
+from lycheefall._wire.consensus_codec import decode_machine, machine_parts
 
 # Connections that wait for a command which never commits are forgotten after so many others.
 WAITING_COMMANDS = 50_000
+# Encoded bytes of a snapshot after which the other filters get a turn.
+TURN_BYTES = 262_144
 
 
 class Applied(Struct, eq=False, kw_only=True):
@@ -63,6 +65,10 @@
     while True:
         for message in await inbox.drain():
             _take(state, message, outlets)
+            if isinstance(message, Committed) and _is_compact_due(state, message.entries):
+                # Watchers and callers need not wait for the snapshot.
+                await outlets.publish.put(view_of(state))
+                await _compact(state, message.entries[-1], outlets)
         await outlets.publish.put(view_of(state))
 
 
@@ -82,7 +88,6 @@
         case Committed():
             for entry in message.entries:
                 _apply_entry(state, entry, outlets)
-            _compact_when_due(state, message.entries, outlets)
 
 
 def _expect(state: Applied, message: Expect) -> None:
@@ -129,17 +134,33 @@
         )
 
 
-def _compact_when_due(state: Applied, entries: tuple[LogEntry, ...], outlets: ApplyOutlets) -> None:
+def _is_compact_due(state: Applied, entries: tuple[LogEntry, ...]) -> bool:
     due = state.index - state.snapshot_index >= state.snapshot_entries
-    if not due or state.membership is None or entries[-1].index != state.index:
+    return due and state.membership is not None and entries[-1].index == state.index
+
+
+async def _compact(state: Applied, last: LogEntry, outlets: ApplyOutlets) -> None:
+    """Take a snapshot; the other filters run meanwhile, and the state machine waits."""
+    if state.membership is None:
         return
-    last = entries[-1]
-    data = encode(state.machine)
+    data = await _encoded(state.machine)
     snapshot = Snapshot(last.index, last.term, last.stamp_ms, state.membership, data)
     if outlets.step.offer(Compact(snapshot)):
         state.snapshot_index = last.index
 
 
+async def _encoded(machine: Machine) -> bytes:
+    parts: list[bytes] = []
+    turn_bytes = 0
+    for part in machine_parts(machine):
+        parts.append(part)
+        turn_bytes += len(part)
+        if turn_bytes >= TURN_BYTES:
+            turn_bytes = 0
+            await asyncio.sleep(0)
+    return b"".join(parts)
+
+
 def view_of(state: Applied) -> AppliedView:
     """Return what watchers see of the state machine."""
     held = state.machine
--- /dev/null
+++ b/tests/test_snapshots.py
@@ -0,0 +1,74 @@
+"""Tests of taking a snapshot beside other work."""
+
+import asyncio
+
+import pytest
+
+from lycheefall._control.apply import TURN_BYTES, Applied, ApplyOutlets, run_apply
+from lycheefall._control.messages import ToApply, ToPublish, ToStep
+from lycheefall._core.ids import (
+    AttemptNumber,
+    CommandId,
+    Digest,
+    IdempotencyKey,
+    Incarnation,
+    LeaseName,
+    LogIndex,
+    TeamId,
+    Term,
+    UpstreamId,
+)
+from lycheefall._core.messages.consensus import LogEntry, Membership, Submitted
+from lycheefall._core.messages.control import AcquireLease
+from lycheefall._core.pipeline import Inbox
+from lycheefall._rules.consensus.state import Committed, Compact
+from lycheefall._rules.replicated import machine
+from lycheefall._rules.replicated.claims import ClaimRecord
+from lycheefall._wire.consensus_codec import PART_ITEMS, decode_machine, machine_parts
+from processes.replica import parse_number
+
+RUN = Incarnation("i")
+
+
+def held(count: int) -> machine.Machine:
+    """Return a state machine with this many claims of one team."""
+    record = ClaimRecord(Digest("d" * 32), 1, AttemptNumber(1), RUN, UpstreamId("u"), RUN)
+    keys = [IdempotencyKey(f"1-{number}") for number in range(count)]
+    made = machine.initial()
+    made.claims.claims[TeamId("t")] = dict.fromkeys(keys, record)
+    made.claims.buckets = {0: [(TeamId("t"), key) for key in keys], 1: []}
+    made.claims.count = count
+    return made
+
+
+class TestParts:
+    @pytest.mark.parametrize("count", [0, 15, 16, PART_ITEMS, PART_ITEMS + 1, 2 * PART_ITEMS + 16])
+    def test_same_state(self, count: int) -> None:
+        """Guards against a snapshot that holds another state, or can't be read."""
+        assert decode_machine(b"".join(machine_parts(held(count)))) == held(count)
+
+
+class TestApply:
+    async def test_turns(self) -> None:
+        """Guards against heartbeats and watches that wait until all claims are encoded."""
+        inbox: Inbox[ToApply] = Inbox(10)
+        step: Inbox[ToStep] = Inbox(10)
+        publish: Inbox[ToPublish] = Inbox(10)
+        state = Applied(
+            machine=held(20_000), apply=machine.applier(parse_number), snapshot_entries=1
+        )
+        state.membership = Membership(1, ())
+        outlets = ApplyOutlets(lambda peer, message: None, step, publish)
+        command = Submitted(CommandId("c"), AcquireLease(LeaseName("l"), RUN, 1.0))
+        await inbox.put(Committed((LogEntry(LogIndex(1), Term(1), 1, command),)))
+        running = asyncio.ensure_future(run_apply(state, inbox, outlets))
+        turns = 0
+        while not len(step):
+            await asyncio.sleep(0)
+            turns += 1
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        taken = await step.get()
+        assert isinstance(taken, Compact)
+        assert turns > len(taken.snapshot.state) / TURN_BYTES / 2 > 2
+        assert decode_machine(taken.snapshot.state) == state.machine
