Take no fraction of a free slot beyond an entry's part

Cause: an entry counts a quarter of the free slots of four entries as its own, rounded up, so one free slot is for each of them. The entry whose request ended hears of it first. Before the limit began at a quarter of the concurrency and hid this; since then one of four entries can hold 63 of 64 slots for ever (test_entries_get_equal_parts against: [63, 0, 0, 0]).

Change: an entry that has more than its part of the pool rounds its part of the free slots down, the others round it up.

Conclusion: slots converge to equal parts in the rule's test.

--- a/src/lycheefall/_rules/upstreams.py
+++ b/src/lycheefall/_rules/upstreams.py
@@ -342,12 +342,17 @@
     Beside its own requests an entry counts only its part of what is free. What exceeds that waits
     in the entry's queue, where the order of urgency holds and slots are kept free.
     """
-    slots = 0.0
+    used, free, fair = 0, 0.0, 0.0
     for each in table.subset:
         if is_live(each, now_s) and not is_failing(each, now_s):
-            part = in_flight(each) + free_slots(each) / max(1, table.entries)
-            slots += min(limits.allowed(each.limit), part) + each.pending
-    return ceil(slots)
+            allowed = limits.allowed(each.limit)
+            own = min(allowed, in_flight(each))
+            used += own + each.pending
+            free += min(allowed - own, free_slots(each) / max(1, table.entries))
+            fair += each.member.concurrency / max(1, table.entries)
+    # An entry hears first of a slot that its own request leaves, so one that has more than its
+    # part takes no fraction of a free slot; the others would never get their parts.
+    return used + (int(free) if used > fair else ceil(free))
 
 
 def _choose_subset(table: Table) -> None:
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -1,5 +1,7 @@
 """Tests of the table of upstreams."""
 
+from random import Random
+
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
@@ -245,6 +247,27 @@
         # One in flight, and a quarter of 7 and of 8 free slots.
         assert upstreams.pool_slots(table, 0.0) == 5
 
+    def test_entries_get_equal_parts(self) -> None:
+        """Guards against an entry that keeps an upstream's slots because it had them first."""
+        upstream, capacity = UpstreamId("u0"), 64
+        random = Random(1)
+        tables = [Table(InstanceId(f"entry{number}"), 4, seed=1) for number in range(4)]
+        held: list[list[AttemptKey]] = [[], [], [], []]
+        for table in tables:
+            upstreams.announce(table, member("u0", concurrency=capacity), 1, 0.0)
+        for step in range(2000):
+            # The first entry always hears first of a free slot.
+            for table, own in zip(tables, held, strict=True):
+                occupancy = Occupancy(sum(map(len, held)), len(own))
+                upstreams.occupied(table, upstream, occupancy)
+                if len(own) < upstreams.pool_slots(table, 0.0):
+                    own.append(attempt(step))
+                    upstreams.sent(table, upstream, own[-1], 1.0, 0.0)
+            number = random.choice([each for each, own in enumerate(held) for _ in own])
+            key = held[number].pop(random.randrange(len(held[number])))
+            upstreams.ended(tables[number], upstream, key, False, 0.0)
+        assert all(12 <= len(own) <= 20 for own in held), [len(own) for own in held]
+
     def test_full_upstream_adds_no_slots(self) -> None:
         """Guards against work that waits in an engine, where urgent requests can't pass it."""
         table = Table(InstanceId("entry"), entries=1, seed=1)
