Test that a request waits for a slot longer than for an upstream

Cause: lets a request wait for a free slot until its deadline, while it still ends after 2 s when no upstream is up; no test held the two apart.

Change: a test with three full upstreams for 5.5 s that then fall silent.

Conclusion: both bounds are tested.

--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -18,6 +18,7 @@
 )
 from lycheefall._core.messages.entry import (
     CallerRequest,
+    Capacity,
     FromAgent,
     LinkUp,
     ReplyEnd,
@@ -179,6 +180,19 @@
             results = entry.send(FromAgent(link.upstream, refused))
         assert results == []
 
+    def test_waits_beyond_the_time_for_an_upstream(self) -> None:
+        """Guards against a request that ends as "no upstream" while all are up and full."""
+        entry = Entry()
+        results = entry.send(Run(request()))
+        self.refuse(entry, entry.dispatched(self.refuse(entry, entry.dispatched(results))))
+        for step in range(1, 12):
+            for number in range(3):
+                pong = Pong(1, "1", MemberState.READY, LOAD, occupancy=Occupancy(16, 0))  # type: ignore[arg-type]
+                entry.send(FromAgent(f"u{number}", pong), step * 0.5)  # type: ignore[arg-type]
+            assert all(isinstance(each, Capacity) for each in entry.send(Tick(), step * 0.5))
+        # All are silent by then.
+        assert any(isinstance(each, ReplyEnd) for each in entry.send(Tick(), 7.0))
+
     def test_waits_in_order_of_urgency(self) -> None:
         """Guards against a slot that goes to batch work while an urgent request waits for it."""
         entry = Entry()
