Send a late lookup to a second upstream

Cause: a lookup waited for the upstream it was sent to, however slow it was, until routing learned of it.

Change: _rules/hedging.py has the delay (the median over a pool's upstreams of their 95th percentiles, at least limits.hedge_floor_s) and budgets of their own (limits.hedge_ratio by team and in total, on by default). _rules/hedge_calls.py sends the second attempt to the other one of the request's own two upstreams, answers with the first whole answer, cancels the other attempt and goes on with the one that is left when one ends without. HedgePlanned and HedgeDue carry the timer between the rule and the event loop. The tests of HedgeTimes move from test_retries.py to test_hedging.py with the code, unchanged. The fake service can delay a part of its requests (--slow-part).

Failed try: hedging at the timer without regard to the lag of the entry hedged 3.1% at sound services.

Conclusion: hedging serves in the time until routing leaves a slow upstream alone, and for faults that move; the throughput of an entry was not measured again.

--- a/src/lycheefall/_core/configuration.py
+++ b/src/lycheefall/_core/configuration.py
@@ -32,6 +32,10 @@
     queue_requests: int = 20_000
     default_max_tokens: int = 256
     retry_ratio: float = 0.1
+    # Part of a team's lookups that may have a second attempt; 0 for none.
+    hedge_ratio: float = 0.05
+    # Shortest time after which a lookup may have it.
+    hedge_floor_s: float = 0.02
     # Claims and their answers are kept this long; a later retry of the key is refused.
     key_retention_s: float = 86_400.0
     fingerprint_refusal_s: float = 3_600.0
--- a/src/lycheefall/_core/messages/entry.py
+++ b/src/lycheefall/_core/messages/entry.py
@@ -226,6 +226,19 @@
     is_clear: bool
 
 
+class HedgePlanned(Struct, frozen=True):
+    """Send HedgeDue for a lookup after a time."""
+
+    request: RequestId
+    after_s: float
+
+
+class HedgeDue(Struct, frozen=True):
+    """Tell that a lookup has been in flight for its hedge delay."""
+
+    request: RequestId
+
+
 class EntriesSeen(Struct, frozen=True):
     """Incarnations of the entries that control lists."""
 
@@ -259,6 +272,14 @@
     message: ToAgent
 
 
+class HedgeSent(Struct, frozen=True):
+    """Send the second attempt of a lookup; its first one has been at an upstream for a time."""
+
+    link: ToLink
+    first: UpstreamId
+    after_s: float
+
+
 class ReplyTokens(Struct, frozen=True):
     """Pass tokens on to the caller."""
 
@@ -318,6 +339,7 @@
     | CrashRecorded
     | LeaseAnswered
     | FramesRead
+    | HedgeDue
     | DispatchClaimed
     | Repick
     | ToLink
@@ -350,4 +372,6 @@
     | CrashSeen
     | LeaseWanted
     | SuspectEnded
+    | HedgePlanned
+    | HedgeSent
 )
--- a/src/lycheefall/_entry/decisions.py
+++ b/src/lycheefall/_entry/decisions.py
@@ -4,7 +4,7 @@
 from lycheefall._core.events import Event
 from lycheefall._core.log import log
 from lycheefall._core.messages.dispatch import Cancel, Dispatch
-from lycheefall._core.messages.entry import DispatchClaimed, ReplyEnd, ToLink
+from lycheefall._core.messages.entry import DispatchClaimed, HedgeSent, ReplyEnd, ToLink
 from lycheefall._operate.metrics import Count
 
 
@@ -38,6 +38,22 @@
     )
 
 
+def log_hedge(hedge: HedgeSent, count: Count) -> None:
+    """Log the second attempt of a lookup."""
+    sent = hedge.link.message
+    assert isinstance(sent, Dispatch)
+    count("attempts.request_hedged", 1)
+    log(
+        Event.REQUEST_HEDGED,
+        request=sent.request,
+        attempt=sent.attempt,
+        upstream=hedge.link.upstream,
+        first=hedge.first,
+        after_s=round(hedge.after_s, 4),
+        priority=sent.priority,
+    )
+
+
 def _event_of(dispatch: Dispatch) -> Event:
     if dispatch.resume_tokens:
         return Event.STREAM_RESUMED
--- a/src/lycheefall/_entry/service.py
+++ b/src/lycheefall/_entry/service.py
@@ -31,6 +31,9 @@
     FromBooking,
     FromDispatch,
     FromQueue,
+    HedgeDue,
+    HedgePlanned,
+    HedgeSent,
     LeaseWanted,
     Proposed,
     ProposeFor,
@@ -51,7 +54,7 @@
 from lycheefall._core.process import new_incarnation, run_until
 from lycheefall._entry.accept import Acceptor, build_application
 from lycheefall._entry.catalogue import build_catalogue
-from lycheefall._entry.decisions import log_claim, log_end, log_link_message
+from lycheefall._entry.decisions import log_claim, log_end, log_hedge, log_link_message
 from lycheefall._entry.links import Links
 from lycheefall._entry.policies import IN_USE, Policies
 from lycheefall._entry.queue import QueueState
@@ -151,6 +154,13 @@
             case ToLink():
                 log_link_message(message, self.count)
                 self.links.send(message.upstream, message.message)
+            case HedgePlanned():
+                loop = asyncio.get_running_loop()
+                due = HedgeDue(message.request)
+                loop.call_later(message.after_s, self.dispatch.offer, due)
+            case HedgeSent():
+                log_hedge(message, self.count)
+                self.links.send(message.link.upstream, message.link.message)
             case ReplyTokens():
                 self.acceptor.reply(message)
             case ReplyEnd():
--- a/src/lycheefall/_fakes/service.py
+++ b/src/lycheefall/_fakes/service.py
@@ -49,6 +49,8 @@
     service_s: float = 0.005
     max_running: int = 32
     slow_ratio: float = 20.0
+    # Part of the requests that a slow service delays, evenly spread.
+    slow_part: float = 1.0
     fault: Fault = Fault.NONE
     # A path or body that contains this text crashes the service after it ran; empty for none.
     crash_marker: str = ""
@@ -143,6 +145,7 @@
     settings: ServiceSettings
     fault: Fault
     running: int = 0
+    started: int = 0
     waiting: deque[Arrive] = field(default_factory=deque)
     executions: list[Execution] = field(default_factory=list)
 
@@ -212,13 +215,20 @@
 def _start_waiting(state: DeskState) -> list[FromDesk]:
     started: list[FromDesk] = []
     settings = state.settings
-    after_s = settings.service_s * (settings.slow_ratio if state.fault is Fault.SLOW else 1.0)
     while state.waiting and state.running < settings.max_running and state.fault is not Fault.STALL:
         state.running += 1
+        state.started += 1
+        after_s = settings.service_s * (settings.slow_ratio if _is_slow(state) else 1.0)
         started.append(StartWork(state.waiting.popleft(), after_s))
     return started
 
 
+def _is_slow(state: DeskState) -> bool:
+    part = state.settings.slow_part
+    is_chosen = int(state.started * part) > int((state.started - 1) * part)
+    return state.fault is Fault.SLOW and is_chosen
+
+
 def _finish(state: DeskState, job: Arrive) -> list[FromDesk]:
     state.running -= 1
     results = _run(state, job)
--- a/src/lycheefall/_operate/configuration_checks.py
+++ b/src/lycheefall/_operate/configuration_checks.py
@@ -32,6 +32,10 @@
 _POSITIVE = Range(0, low_is_open=True)
 _RATIO = Range(0, 1)
 _AT_LEAST_ONE = Range(1)
+# More hedges than this would be a load of their own when all upstreams are slow.
+_HEDGE_RATIO = Range(0, 0.2)
+# Timers of an event loop that also works are not exact below a millisecond.
+_HEDGE_FLOOR = Range(0.001, 60)
 
 _RANGES: dict[str, dict[str, Range]] = {
     "directory": {"ttl_s": Range(0.1, 3600), "shard_size": Range(0)},
@@ -41,6 +45,8 @@
         "queue_requests": _AT_LEAST_ONE,
         "default_max_tokens": _AT_LEAST_ONE,
         "retry_ratio": _RATIO,
+        "hedge_ratio": _HEDGE_RATIO,
+        "hedge_floor_s": _HEDGE_FLOOR,
         "key_retention_s": _POSITIVE,
         "fingerprint_refusal_s": Range(0),
     },
--- a/src/lycheefall/_rules/call_attempts.py
+++ b/src/lycheefall/_rules/call_attempts.py
@@ -4,7 +4,7 @@
 from lycheefall._core.ids import AttemptNumber, UpstreamId
 from lycheefall._core.messages.dispatch import Cancel, Refused
 from lycheefall._core.messages.entry import FromDispatch, ToLink
-from lycheefall._rules import retries, streams, suspect_calls
+from lycheefall._rules import hedge_calls, retries, streams, suspect_calls
 from lycheefall._rules.call_state import (
     WIDEN_AFTER_S,
     Call,
@@ -35,18 +35,20 @@
         return end(state, call, code, REFUSED_DETAIL, now_s)
     if suspect_calls.must_wait(state, call):
         return suspect_calls.wait(state, call, now_s)
-    if call.attempt >= MAX_ATTEMPTS and call.lease is None:
-        detail = f"{call.attempt} upstreams could not take the request"
+    if call.attempts >= MAX_ATTEMPTS and call.lease is None:
+        detail = f"{call.attempts} upstreams could not take the request"
         return end(state, call, otherwise, detail, now_s)
     upstream = choose(state, call, call.tried, now_s) or choose(state, call, set(), now_s)
     if upstream is None:
         return park(state, call, otherwise, now_s)
     state.parked.pop(call.call.request, None)
     call.parked_s = None
-    call.attempt = AttemptNumber(call.attempt + 1)
+    call.attempts = AttemptNumber(call.attempts + 1)
+    call.attempt = call.attempts
     begin_stream(call, now_s)
     occupy(state, call, upstream, now_s)
-    return [ToLink(upstream, make_dispatch(state, call, now_s))]
+    dispatch = ToLink(upstream, make_dispatch(state, call, now_s))
+    return [dispatch, *hedge_calls.plan(state, call, now_s)]
 
 
 def park(state: CallsState, call: Call, otherwise: ResultCode, now_s: float) -> list[FromDispatch]:
@@ -80,6 +82,8 @@
         return []
     leave(state, call, now_s)
     learn_refusal(state, source, refused.code, now_s)
+    if call.failure is not None:
+        return end(state, call, call.failure.code, "", now_s)
     if call.lease is not None:
         # A suspect has one upstream only, so the next tick tries again.
         return park(state, call, refused.code, now_s)
@@ -100,6 +104,8 @@
     """Try elsewhere after an attempt that may have run."""
     leave(state, call, now_s, failed=True)
     call.lost = True
+    if call.failure is not None:
+        return end(state, call, call.failure.code, "", now_s)
     if call.stream is not None:
         streams.step(call.stream, streams.AttemptLost(call.attempt), now_s)
     # A stream that resumes repeats no tokens; any other retry is new work for the upstreams.
@@ -115,4 +121,7 @@
     """Stop what runs for a call."""
     if call.occupied is None:
         return []
-    return [ToLink(call.upstream, Cancel(call.call.request, call.attempt))]
+    running = [(call.upstream, call.attempt)]
+    if call.other is not None:
+        running.append((call.other.upstream, call.other.attempt))
+    return [ToLink(upstream, Cancel(call.call.request, number)) for upstream, number in running]
--- a/src/lycheefall/_rules/call_state.py
+++ b/src/lycheefall/_rules/call_state.py
@@ -17,7 +17,7 @@
     TeamId,
     UpstreamId,
 )
-from lycheefall._core.messages.dispatch import Dispatch
+from lycheefall._core.messages.dispatch import Dispatch, Finished
 from lycheefall._core.messages.entry import (
     CallEnded,
     CallerRequest,
@@ -28,6 +28,7 @@
 from lycheefall._rules import upstreams
 from lycheefall._rules.choice import Wish
 from lycheefall._rules.choice import choose as choose_from
+from lycheefall._rules.hedging import HedgingState
 from lycheefall._rules.retries import RetryBudgets, spend
 from lycheefall._rules.routing import Picker
 from lycheefall._rules.streams import StreamState
@@ -42,16 +43,36 @@
 NO_INCARNATION = Incarnation("")
 
 
+class OtherAttempt(Struct, frozen=True):
+    """An attempt of a hedged lookup that runs beside the current one."""
+
+    attempt: AttemptNumber
+    upstream: UpstreamId
+    incarnation: Incarnation
+    occupied: AttemptKey
+    sent_s: float
+
+
 class Call(Struct, eq=False):
     """A request that was released, and its attempt that counts now."""
 
     call: CallerRequest
     attempt: AttemptNumber = AttemptNumber(0)
+    # Number of the last attempt that was made.
+    attempts: AttemptNumber = AttemptNumber(0)
     upstream: UpstreamId = NO_UPSTREAM
     incarnation: Incarnation = NO_INCARNATION
     # Where the table of upstreams counts the call; times it was counted.
     occupied: AttemptKey | None = None
     occupations: int = 0
+    # When the current attempt was sent.
+    sent_s: float = 0.0
+    # Where and when a lookup may have its second attempt, and the one that runs beside the current.
+    spare: UpstreamId = NO_UPSTREAM
+    hedge_due_s: float = 0.0
+    other: OtherAttempt | None = None
+    # Error with which one of two attempts was answered; used when the other one ends without.
+    failure: ReplyEnd | None = None
     stream: StreamState | None = None
     unread_frames: int = 0
     tried: set[UpstreamId] = field(default_factory=set)
@@ -91,6 +112,9 @@
     configuration: Configuration = field(default_factory=Configuration)
     team_ratios: dict[TeamId, float] = field(default_factory=dict)
     budgets: RetryBudgets = field(default_factory=lambda: RetryBudgets(Limits().retry_ratio))
+    hedging: HedgingState = field(default_factory=HedgingState)
+    # Lookups with two attempts in flight.
+    hedged: dict[RequestId, Call] = field(default_factory=dict)
     suspects: frozenset[Fingerprint] = frozenset()
     refused: frozenset[Fingerprint] = frozenset()
     # When this entry learned of each suspect, and when it recorded one itself.
@@ -151,6 +175,7 @@
     call.upstream = upstream
     call.incarnation = state.connected[upstream]
     call.tried.add(upstream)
+    call.sent_s = now_s
     call.occupations += 1
     call.occupied = (call.call.request, AttemptNumber(call.occupations))
     tokens = call.call.cost_tokens
@@ -168,11 +193,24 @@
 
 
 def leave(state: CallsState, call: Call, now_s: float, *, failed: bool = False) -> None:
-    """Take the call off its upstream; `failed` is for faults of the upstream only."""
+    """Take the call off its upstreams; `failed` is for faults of the current one only."""
     table = table_of(state, call.upstream)
     if table is not None and call.occupied is not None:
         upstreams.ended(table, call.upstream, call.occupied, failed, now_s)
     call.occupied = None
+    leave_other(state, call, now_s)
+
+
+def leave_other(state: CallsState, call: Call, now_s: float, *, failed: bool = False) -> None:
+    """Take the attempt beside the current one off its upstream."""
+    other = call.other
+    if other is None:
+        return
+    table = table_of(state, other.upstream)
+    if table is not None:
+        upstreams.ended(table, other.upstream, other.occupied, failed, now_s)
+    call.other = None
+    del state.hedged[call.call.request]
 
 
 def make_dispatch(state: CallsState, call: Call, now_s: float) -> Dispatch:
@@ -197,15 +235,29 @@
     )
 
 
+def reply_of(call: Call, finished: Finished) -> ReplyEnd:
+    """Return the answer to the caller with what the current attempt ended with."""
+    return ReplyEnd(
+        request=finished.request,
+        code=finished.code,
+        status=finished.status,
+        content_type=finished.content_type,
+        body=finished.body,
+        finish_reason=finished.finish_reason,
+        upstream=call.upstream,
+        attempts=call.attempts,
+    )
+
+
 def end(
     state: CallsState, call: Call, code: ResultCode, detail: str, now_s: float
 ) -> list[FromDispatch]:
-    """End a call with a code."""
-    reply = ReplyEnd(
+    """End a call with a code, or with the error that one of its attempts was answered with."""
+    reply = call.failure or ReplyEnd(
         request=call.call.request,
         code=code,
         upstream=call.upstream,
-        attempts=call.attempt,
+        attempts=call.attempts,
         detail=detail,
     )
     return [reply, close(state, call, now_s)]
--- a/src/lycheefall/_rules/calls.py
+++ b/src/lycheefall/_rules/calls.py
@@ -25,11 +25,11 @@
     FramesRead,
     FromAgent,
     FromDispatch,
+    HedgeDue,
     LeaseAnswered,
     LinkDown,
     LinkUp,
     Repick,
-    ReplyEnd,
     ReplyTokens,
     Run,
     Tick,
@@ -38,7 +38,7 @@
     UpstreamHeard,
     UpstreamLeft,
 )
-from lycheefall._rules import retries, streams, suspect_calls, upstreams
+from lycheefall._rules import hedge_calls, retries, streams, suspect_calls, upstreams
 from lycheefall._rules.booking_calls import (
     booking_answered,
     dispatch_claimed,
@@ -63,12 +63,14 @@
     current,
     end,
     late_code,
+    reply_of,
     table_of,
 )
 from lycheefall._rules.call_streams import credit
 from lycheefall._rules.known_upstreams import (
     capacities,
     configure,
+    learn_refusal,
     link_down,
     link_up,
     upstream_heard,
@@ -111,6 +113,8 @@
             return state, []
         case DispatchClaimed():
             return state, dispatch_claimed(state, message, now_s)
+        case HedgeDue():
+            return state, hedge_calls.due(state, message, now_s)
         case Repick():
             return state, [repick(state, message, now_s)]
         case ToLink():
@@ -146,7 +150,8 @@
             upstreams.set_state(table, source, message.state)
         return []
     if isinstance(message, Finished) and message.crash is not None:
-        return suspect_calls.crash_seen(state, CrashSeen(source, message))
+        stopped = hedge_calls.crashed(state, message, now_s)
+        return stopped + suspect_calls.crash_seen(state, CrashSeen(source, message))
     return _about_call(state, source, message, now_s)
 
 
@@ -162,6 +167,8 @@
         if call is not None:
             observe_booking(state, call, message, now_s)
         return [BookingReply(message)]
+    if call is not None and call.other is not None and isinstance(message, Refused | Finished):
+        return _about_one_of_two(state, call, source, message, now_s)
     match message:
         case Frame() | Finished():
             return _streamed(state, message, now_s)
@@ -171,6 +178,22 @@
             return []
 
 
+def _about_one_of_two(
+    state: CallsState, call: Call, source: UpstreamId, message: Refused | Finished, now_s: float
+) -> list[FromDispatch]:
+    """Answer with the first whole answer; otherwise the other attempt goes on."""
+    if isinstance(message, Finished) and message.code is ResultCode.OK:
+        hedge_calls.focus(call, message.attempt)
+        return _streamed(state, message, now_s)
+    if isinstance(message, Refused):
+        # The refused copy of a duplicate is the second one; the first one started.
+        if message.code is ResultCode.DUPLICATE_ATTEMPT:
+            return []
+        learn_refusal(state, source, message.code, now_s)
+    hedge_calls.one_ended(state, call, message, now_s)
+    return []
+
+
 def _streamed(state: CallsState, message: Frame | Finished, now_s: float) -> list[FromDispatch]:
     call = state.calls.get(message.request)
     if call is None or call.stream is None or call.occupied is None:
@@ -195,9 +218,12 @@
     """Resume after a loss; an upstream that answered with an error has the last word."""
     finished = ended.finished
     if finished is not None and finished.code is not ResultCode.UPSTREAM_LOST:
+        if call.failure is not None:
+            return end(state, call, finished.code, "", now_s)
         return _answered(state, call, finished, now_s)
-    # After a gap the attempt still runs.
-    stopped = cancel(call) if ended.reason is streams.EndReason.GAP else []
+    # After a gap the attempt still runs, and the other one of a hedged lookup does anyway.
+    is_running = ended.reason is streams.EndReason.GAP or call.other is not None
+    stopped = cancel(call) if is_running else []
     return stopped + after_loss(state, call, ResultCode.UPSTREAM_LOST, now_s)
 
 
@@ -206,22 +232,16 @@
 ) -> list[FromDispatch]:
     if not call.tokens:
         begun(state, call, now_s)
-    reply = ReplyEnd(
-        request=finished.request,
-        code=finished.code,
-        status=finished.status,
-        content_type=finished.content_type,
-        body=finished.body,
-        finish_reason=finished.finish_reason,
-        upstream=call.upstream,
-        attempts=call.attempt,
-    )
+    reply = reply_of(call, finished)
+    stopped: list[FromDispatch] = []
     if finished.code is ResultCode.OK:
         suspect_calls.cleared(state, call)
-    return [reply, close(state, call, now_s, failed=finished.code is not ResultCode.OK)]
+        stopped = hedge_calls.answered(state, call, now_s)
+    return [reply, *stopped, close(state, call, now_s, failed=finished.code is not ResultCode.OK)]
 
 
 def _lose_all(state: CallsState, down: LinkDown, now_s: float) -> list[FromDispatch]:
+    hedge_calls.link_lost(state, down.upstream, down.incarnation, now_s)
     lost = [
         call
         for call in state.calls.values()
--- /dev/null
+++ b/src/lycheefall/_rules/hedge_calls.py
@@ -0,0 +1,204 @@
+"""Second attempts of lookups that are late: when one is sent, and which of the two goes on.
+
+A hedge goes only to the second of the two upstreams that the lookup belonged to when it was first
+sent, so that a request that crashes upstreams reaches no third one by it.
+"""
+
+from msgspec import structs
+
+from lycheefall._core.codes import run_state
+from lycheefall._core.enums import RouteKind, RunState
+from lycheefall._core.ids import AttemptNumber, Incarnation, UpstreamId
+from lycheefall._core.messages.dispatch import Cancel, Finished, Refused
+from lycheefall._core.messages.entry import (
+    FromDispatch,
+    HedgeDue,
+    HedgePlanned,
+    HedgeSent,
+    ToLink,
+)
+from lycheefall._rules import hedging, streams, upstreams
+from lycheefall._rules.call_state import (
+    NO_UPSTREAM,
+    Call,
+    CallsState,
+    OtherAttempt,
+    leave_other,
+    make_dispatch,
+    reply_of,
+    table_of,
+)
+from lycheefall._rules.choice import own_upstreams
+from lycheefall._rules.routing import Ask
+
+# An entry that is itself this late first reads what waits, since the answer may be there.
+_LAG_S = 0.005
+_AGAIN_S = 0.001
+
+
+def plan(state: CallsState, call: Call, now_s: float) -> list[FromDispatch]:
+    """Ask to be told when the first attempt of a lookup is late."""
+    request = call.call
+    if request.route.kind is not RouteKind.LOOKUP or call.attempts != 1:
+        return []
+    hedging.first_try(state.hedging, request.team)
+    limits = state.configuration.limits
+    pool = state.pools[call.upstream]
+    after_s = hedging.late_after_s(state.hedging, pool, limits.hedge_floor_s)
+    if after_s is None or now_s + after_s >= request.deadline_s or limits.hedge_ratio == 0.0:
+        return []
+    call.spare = _spare(state, call)
+    call.hedge_due_s = now_s + after_s
+    return [HedgePlanned(request.request, after_s)] if call.spare != NO_UPSTREAM else []
+
+
+def due(state: CallsState, message: HedgeDue, now_s: float) -> list[FromDispatch]:
+    """Send the second attempt of a lookup that is late, if it may have one."""
+    call = state.calls.get(message.request)
+    if call is None or not _may_hedge(state, call, now_s):
+        return []
+    if now_s - call.hedge_due_s > _LAG_S:
+        call.hedge_due_s = now_s + _AGAIN_S
+        return [HedgePlanned(message.request, _AGAIN_S)]
+    if not hedging.spend(state.hedging, call.call.team):
+        return []
+    return [_send(state, call, now_s)]
+
+
+def answered(state: CallsState, call: Call, now_s: float) -> list[FromDispatch]:
+    """Learn from the attempt that was answered, and stop the other one."""
+    if call.call.route.kind is not RouteKind.LOOKUP:
+        return []
+    _observe(state, call.upstream, now_s - call.sent_s)
+    other = call.other
+    if other is None:
+        return []
+    table = table_of(state, other.upstream)
+    if other.attempt < call.attempt and table is not None:
+        # It would have taken at least this long; without it a slow upstream would seem unmeasured.
+        _observe(state, other.upstream, now_s - other.sent_s)
+        upstreams.first_token(table, other.upstream, other.occupied, now_s)
+    leave_other(state, call, now_s)
+    return [ToLink(other.upstream, Cancel(call.call.request, other.attempt))]
+
+
+def focus(call: Call, attempt: AttemptNumber) -> bool:
+    """Make one of two attempts the current one; return False if it is neither."""
+    other = call.other
+    if other is not None and other.attempt == attempt:
+        _swap(call, other)
+    return call.attempt == attempt
+
+
+def one_ended(state: CallsState, call: Call, message: Refused | Finished, now_s: float) -> None:
+    """Go on with the other attempt after this one ended without the answer."""
+    if not focus(call, message.attempt):
+        return
+    if isinstance(message, Finished):
+        _note_failure(call, message)
+    _go_on(state, call, failed=isinstance(message, Finished), now_s=now_s)
+
+
+def link_lost(
+    state: CallsState, upstream: UpstreamId, incarnation: Incarnation, now_s: float
+) -> None:
+    """Go on with the attempts elsewhere of the lookups that also ran at a lost upstream."""
+    for call in list(state.hedged.values()):
+        other = call.other
+        if other is not None and (other.upstream, other.incarnation) == (upstream, incarnation):
+            _swap(call, other)
+        if (call.upstream, call.incarnation) == (upstream, incarnation):
+            call.lost = True
+            _go_on(state, call, failed=True, now_s=now_s)
+
+
+def crashed(state: CallsState, finished: Finished, now_s: float) -> list[FromDispatch]:
+    """Stop the other attempt of a lookup that was in flight when an upstream crashed."""
+    call = state.hedged.get(finished.request)
+    if call is None or not focus(call, finished.attempt):
+        return []
+    other = call.other
+    assert other is not None
+    call.lost = True
+    leave_other(state, call, now_s)
+    return [ToLink(other.upstream, Cancel(finished.request, other.attempt))]
+
+
+def _spare(state: CallsState, call: Call) -> UpstreamId:
+    """Return the other one of the two upstreams that the request belongs to."""
+    table = table_of(state, call.upstream)
+    assert table is not None
+    names = [each.member.upstream for each in table.subset]
+    connected = [name for name in names if name in state.connected]
+    own = own_upstreams(call.call, connected, alone=False)
+    if call.upstream not in own:
+        return NO_UPSTREAM
+    return next(iter(own - {call.upstream}), NO_UPSTREAM)
+
+
+def _may_hedge(state: CallsState, call: Call, now_s: float) -> bool:
+    fingerprint = call.call.fingerprint
+    is_waiting = call.attempts == 1 and call.occupied is not None and not call.crashing
+    if not is_waiting or call.spare not in state.connected:
+        return False
+    if fingerprint in state.suspects or fingerprint in state.refused:
+        return False
+    table = table_of(state, call.spare)
+    if table is None or call.upstream not in table.upstreams:
+        return False
+    others = frozenset(table.upstreams) - {call.spare}
+    # As for first attempts, a slot is left for urgent work.
+    ask = Ask(excluded=others, free_slots=1 if call.call.rank == 0 else 2)
+    return state.pick(table, ask, now_s) == call.spare
+
+
+def _send(state: CallsState, call: Call, now_s: float) -> HedgeSent:
+    table = table_of(state, call.spare)
+    assert table is not None
+    request = call.call
+    call.attempts = AttemptNumber(call.attempts + 1)
+    call.occupations += 1
+    occupied = (request.request, AttemptNumber(call.occupations))
+    incarnation = state.connected[call.spare]
+    call.other = OtherAttempt(call.attempts, call.spare, incarnation, occupied, now_s)
+    call.tried.add(call.spare)
+    state.hedged[request.request] = call
+    upstreams.sent(table, call.spare, occupied, request.cost_tokens, now_s)
+    dispatch = structs.replace(
+        make_dispatch(state, call, now_s), attempt=call.attempts, incarnation=incarnation
+    )
+    return HedgeSent(ToLink(call.spare, dispatch), call.upstream, now_s - call.sent_s)
+
+
+def _swap(call: Call, other: OtherAttempt) -> None:
+    assert call.occupied is not None
+    call.other = OtherAttempt(
+        call.attempt, call.upstream, call.incarnation, call.occupied, call.sent_s
+    )
+    call.attempt = other.attempt
+    call.upstream = other.upstream
+    call.incarnation = other.incarnation
+    call.occupied = other.occupied
+    call.sent_s = other.sent_s
+    # The answer of a lookup comes as a whole, so nothing was delivered before.
+    call.stream = streams.initial(call.call.request, other.attempt)
+
+
+def _go_on(state: CallsState, call: Call, *, failed: bool, now_s: float) -> None:
+    """Drop the current attempt in favour of the other one."""
+    assert call.other is not None
+    _swap(call, call.other)
+    leave_other(state, call, now_s, failed=failed)
+
+
+def _note_failure(call: Call, finished: Finished) -> None:
+    if run_state(finished.code) is RunState.RAN:
+        call.failure = reply_of(call, finished)
+    else:
+        call.lost = True
+
+
+def _observe(state: CallsState, upstream: UpstreamId, elapsed_s: float) -> None:
+    pool = state.pools.get(upstream)
+    if pool is not None:
+        hedging.observe(state.hedging, pool, upstream, elapsed_s)
--- a/src/lycheefall/_rules/known_upstreams.py
+++ b/src/lycheefall/_rules/known_upstreams.py
@@ -1,5 +1,7 @@
 """Keep the tables of upstreams of an entry: who is there, connected and in which pool."""
 
+from collections import Counter
+
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.configuration import Configuration
 from lycheefall._core.enums import MemberState
@@ -13,7 +15,7 @@
     UpstreamHeard,
     UpstreamLeft,
 )
-from lycheefall._rules import limits, upstreams
+from lycheefall._rules import hedging, limits, upstreams
 from lycheefall._rules.call_state import CallsState, table_of
 from lycheefall._rules.upstreams import Table
 
@@ -39,6 +41,7 @@
     pool = state.pools.pop(left.upstream, None)
     if pool is not None:
         upstreams.leave(state.tables[pool], left.upstream)
+        hedging.forget(state.hedging, pool, left.upstream)
     return []
 
 
@@ -71,11 +74,17 @@
     state.configuration = configuration
     state.team_ratios = {team.name: team.retry_ratio for team in configuration.teams}
     state.budgets.ratio = configuration.limits.retry_ratio
+    state.hedging.budgets.ratio = configuration.limits.hedge_ratio
     return []
 
 
 def capacities(state: CallsState, now_s: float) -> list[FromDispatch]:
     """Tell the queue how many requests each pool may run for this entry."""
+    # The queue knows a hedged lookup as one request, so its second slot is not there for others.
+    hedges = Counter(
+        state.pools.get(call.other.upstream) for call in state.hedged.values() if call.other
+    )
     return [
-        Capacity(pool, upstreams.pool_slots(table, now_s)) for pool, table in state.tables.items()
+        Capacity(pool, max(0, upstreams.pool_slots(table, now_s) - hedges[pool]))
+        for pool, table in state.tables.items()
     ]
--- a/src/lycheefall/_rules/retries.py
+++ b/src/lycheefall/_rules/retries.py
@@ -1,17 +1,14 @@
-"""Retries and hedges: which outcome may be tried again, when, and how many at most.
+"""Retries: which outcome may be tried again, when, and how many at most.
 
 Budgets as a part of first tries: "Site Reliability Engineering" (B. Beyer and others, 2016),
-chapter 21. Full jitter: M. Brooker, "Exponential Backoff And Jitter", 2015. Hedging after a high
-percentile: J. Dean, L. Barroso, "The Tail at Scale", 2013.
+chapter 21. Full jitter: M. Brooker, "Exponential Backoff And Jitter", 2015.
 """
 
-from bisect import bisect_left, insort
-from collections import deque
 from enum import Enum
 from random import Random
 
 from lycheefall._core.codes import ResultCode, run_state
-from lycheefall._core.enums import RouteKind, RunState
+from lycheefall._core.enums import RunState
 from lycheefall._core.ids import TeamId
 
 # Retries that a team may make before it has made first tries to earn them.
@@ -22,9 +19,6 @@
 _MAX_SAVED_IN_TOTAL = 100.0
 _BACKOFF_S = 0.02
 _MAX_BACKOFF_S = 1.0
-_HEDGE_SAMPLES = 128
-_MIN_HEDGE_SAMPLES = 20
-_HEDGE_RATIO = 0.95
 
 
 class RetryAdvice(Enum):
@@ -68,11 +62,12 @@
 class RetryBudgets:
     """Budgets of all teams and the total one."""
 
-    __slots__ = ("ratio", "teams", "total")
+    __slots__ = ("max_saved", "ratio", "teams", "total")
 
-    def __init__(self, ratio: float) -> None:
+    def __init__(self, ratio: float, max_saved: float = _MAX_SAVED_IN_TOTAL) -> None:
         self.ratio = ratio
-        self.total = Budget(_FIRST_RETRIES_IN_TOTAL)
+        self.max_saved = max_saved
+        self.total = Budget(min(max_saved, _FIRST_RETRIES_IN_TOTAL))
         self.teams: dict[TeamId, Budget] = {}
 
 
@@ -83,7 +78,7 @@
         own = budgets.teams[team] = Budget(_FIRST_RETRIES)
     own.tokens = min(_MAX_SAVED, own.tokens + team_ratio)
     total = budgets.total
-    total.tokens = min(_MAX_SAVED_IN_TOTAL, total.tokens + budgets.ratio)
+    total.tokens = min(budgets.max_saved, total.tokens + budgets.ratio)
     return budgets
 
 
@@ -113,31 +108,3 @@
 def backoff_s(random: Random, retries_made: int) -> float:
     """Return the pause before the next retry: random, up to a bound that doubles."""
     return random.random() * min(_MAX_BACKOFF_S, _BACKOFF_S * 2.0 ** min(retries_made, 16))
-
-
-class HedgeTimes:
-    """Recent times of the lookups of one route, in order of arrival and of size."""
-
-    __slots__ = ("recent_s", "sorted_s")
-
-    def __init__(self) -> None:
-        self.recent_s: deque[float] = deque()
-        self.sorted_s: list[float] = []
-
-
-def observe_time(times: HedgeTimes, elapsed_s: float) -> HedgeTimes:
-    """Add the time that a first try took."""
-    times.recent_s.append(elapsed_s)
-    insort(times.sorted_s, elapsed_s)
-    if len(times.recent_s) > _HEDGE_SAMPLES:
-        oldest_s = times.recent_s.popleft()
-        del times.sorted_s[bisect_left(times.sorted_s, oldest_s)]
-    return times
-
-
-def hedge_after_s(times: HedgeTimes, kind: RouteKind) -> float | None:
-    """Return the time after which a second try may be sent, or None when it may not."""
-    count = len(times.sorted_s)
-    if kind is not RouteKind.LOOKUP or count < _MIN_HEDGE_SAMPLES:
-        return None
-    return times.sorted_s[int(count * _HEDGE_RATIO)]
--- a/src/lycheefall/rules.py
+++ b/src/lycheefall/rules.py
@@ -4,8 +4,9 @@
 from lycheefall._rules.choice import Wish, choose, own_upstreams
 from lycheefall._rules.directory import EntriesAnswer, EntryDirectory
 from lycheefall._rules.fairness import FairQueue
+from lycheefall._rules.hedging import HedgeTimes, HedgingState
 from lycheefall._rules.limits import UpstreamLimit
-from lycheefall._rules.retries import HedgeTimes, RetryAdvice, RetryBudgets
+from lycheefall._rules.retries import RetryAdvice, RetryBudgets
 from lycheefall._rules.routing import (
     Ask,
     Picker,
@@ -24,6 +25,7 @@
     "EntryDirectory",
     "FairQueue",
     "HedgeTimes",
+    "HedgingState",
     "Item",
     "Outcome",
     "Picker",
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -91,12 +91,13 @@
     teams: int = 10,
     engine_drain: tuple[str, ...] = (),
     service_drain: tuple[str, ...] = (),
+    limits: str = "",
 ) -> str:
     """Return a configuration file for the pools of a fleet."""
     names = [f'[[teams]]\nname = "team-{number}"\n' for number in range(teams)]
     return CONFIGURATION.format(
         replaces=replaces,
-        teams="\n".join(names),
+        teams=f"[limits]\n{limits}\n" + "\n".join(names),
         engine_drain=list(engine_drain),
         service_drain=list(service_drain),
     )
--- a/tests/test_configuration_file.py
+++ b/tests/test_configuration_file.py
@@ -113,6 +113,7 @@
             ('\n[[pools]]\nname = "models"\nkind = "engine"', FileFieldError, ("line 20", "twice")),
             (SAME_MODEL, FileFieldError, ("line 23 ", "models", "'match'")),
             ("\n[limits]\nretry_ratio = 1.5", FileFieldError, ("line 20 ", "retry_ratio")),
+            ("\n[limits]\nhedge_ratio = 0.3", FileFieldError, ("line 20 ", "at most 0.2")),
             ("\n[limits]\nretries = 1", FileFieldError, ("line 20 ", "retries")),
         ],
     )
--- /dev/null
+++ b/tests/test_hedging.py
@@ -0,0 +1,296 @@
+"""Tests of hedging: its delay, its budgets and what a caller is told of two attempts."""
+
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lycheefall._core.codes import ResultCode, run_state
+from lycheefall._core.configuration import Configuration, Limits, Route, Team
+from lycheefall._core.enums import MemberState, RouteKind, RunState
+from lycheefall._core.messages.dispatch import Cancel, Crash, Dispatch, Finished, Pong, Refused
+from lycheefall._core.messages.entry import (
+    Abandon,
+    Capacity,
+    ConfigurationChanged,
+    FingerprintsChanged,
+    FromAgent,
+    HedgeDue,
+    HedgePlanned,
+    HedgeSent,
+    LinkDown,
+    ReplyEnd,
+    Run,
+    Tick,
+    ToLink,
+)
+from lycheefall._core.messages.membership import Load
+from lycheefall._rules import hedging
+from lycheefall._rules.hedging import HedgeTimes, HedgingState
+from test_calls import Entry, request
+
+ROUTE = Route(name="l", kind=RouteKind.LOOKUP, pools=("pool",), priority="p")  # type: ignore[arg-type]
+PLANNED_S = 0.02
+OK = ResultCode.OK
+
+
+class TestTimes:
+    @given(st.lists(st.floats(0.0, 10.0), min_size=20, max_size=300))
+    def test_p95_of_recent_times(self, times_s: list[float]) -> None:
+        """Guards against hedges of more than one in twenty lookups."""
+        times = HedgeTimes()
+        for each in times_s:
+            hedging.observe_time(times, each)
+        after_s = hedging.hedge_after_s(times, RouteKind.LOOKUP)
+        recent = sorted(times_s[-128:])
+        assert after_s == recent[int(len(recent) * 0.95)]
+
+    def test_old_times_are_forgotten(self) -> None:
+        """Guards against hedges by the times of a fault that is over."""
+        times = HedgeTimes()
+        for number in range(400):
+            hedging.observe_time(times, 9.0 if number < 200 else 0.1)
+        assert hedging.hedge_after_s(times, RouteKind.LOOKUP) == 0.1
+
+    def test_lookups_only(self) -> None:
+        """Guards against a booking that is sent twice, and against hedges on no evidence."""
+        times = HedgeTimes()
+        assert hedging.hedge_after_s(times, RouteKind.LOOKUP) is None
+        for _ in range(100):
+            hedging.observe_time(times, 0.1)
+        assert hedging.hedge_after_s(times, RouteKind.BOOKING) is None
+        assert hedging.hedge_after_s(times, RouteKind.CHAT) is None
+
+
+class TestDelay:
+    def test_one_slow_upstream_of_three(self) -> None:
+        """Guards against a slow upstream that raises the delay to its own time."""
+        state = HedgingState()
+        for upstream, elapsed_s in (("u0", 0.03), ("u1", 0.04), ("u2", 2.0)):
+            for _ in range(20):
+                hedging.observe(state, "pool", upstream, elapsed_s)  # type: ignore[arg-type]
+        assert hedging.late_after_s(state, "pool", 0.02) == 0.04  # type: ignore[arg-type]
+        assert hedging.late_after_s(state, "pool", 0.1) == 0.1  # type: ignore[arg-type]
+        assert hedging.late_after_s(state, "other", 0.1) is None  # type: ignore[arg-type]
+
+
+class TestBudget:
+    @given(st.lists(st.tuples(st.sampled_from("ab"), st.booleans()), max_size=600))
+    def test_part_of_lookups(self, events: list[tuple[Any, bool]]) -> None:
+        """Guards against hedges that add more than their part, by a team or in total."""
+        state = HedgingState()
+        lookups, hedges = dict.fromkeys("ab", 0), dict.fromkeys("ab", 0)
+        for team, is_hedge in events:
+            if is_hedge:
+                hedges[team] += hedging.spend(state, team)
+            else:
+                lookups[team] += 1
+                hedging.first_try(state, team)
+            assert hedges[team] <= 3 + 0.05 * lookups[team] + 1e-6
+            assert sum(hedges.values()) <= 20 + 0.05 * sum(lookups.values()) + 1e-6
+
+
+class Desk(Entry):
+    """An entry with three services that are known to answer within the floor of the delay."""
+
+    def __init__(self, **limits: Any) -> None:
+        super().__init__()
+        teams = (Team(name="t"),)  # type: ignore[arg-type]
+        configuration = Configuration(revision=1, limits=Limits(**limits), teams=teams)  # type: ignore[arg-type]
+        self.send(ConfigurationChanged(configuration))
+        for number in range(60):
+            hedging.observe(self.state.hedging, "pool", f"u{number % 3}", 0.001)  # type: ignore[arg-type]
+
+    def look(self, name: str = "r", **changes: Any) -> list[Any]:
+        return self.send(Run(request(name, route=ROUTE, stream=False, **changes)))
+
+    def hedged(self, name: str = "r") -> tuple[ToLink, ToLink]:
+        """Start a lookup and its second attempt."""
+        first = self.dispatched(self.look(name))
+        (sent,) = self.send(HedgeDue(name), PLANNED_S)  # type: ignore[arg-type]
+        assert isinstance(sent, HedgeSent)
+        assert sent.first == first.upstream != sent.link.upstream
+        return first, sent.link
+
+
+def end_of(results: list[Any]) -> ReplyEnd:
+    """Return the only answer."""
+    (end,) = [each for each in results if isinstance(each, ReplyEnd)]
+    return end
+
+
+def finished(name: str, attempt: int, code: ResultCode, **fields: Any) -> Finished:
+    """Return the end of an attempt."""
+    return Finished(name, attempt, code, **fields)  # type: ignore[arg-type]
+
+
+class TestSecondAttempt:
+    def test_plan_and_send(self) -> None:
+        """Guards against a hedge sent twice, of no lookup, or because the entry itself is late."""
+        desk = Desk()
+        assert HedgePlanned("r", PLANNED_S) in desk.look()  # type: ignore[arg-type]
+        assert len(desk.send(HedgeDue("r"), PLANNED_S)) == 1  # type: ignore[arg-type]
+        assert desk.send(HedgeDue("r"), PLANNED_S) == []  # type: ignore[arg-type]
+        chat = desk.send(Run(request("chat")))
+        assert not any(isinstance(each, HedgePlanned) for each in chat)
+        lagging = Desk()
+        lagging.look()
+        again = lagging.send(HedgeDue("r"), PLANNED_S + 0.1)  # type: ignore[arg-type]
+        assert [type(each) for each in again] == [HedgePlanned]
+        off = Desk(hedge_ratio=0.0).look()
+        assert not any(isinstance(each, HedgePlanned) for each in off)
+
+    @pytest.mark.parametrize("winner", [1, 2])
+    def test_first_whole_answer(self, winner: int) -> None:
+        """Guards against two answers, and against a second attempt that runs on for nobody."""
+        desk = Desk()
+        links = desk.hedged()
+        loser = links[2 - winner].upstream
+        answer = finished("r", winner, OK, body=b"x")
+        results = desk.send(FromAgent(links[winner - 1].upstream, answer), 0.03)
+        end = end_of(results)
+        assert (end.body, end.upstream, end.attempts) == (b"x", links[winner - 1].upstream, 2)
+        assert ToLink(loser, Cancel("r", 3 - winner)) in results  # type: ignore[arg-type]
+        late = desk.send(FromAgent(loser, finished("r", 3 - winner, OK, body=b"y")), 0.04)
+        assert not any(isinstance(each, ReplyEnd) for each in late)
+        assert desk.state.hedged == {}
+        assert not any(each.attempts for each in desk.state.tables["pool"].upstreams.values())  # type: ignore[index]
+
+    def test_slow_upstream_is_measured(self) -> None:
+        """Guards against a slow upstream that hedges hide from routing."""
+        desk = Desk()
+        first, second = desk.hedged()
+        desk.send(FromAgent(second.upstream, finished("r", 2, OK)), 0.5)
+        assert desk.state.tables["pool"].upstreams[first.upstream].delay_s > 0.4  # type: ignore[index]
+
+    @pytest.mark.parametrize("obstacle", ["full", "draining", "failing", "offline", "suspect"])
+    def test_no_upstream_for_it(self, obstacle: str) -> None:
+        """Guards against a hedge to an upstream in trouble, or of a request that crashes them."""
+        desk = Desk()
+        first = desk.dispatched(desk.look()).upstream
+        for name in ("u0", "u1", "u2"):
+            if obstacle == "suspect" or name == first:
+                continue
+            if obstacle == "failing":
+                desk.state.tables["pool"].upstreams[name].errors = 9.0  # type: ignore[index]
+                continue
+            state = MemberState.DRAINING if obstacle == "draining" else MemberState.READY
+            load = Load(16 if obstacle == "full" else 0, 0, 0, 0.0, 0.0)
+            desk.send(FromAgent(name, Pong(1, "1", state, load)))  # type: ignore[arg-type]
+            if obstacle == "offline":
+                desk.send(LinkDown(name, "1"))  # type: ignore[arg-type]
+        if obstacle == "suspect":
+            desk.state.suspects = frozenset(["print of r"])  # type: ignore[list-item]
+        assert desk.send(HedgeDue("r"), PLANNED_S) == []  # type: ignore[arg-type]
+
+    def test_capacity(self) -> None:
+        """Guards against a queue that takes the slot of a second attempt for one of its own."""
+        desk = Desk()
+        before = [each for each in desk.send(Tick()) if isinstance(each, Capacity)]
+        desk.hedged()
+        after = [each for each in desk.send(Tick(), PLANNED_S) if isinstance(each, Capacity)]
+        assert after[0].slots == before[0].slots - 1
+
+    def test_crash_stops_the_other(self) -> None:
+        """Guards against a request that goes on after it crashed one of its upstreams."""
+        desk = Desk()
+        first, second = desk.hedged()
+        crash = Crash("run-1", "print of r")  # type: ignore[arg-type]
+        lost = finished("r", 2, ResultCode.UPSTREAM_LOST, crash=crash)
+        results = desk.send(FromAgent(second.upstream, lost), 0.03)
+        assert results[0] == ToLink(first.upstream, Cancel("r", 1))  # type: ignore[arg-type]
+        assert desk.state.calls["r"].crashing  # type: ignore[index]
+
+    def test_abandoned_or_suspected(self) -> None:
+        """Guards against one of two attempts that runs on when both must stop."""
+        for message in (Abandon("r"), FingerprintsChanged(frozenset(["print of r"]), frozenset())):  # type: ignore[arg-type, list-item]
+            desk = Desk()
+            links = desk.hedged()
+            results = desk.send(message, 0.03)
+            for number, link in enumerate(links, 1):
+                assert ToLink(link.upstream, Cancel("r", number)) in results  # type: ignore[arg-type]
+
+
+# What the agent of an attempt may say, and whether the attempt ran then.
+ENDS = {
+    OK: RunState.RAN,
+    ResultCode.UPSTREAM_ERROR: RunState.RAN,
+    ResultCode.UPSTREAM_LOST: RunState.UNKNOWN,
+    ResultCode.TIMEOUT_AFTER_START: RunState.UNKNOWN,
+    ResultCode.UPSTREAM_BUSY: RunState.NOT_RUN,
+    ResultCode.UPSTREAM_DRAINING: RunState.NOT_RUN,
+    ResultCode.NOT_CONNECTED: RunState.NOT_RUN,
+}
+
+
+class Oracle:
+    """What is known of each attempt of one lookup, and the answers to its caller."""
+
+    def __init__(self) -> None:
+        self.sent: dict[int, ToLink] = {}
+        self.running: list[int] = []
+        # An attempt that has not ended may have run.
+        self.known: dict[int, RunState] = {}
+        self.answers = 0
+
+    def take(self, results: list[Any]) -> None:
+        for each in results:
+            link = each.link if isinstance(each, HedgeSent) else each
+            if isinstance(link, ToLink) and isinstance(link.message, Dispatch):
+                number = link.message.attempt
+                assert number == len(self.sent) + 1
+                self.sent[number] = link
+                self.running.append(number)
+                self.known[number] = RunState.UNKNOWN
+            if isinstance(each, ReplyEnd):
+                self.check(each)
+
+    def check(self, end: ReplyEnd) -> None:
+        self.answers += 1
+        told = run_state(end.code)
+        assert end.attempts == len(self.sent)
+        if told is RunState.NOT_RUN:
+            assert set(self.known.values()) <= {RunState.NOT_RUN}
+        if told is RunState.RAN:
+            number = int(end.body)
+            assert self.known[number] is RunState.RAN
+            assert self.sent[number].upstream == end.upstream
+
+
+class TestTruth:
+    @settings(max_examples=400, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(st.integers(0, 1), st.sampled_from([*ENDS, "down", "due", "tick"])),
+            max_size=12,
+        )
+    )
+    def test_against_oracle(self, events: list[tuple[int, Any]]) -> None:
+        """Guards against two answers, one of no attempt, and a run state that is not true."""
+        desk, oracle, now_s = Desk(), Oracle(), 0.0
+        oracle.take(desk.look())
+        for index, what in events:
+            now_s += PLANNED_S
+            if what == "due":
+                # The first one is late and asks to be repeated.
+                for _ in range(2):
+                    oracle.take(desk.send(HedgeDue("r"), now_s))  # type: ignore[arg-type]
+            elif what == "tick":
+                now_s += 0.5
+                oracle.take(desk.send(Tick(), now_s))
+            elif oracle.running:
+                number = oracle.running.pop(index % len(oracle.running))
+                upstream = oracle.sent[number].upstream
+                if what == "down":
+                    oracle.take(desk.send(LinkDown(upstream, "1"), now_s))  # type: ignore[arg-type]
+                    continue
+                oracle.known[number] = ENDS[what]
+                message: Any = Refused("r", number, what)  # type: ignore[arg-type]
+                if ENDS[what] is not RunState.NOT_RUN:
+                    message = finished("r", number, what, body=b"%d" % number)
+                oracle.take(desk.send(FromAgent(upstream, message), now_s))
+        oracle.take(desk.send(Tick(), 30.0))
+        assert oracle.answers == 1
+        assert desk.state.calls == {} and desk.state.hedged == {}
+        assert not any(each.attempts for each in desk.state.tables["pool"].upstreams.values())  # type: ignore[index]
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -1,4 +1,4 @@
-"""Tests of retry budgets, advice and hedging."""
+"""Tests of retry budgets and advice."""
 
 from random import Random
 
@@ -7,10 +7,10 @@
 from hypothesis import strategies as st
 
 from lycheefall._core.codes import ResultCode, run_state
-from lycheefall._core.enums import RouteKind, RunState
+from lycheefall._core.enums import RunState
 from lycheefall._core.ids import TeamId
 from lycheefall._rules import retries
-from lycheefall._rules.retries import HedgeTimes, RetryAdvice, RetryBudgets
+from lycheefall._rules.retries import RetryAdvice, RetryBudgets
 
 TEAMS = [TeamId("a"), TeamId("b")]
 
@@ -87,31 +87,3 @@
         random = Random(1)
         pauses = [retries.backoff_s(random, 3) for _ in range(100)]
         assert min(pauses) < 0.03 < 0.13 < max(pauses) <= 0.16
-
-
-class TestHedge:
-    @given(st.lists(st.floats(0.0, 10.0), min_size=20, max_size=300))
-    def test_p95_of_recent_times(self, times_s: list[float]) -> None:
-        """Guards against hedges of more than one in twenty lookups."""
-        times = HedgeTimes()
-        for each in times_s:
-            retries.observe_time(times, each)
-        after_s = retries.hedge_after_s(times, RouteKind.LOOKUP)
-        recent = sorted(times_s[-128:])
-        assert after_s == recent[int(len(recent) * 0.95)]
-
-    def test_old_times_are_forgotten(self) -> None:
-        """Guards against hedges by the times of a fault that is over."""
-        times = HedgeTimes()
-        for number in range(400):
-            retries.observe_time(times, 9.0 if number < 200 else 0.1)
-        assert retries.hedge_after_s(times, RouteKind.LOOKUP) == 0.1
-
-    def test_lookups_only(self) -> None:
-        """Guards against a booking that is sent twice, and against hedges on no evidence."""
-        times = HedgeTimes()
-        assert retries.hedge_after_s(times, RouteKind.LOOKUP) is None
-        for _ in range(100):
-            retries.observe_time(times, 0.1)
-        assert retries.hedge_after_s(times, RouteKind.BOOKING) is None
-        assert retries.hedge_after_s(times, RouteKind.CHAT) is None
