Start no waiting suspect at an upstream that has just crashed

Change: suspects that wait at an upstream that has failed are refused as not connected; their entries hold the leases and send them to another upstream.

The new test fails without the rule.

An ordinary request that is sent between a crash and its detection may still be suspected.

--- a/src/lycheefall/_agent/check.py
+++ b/src/lycheefall/_agent/check.py
@@ -193,6 +193,10 @@
     results: list[FromCheck] = []
     while state.waiting_alone and not state.running:
         waiting = state.waiting_alone.popleft()
+        if state.member.state is MemberState.FAILED:
+            # Sent over a connection that is about to break, it would be blamed for the crash.
+            results.append(_drop(state, waiting, ResultCode.NOT_CONNECTED, now_s))
+            continue
         remaining_s = waiting.deadline_s - now_s
         if remaining_s <= 0:
             results.append(_drop(state, waiting, ResultCode.EXPIRED_BEFORE_START, now_s))
--- a/tests/test_suspect_calls.py
+++ b/tests/test_suspect_calls.py
@@ -320,6 +320,15 @@
         assert agent.end("t") == []
         assert isinstance(agent.ask("c", alone=False)[0], Forward)
 
+    def test_waits_at_a_crash(self) -> None:
+        """Guards against a suspect that is blamed for the crash of the one that ran before it."""
+        agent = Agent()
+        agent.ask("s", alone=True)
+        agent.ask("t", alone=True)
+        lost = Finished("s", 1, ResultCode.UPSTREAM_LOST, crash=CRASH)  # type: ignore[arg-type]
+        refused = Refused("t", 1, ResultCode.NOT_CONNECTED)  # type: ignore[arg-type]
+        assert ToPeer(b"peer", refused) in agent.send(AttemptEnded(b"peer", lost))
+
     def test_waiting_ends(self) -> None:
         """Guards against a suspect that starts after it was cancelled or has run out of time."""
         agent = Agent()
