--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -17,7 +17,8 @@
 from lycheefall._core.enums import MemberState
 from lycheefall._core.ids import Address
 from lycheefall._core.messages.membership import UpstreamMember
-from processes.scaffold import Forwarder, free_addresses, status_of
+from lycheefall._fakes.forwarder import Forwarder
+from processes.scaffold import free_addresses, status_of
 
 SOURCE = Path(__file__).resolve().parents[2] / "src"
 START_TIMEOUT_S = 30.0
--- a/tests/processes/rank_group.py
+++ b/tests/processes/rank_group.py
@@ -11,7 +11,8 @@
 
 from lycheefall._core.enums import FenceMode
 from lycheefall._core.ids import Address
-from processes.scaffold import TESTS, Cluster, Forwarder, free_addresses
+from lycheefall._fakes.forwarder import Forwarder
+from processes.scaffold import TESTS, Cluster, free_addresses
 
 RANKS = 4
 EXPERTS = 16
--- a/tests/processes/scaffold.py
+++ b/tests/processes/scaffold.py
@@ -27,6 +27,7 @@
     StatusReport,
     Watch,
 )
+from lycheefall._fakes.forwarder import Forwarder
 from lycheefall._wire.codec import decode_from_control, encode
 from lycheefall._wire.zmq_ends import DealerEnd
 
@@ -53,100 +54,6 @@
     return [Address(f"{HOST}:{port}") for port in found]
 
 
-@dataclass
-class Forwarder:
-    """TCP forwarder; blocked directions hold their bytes, as a silent network does."""
-
-    target: Address
-    address: Address | None = None
-    # From the first message with these bytes on, answers are held.
-    lose_answers_to: bytes = b""
-    server: asyncio.Server | None = None
-    forth: asyncio.Event = field(default_factory=asyncio.Event)
-    back: asyncio.Event = field(default_factory=asyncio.Event)
-    writers: list[asyncio.StreamWriter] = field(default_factory=list)
-    tasks: set[asyncio.Task[None]] = field(default_factory=set)
-
-    async def open(self) -> None:
-        """Listen on a free port."""
-        self.heal()
-        self.server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        self.address = Address(f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}")
-
-    def block(self, forth: bool = True, back: bool = True) -> None:
-        """Hold all bytes of these directions."""
-        if forth:
-            self.forth.clear()
-        if back:
-            self.back.clear()
-
-    def heal(self) -> None:
-        """Let all bytes pass, those that were held first."""
-        self.forth.set()
-        self.back.set()
-
-    def silence_open_connections(self) -> None:
-        """Hold the bytes of the connections that are open now for ever; new ones work."""
-        self.forth.clear()
-        self.back.clear()
-        self.forth, self.back = asyncio.Event(), asyncio.Event()
-        self.heal()
-
-    def cut(self) -> None:
-        """Close all connections."""
-        for writer in self.writers:
-            writer.close()
-        self.writers.clear()
-
-    async def close(self) -> None:
-        """Stop listening and close all connections."""
-        if self.server is not None:
-            self.server.close()
-        self.cut()
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-
-    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        host, port = self.target.split(":")
-        try:
-            far_reader, far_writer = await asyncio.open_connection(host, int(port))
-        except OSError:
-            writer.close()
-            return
-        self.writers += [writer, far_writer]
-        for source, sink, gate, seen in (
-            (reader, far_writer, self.forth, self._seen),
-            (far_reader, writer, self.back, _ignore),
-        ):
-            task = asyncio.ensure_future(_pump(source, sink, gate, seen))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
-
-    def _seen(self, data: bytes) -> None:
-        if self.lose_answers_to and self.lose_answers_to in data:
-            self.block(forth=False)
-
-
-def _ignore(data: bytes) -> None:
-    return None
-
-
-async def _pump(
-    source: asyncio.StreamReader,
-    sink: asyncio.StreamWriter,
-    gate: asyncio.Event,
-    seen: Callable[[bytes], None],
-) -> None:
-    with contextlib.suppress(OSError):
-        while data := await source.read(65_536):
-            seen(data)
-            await gate.wait()
-            sink.write(data)
-            await sink.drain()
-    sink.close()
-
-
 @dataclass
 class Spec:
     """Where a replica listens and keeps its data."""
--- a/tests/processes/test_bookings_under_faults.py
+++ b/tests/processes/test_bookings_under_faults.py
@@ -15,8 +15,8 @@
 import aiohttp
 import pytest
 
+from lycheefall._fakes.forwarder import Forwarder
 from processes.fleet import Fleet, forwarded, freeze, kill, running
-from processes.scaffold import Forwarder
 from processes.test_whole_path import TEAM, time_ms
 
 SEEDS = [int(seed) for seed in os.environ.get("LYCHEEFALL_TEST_SEEDS", "11 12").split()]
--- a/tests/processes/test_configuration_processes.py
+++ b/tests/processes/test_configuration_processes.py
@@ -11,10 +11,11 @@
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.ids import Address, Revision
 from lycheefall._core.messages.control import ApplyFile, FileResult
+from lycheefall._fakes.forwarder import Forwarder
 from lycheefall._operate.configuration_file import digest_of
 from processes.callers import booking, short_chat, statistics
 from processes.fleet import Fleet, configuration_text, running
-from processes.scaffold import POLL_S, Forwarder, client_of
+from processes.scaffold import POLL_S, client_of
 
 # Bound of the targets table for an accepted file.
 IN_FORCE_S = 2.0
--- a/tests/processes/test_silent_links.py
+++ b/tests/processes/test_silent_links.py
@@ -4,9 +4,9 @@
 import re
 from pathlib import Path
 
+from lycheefall._fakes.forwarder import Forwarder
 from processes.callers import booking, long_stream, short_chat, statistics
 from processes.fleet import Fleet, configuration_text, forwarded, running
-from processes.scaffold import Forwarder
 from processes.test_whole_path import TEAM
 
 # Bound of the targets table for a silent connection.
--- a/tests/processes/test_streams.py
+++ b/tests/processes/test_streams.py
@@ -10,10 +10,10 @@
 import aiohttp
 import pytest
 
+from lycheefall._fakes.forwarder import Forwarder
 from lycheefall._fakes.tokens import expected_tokens
 from processes.chats import Got, ask_chat
 from processes.fleet import Fleet, freeze, kill, running
-from processes.scaffold import Forwarder
 from processes.test_whole_path import TEAM, chat_body
 
 SEEDS = (21,)
