--- a/tests/test_suspect_calls.py
+++ b/tests/test_suspect_calls.py
@@ -330,7 +330,7 @@
         agent.ask("s", alone=True)
         agent.ask("t", alone=True)
         lost = Finished("s", 1, ResultCode.UPSTREAM_LOST, crash=CRASH)  # type: ignore[arg-type]
-        refused = Refused("t", 1, ResultCode.NOT_CONNECTED)  # type: ignore[arg-type]
+        refused = Refused("t", 1, ResultCode.NOT_CONNECTED, Occupancy(0, 0))  # type: ignore[arg-type]
         assert ToPeer(b"peer", refused) in agent.send(AttemptEnded(b"peer", lost))
 
     def test_waiting_ends(self) -> None:
