Leave refusals for want of a slot out of an answer's attempts

Cause: the whole run from a fresh clone had 2 failures and 582 passed (439 s), both in test_rolling_restart. For agents, a stream named 2 attempts: since agents admit by their count, an attempt that was refused as busy, and never ran, was counted in the answer though not towards the limit of four. For entries, the new wait for all upstreams ended with TimeoutError when the replica that it asks had just been started again.

Change: the answer leaves out such refusals, by the same count as the limit; other refusals and lost attempts are named as before.

--- a/src/lycheefall/_rules/call_state.py
+++ b/src/lycheefall/_rules/call_state.py
@@ -274,7 +274,7 @@
         body=finished.body,
         finish_reason=finished.finish_reason,
         upstream=call.upstream,
-        attempts=call.attempts,
+        attempts=call.attempts - call.busy_refusals,
     )
 
 
@@ -286,7 +286,7 @@
         request=call.call.request,
         code=code,
         upstream=call.upstream,
-        attempts=call.attempts,
+        attempts=call.attempts - call.busy_refusals,
         detail=detail,
     )
     return [reply, close(state, call, now_s)]
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -325,7 +325,11 @@
                     await asyncio.sleep(POLL_S)
 
     async def _all_announced(self) -> bool:
-        report = await status_of(self.addresses["client-0"])
+        try:
+            report = await status_of(self.addresses["client-0"])
+        except TimeoutError:
+            # A replica that has just been started again doesn't listen yet.
+            return False
         upstreams = [each for each in report.members if isinstance(each, UpstreamMember)]
         started = [each for each in upstreams if each.state is not MemberState.STARTING]
         return len(started) == self.engines + self.services
