Confirm reads by a majority and write one frame for each sync

Cause: a save of two batches wrote two frames under one sync. A read was answered under a lease, whose clock does not count the time of a suspended process. A replica on a full disk ended. Voters stayed at the number of the first formation.

Change: one sync writes one frame with what all its items result in. A read waits for a majority's answer to a message sent after it. A failed write is taken back, and a replica may wait for room.

--- a/src/lycheefall/_control/storage.py
+++ b/src/lycheefall/_control/storage.py
@@ -231,26 +231,37 @@
 
 
 def _save_batch(storage: Storage, items: tuple[Durable, ...]) -> None:
-    frames = b"".join(_frames_of(storage, items))
+    data = frame(encode(_batch_of(storage, items)))
     size = os.fstat(storage.log).st_size
     if size != storage.log_bytes:
         raise LogDamaged(f"{LOG_FILE} has {size} bytes instead of {storage.log_bytes}")
-    _write_all(storage.write, storage.log, frames)
-    os.fsync(storage.log)
-    storage.log_bytes += len(frames)
+    _append_all(storage, data)
+    storage.log_bytes += len(data)
 
 
-def _frames_of(storage: Storage, items: tuple[Durable, ...]) -> list[bytes]:
-    """Return one frame, or one for each part where a later part replaces entries."""
-    parts: list[list[LogEntry]] = [[]]
+def _append_all(storage: Storage, data: bytes) -> None:
+    """Append to the log and sync it, or leave it as it was."""
+    try:
+        _write_all(storage.write, storage.log, data)
+        os.fsync(storage.log)
+    except OSError:
+        os.ftruncate(storage.log, storage.log_bytes)
+        raise
+
+
+def _batch_of(storage: Storage, items: tuple[Durable, ...]) -> Batch:
+    """Return what all items result in.
+
+    A loss of power may keep any part of what a sync did not cover. So one sync covers one
+    frame: of two, the first could be torn while the second is whole.
+    """
+    entries: list[LogEntry] = []
     for item in items:
         if isinstance(item, SaveVote):
             storage.term, storage.vote = item.term, item.vote
         elif isinstance(item, SaveEntries) and item.entries:
-            if parts[-1] and item.entries[0].index != parts[-1][-1].index + 1:
-                parts.append([])
-            parts[-1].extend(item.entries)
-    return [frame(encode(Batch(storage.term, storage.vote, tuple(part)))) for part in parts]
+            _replace_from(entries, item.entries)
+    return Batch(storage.term, storage.vote, tuple(entries))
 
 
 def _save_snapshot(storage: Storage, item: SaveSnapshot) -> None:
@@ -269,6 +280,9 @@
     try:
         _write_all(write, descriptor, data)
         os.fsync(descriptor)
+    except OSError:
+        temporary.unlink()
+        raise
     finally:
         os.close(descriptor)
     os.replace(temporary, path)
--- a/src/lycheefall/_control/sync.py
+++ b/src/lycheefall/_control/sync.py
@@ -6,6 +6,9 @@
 from typing import TypeGuard
 
 from lycheefall._control.storage import Storage, save
+from lycheefall._core.events import Event
+from lycheefall._core.exceptions import DiskFull
+from lycheefall._core.log import log
 from lycheefall._rules.consensus.state import (
     Durable,
     Output,
@@ -17,19 +20,39 @@
 Sync = Callable[[list[Output]], Awaitable[list[Output]]]
 
 
-def syncing(storage: Storage, worker: ThreadPoolExecutor) -> Sync:
+def syncing(
+    storage: Storage, worker: ThreadPoolExecutor, retry_full_s: float | None = None
+) -> Sync:
     """Return a filter that writes the durable outputs, syncs once and returns the others.
 
     It raises DiskFull or LogDamaged instead of returning, so nothing is acknowledged then.
+    With `retry_full_s` it waits for room on a full disk; the replica is silent meanwhile.
     """
     loop = asyncio.get_running_loop()
 
     async def sync(outputs: list[Output]) -> list[Output]:
         durable = tuple(each for each in outputs if _is_durable(each))
         if durable:
-            await loop.run_in_executor(worker, save, storage, durable)
+            await _saved(durable)
         return [each for each in outputs if not _is_durable(each)]
 
+    async def _saved(durable: tuple[Durable, ...]) -> None:
+        is_full = False
+        while True:
+            try:
+                await loop.run_in_executor(worker, save, storage, durable)
+            except DiskFull as error:
+                if retry_full_s is None:
+                    raise
+                if not is_full:
+                    log(Event.DISK_FULL, code=int(error.code), detail=error.detail)
+                is_full = True
+                await asyncio.sleep(retry_full_s)
+            else:
+                if is_full:
+                    log(Event.DISK_HAS_ROOM)
+                return
+
     return sync
 
 
--- a/src/lycheefall/_rules/consensus/replication.py
+++ b/src/lycheefall/_rules/consensus/replication.py
@@ -24,8 +24,12 @@
     Committed,
     Compact,
     Consensus,
+    PendingRead,
     Progress,
     Proposals,
+    Read,
+    ReadConfirmed,
+    ReadRefused,
     Refused,
     Restore,
     SaveEntries,
@@ -86,6 +90,39 @@
     send_appends(state, now_s)
 
 
+# Step between the stamps of two messages that are sent at the same reading of the clock.
+_STAMP_STEP_S = 1e-6
+
+
+def on_read(state: Consensus, message: Read, now_s: float) -> None:
+    """Keep a read until a majority answers a message of this leader that is sent after it.
+
+    A lease can't confirm it: a process that was suspended continues with a clock that did not
+    count the time, and would take its lease for valid beside a new leader.
+    """
+    if state.role is not ReplicaRole.LEADER or not state.settled:
+        state.outputs.append(ReadRefused(message.read))
+        return
+    state.reads.append(PendingRead(message.read, _next_stamp_s(state, now_s)))
+    send_appends(state, now_s)
+    _confirm_reads(state)
+
+
+def _next_stamp_s(state: Consensus, now_s: float) -> float:
+    state.sent_s = max(now_s, state.sent_s + _STAMP_STEP_S)
+    return state.sent_s
+
+
+def _confirm_reads(state: Consensus) -> None:
+    """Confirm the reads that a majority of the voters has answered for."""
+    if not state.reads:
+        return
+    answered_s = _quorum_acked_s(state, float("inf"))
+    confirmed = [each for each in state.reads if each.since_s < answered_s]
+    state.reads = [each for each in state.reads if each.since_s >= answered_s]
+    state.outputs.extend(ReadConfirmed(each.read) for each in confirmed)
+
+
 def append_own(state: Consensus, payload: Payload) -> None:
     """Append one entry of the leader's own, with the time stamp of the entry before it."""
     append_batch(state, (payload,), 0)
@@ -132,7 +169,7 @@
         entries,
         state.commit,
         state.settled,
-        now_s,
+        _next_stamp_s(state, now_s),
     )
     # A lost message shows as a refused heartbeat, which sets `next` back.
     progress.next = LogIndex(progress.next + len(entries))
@@ -147,7 +184,8 @@
     if now_s - progress.snapshot_sent_s < state.timing.snapshot_resend_s:
         return
     progress.snapshot_sent_s = now_s
-    message = InstallSnapshot(state.me, to.id, state.term, snapshot, now_s)
+    stamp_s = _next_stamp_s(state, now_s)
+    message = InstallSnapshot(state.me, to.id, state.term, snapshot, stamp_s)
     state.outputs.append(Send(to, message))
 
 
@@ -214,6 +252,7 @@
     if state.role is not ReplicaRole.LEADER or message.term != state.term or progress is None:
         return
     progress.acked_s = max(progress.acked_s, message.sent_s)
+    _confirm_reads(state)
     if not message.success:
         progress.next = LogIndex(max(progress.match, message.match) + 1)
         _send_append(state, message.sender, now_s)
--- a/src/lycheefall/_rules/consensus/state.py
+++ b/src/lycheefall/_rules/consensus/state.py
@@ -5,7 +5,7 @@
 from msgspec import Struct, field
 
 from lycheefall._core.enums import ReplicaRole
-from lycheefall._core.ids import CommandId, InstanceId, LogIndex, Term
+from lycheefall._core.ids import CommandId, InstanceId, LogIndex, ReadId, Term
 from lycheefall._core.messages.consensus import (
     LogEntry,
     Membership,
@@ -33,6 +33,8 @@
     replace_s: float = 10.0
     # A snapshot is not sent again to the same replica within this time.
     snapshot_resend_s: float = 1.0
+    # Standbys become voters until there are this many; 0 keeps the number of the formation.
+    grow_to_voters: int = 0
 
 
 class Tick(Struct, frozen=True):
@@ -52,7 +54,13 @@
     snapshot: Snapshot
 
 
-Input = Tick | Proposals | Compact | PeerMessage
+class Read(Struct, frozen=True):
+    """Confirm that no commit before this moment is unknown here."""
+
+    read: ReadId
+
+
+Input = Tick | Proposals | Compact | Read | PeerMessage
 
 
 class Send(Struct, frozen=True):
@@ -106,8 +114,20 @@
     command_ids: tuple[CommandId, ...]
 
 
+class ReadConfirmed(Struct, frozen=True):
+    """Answer a read behind everything that is committed."""
+
+    read: ReadId
+
+
+class ReadRefused(Struct, frozen=True):
+    """Tell that this replica can't confirm a read."""
+
+    read: ReadId
+
+
 Durable = SaveVote | SaveEntries | SaveSnapshot
-Output = Send | Greet | Durable | Restore | Committed | Refused
+Output = Send | Greet | Durable | Restore | Committed | Refused | ReadConfirmed | ReadRefused
 
 
 class Progress(Struct):
@@ -122,6 +142,13 @@
     snapshot_sent_s: float = float("-inf")
 
 
+class PendingRead(Struct, frozen=True):
+    """A read that waits until a majority has answered a message sent after it."""
+
+    read: ReadId
+    since_s: float
+
+
 class Presence(Struct, frozen=True):
     """A replica that said hello."""
 
@@ -157,6 +184,9 @@
     forming: Membership | None = None
     votes: set[ReplicaId] = field(default_factory=set)
     progress: dict[ReplicaId, Progress] = field(default_factory=dict)
+    # Stamp of the latest message; increases with each, also while the clock stands still.
+    sent_s: float = float("-inf")
+    reads: list[PendingRead] = field(default_factory=list)
     present: dict[InstanceId, Presence] = field(default_factory=dict)
     outputs: list[Output] = field(default_factory=list)
 
@@ -221,6 +251,8 @@
         state.leader = None
         state.settled = False
         postpone_election(state, now_s)
+        state.outputs.extend(ReadRefused(each.read) for each in state.reads)
+        state.reads.clear()
     state.role = resting_role(state)
     state.pre_voting = False
     state.forming = None
--- a/src/lycheefall/_rules/consensus/step.py
+++ b/src/lycheefall/_rules/consensus/step.py
@@ -26,6 +26,7 @@
     Input,
     Output,
     Proposals,
+    Read,
     Tick,
     Timing,
     postpone_election,
@@ -78,6 +79,8 @@
             replication.on_proposals(state, message, now_s)
         case Compact():
             replication.on_compact(state, message, now_s)
+        case Read():
+            replication.on_read(state, message, now_s)
         case Hello():
             election.on_hello(state, message, now_s)
         case _ if message.to != state.me.id:
--- a/src/lycheefall/_rules/consensus/voters.py
+++ b/src/lycheefall/_rules/consensus/voters.py
@@ -61,10 +61,12 @@
     standbys = _standbys(state, now, now_s)
     silent = any(_is_silent(state, each, now_s) for each in now.voters)
     is_needed = len(now.voters) < now.size or (silent and len(now.voters) == now.size)
-    if not is_needed or not standbys:
+    grows = not silent and now.size == len(now.voters) < state.timing.grow_to_voters
+    if not (is_needed or grows) or not standbys:
         return None
     chosen = standbys[0]
-    return Membership(now.size, (*now.voters, chosen), _without(now.learners, chosen))
+    size = now.size + 1 if grows else now.size
+    return Membership(size, (*now.voters, chosen), _without(now.learners, chosen))
 
 
 def _standbys(state: Consensus, now: Membership, now_s: float) -> tuple[Replica, ...]:
--- a/tests/test_sync.py
+++ b/tests/test_sync.py
@@ -48,3 +48,23 @@
         with ThreadPoolExecutor(1) as worker, pytest.raises(DiskFull):
             await syncing(storage, worker)(outputs)
         close_storage(storage)
+
+    async def test_waits_for_room(self, tmp_path: Path) -> None:
+        """Guards against a replica that ends, again and again, while its disk is full."""
+        is_full = True
+
+        def write(descriptor: int, data: bytes) -> int:
+            nonlocal is_full
+            if is_full:
+                is_full = False
+                raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+            return os.write(descriptor, data)
+
+        outputs = batch(tmp_path)
+        storage, _ = open_storage(tmp_path, InstanceId("a"), write)
+        with ThreadPoolExecutor(1) as worker:
+            assert await syncing(storage, worker, retry_full_s=0.01)(outputs) == outputs[:1]
+        close_storage(storage)
+        storage, loaded = open_storage(tmp_path, InstanceId("a"))
+        close_storage(storage)
+        assert len(loaded.entries) == 1
