Place experts by demand, and count what other entries have in flight

Cause: passes of a group wait for the most loaded rank of each set of experts (2.5 to 2.9 times the mean with map 0), and replicas that are not told the loads of entries overwrote them with nothing, so that entries chose the same upstreams.

Change: the leader names one entry that counts what one rank's requests chose, plans a map with replicas and switches all ranks at one held pass. Loads that a replica does not know stay as they were.

--- a/src/lycheefall/_core/dialect.py
+++ b/src/lycheefall/_core/dialect.py
@@ -7,7 +7,8 @@
 
 from msgspec import Struct
 
-from lycheefall._core.ids import Address, Revision, UpstreamId
+from lycheefall._core.expert_maps import ExpertCounts, HeldExperts, RankOrder, RankStatus
+from lycheefall._core.ids import Address, UpstreamId
 from lycheefall._core.relay import RelayConfiguration, UpstreamRecord
 
 HeaderName = bytes
@@ -45,6 +46,21 @@
     file: str
 
 
+class RankCalls(Struct, frozen=True, kw_only=True):
+    """How the ranks of a group are asked and ordered."""
+
+    status: str
+    counts: str
+    held: str
+    orders: str
+    # They raise RequestRefused.
+    decode_status: Callable[[bytes], RankStatus]
+    # Takes the number of sets.
+    decode_counts: Callable[[bytes, int], ExpertCounts]
+    decode_held: Callable[[bytes], HeldExperts]
+    encode_order: Callable[[RankOrder], bytes]
+
+
 class Dialect(Struct, frozen=True, kw_only=True):
     """A platform's names and forms."""
 
@@ -58,9 +74,4 @@
     decode_departure: Callable[[bytes], int]
     encode_directory: Callable[[tuple[Address, ...], float], bytes]
     encode_error: Callable[[str], bytes]
-
-
-class FileNumber(Struct, frozen=True):
-    """The number of a file that was checked."""
-
-    number: Revision
+    ranks: RankCalls
--- a/src/lycheefall/_core/events.py
+++ b/src/lycheefall/_core/events.py
@@ -67,6 +67,7 @@
     EPOCH_ABORTED = 7002
     EXPERTS_PLACED = 7003
     STEP_REFUSED = 7004
+    RANK_ORDERED = 7005
 
 
 class Level(Enum):
--- a/src/lycheefall/_core/messages/relay.py
+++ b/src/lycheefall/_core/messages/relay.py
@@ -35,8 +35,8 @@
     number: Revision
     # The latest `News` of this replica that took effect here.
     news: int
-    # Attempts in flight by upstream.
-    in_flight: dict[UpstreamId, int]
+    # Attempts in flight by upstream; None for the replicas that do not spread them.
+    in_flight: dict[UpstreamId, int] | None
     # Crashes seen in the last seconds.
     crashes: tuple[Crash, ...] = ()
 
@@ -60,7 +60,8 @@
     entry: InstanceId
     data_centre: DataCentreId
     state: MemberState
-    in_flight: dict[UpstreamId, int]
+    # None where this replica is not told of it.
+    in_flight: dict[UpstreamId, int] | None
 
 
 class News(Struct, frozen=True, array_like=True, tag=84):
@@ -78,6 +79,8 @@
     entries: tuple[EntrySeen, ...]
     # Requests that crashed too many upstreams.
     refused: tuple[Fingerprint, ...]
+    # The entry that places experts; only the leader names one.
+    coordinator: InstanceId | None = None
 
 
 class PeerNews(Struct, frozen=True, array_like=True, tag=85):
--- a/src/lycheefall/_core/relay.py
+++ b/src/lycheefall/_core/relay.py
@@ -65,6 +65,22 @@
     pause_target_s: float = 0.0
 
 
+class ExpertLayout(Struct, frozen=True, kw_only=True):
+    """Experts of a model and the room for them on the ranks of a group."""
+
+    # Sets of layers, each with its own placement.
+    sets: int
+    experts: int
+    # Experts that a rank can hold of each set.
+    places: int
+    # Experts of a set that one change of the map may add to a rank.
+    spare: int
+    expert_bytes: float
+    link_bytes_per_s: float
+    # Part of the work for a token that its experts do.
+    work_share: float
+
+
 class EngineModel(Struct, frozen=True, kw_only=True):
     """Speed and memory of the engines of a pool."""
 
@@ -82,6 +98,7 @@
     steps_per_pass: int
     usual_prompt_tokens: float
     usual_answer_tokens: float
+    layout: ExpertLayout | None = None
 
 
 class RelayPool(Struct, frozen=True, kw_only=True):
--- a/src/lycheefall/_registry/registrar.py
+++ b/src/lycheefall/_registry/registrar.py
@@ -6,7 +6,7 @@
 from msgspec import Struct, field
 
 from lycheefall._control.messages import AppliedView, ReplicaView
-from lycheefall._core.enums import MemberState
+from lycheefall._core.enums import MemberState, ReplicaRole
 from lycheefall._core.events import Event
 from lycheefall._core.ids import Address, Fingerprint, InstanceId, UpstreamId
 from lycheefall._core.log import log
@@ -83,6 +83,8 @@
     replicas: tuple[InstanceId, ...] = ()
     crashes: CrashCounts = field(default_factory=CrashCounts)
     pending: list[Pending] = field(default_factory=list)
+    is_leader: bool = False
+    coordinator: InstanceId | None = None
     repeated_s: float = float("-inf")
 
 
@@ -141,6 +143,7 @@
             _await_entries(state, in_force, lambda link: link.status.number >= number, now_s)
         case ReplicaView():
             state.replicas = message.voters
+            state.is_leader = message.role is ReplicaRole.LEADER
         case AppliedView():
             if message.newest_file.number > state.file.number:
                 state.file = message.newest_file
@@ -252,6 +255,7 @@
             () if is_known else state.replicas,
             _others(state, link.status.entry),
             _refused(state, now_s),
+            _coordinator(state, now_s),
         ),
     )
     link.records = {}
@@ -272,12 +276,27 @@
     return crash_counts.refused(state.crashes, now_s)
 
 
-def _ready_addresses(state: Registrar, now_s: float) -> tuple[Address, ...]:
-    return tuple(
-        link.status.address
+def _coordinator(state: Registrar, now_s: float) -> InstanceId | None:
+    """Name the same entry as long as it is ready, as the leader."""
+    if not state.is_leader:
+        state.coordinator = None
+        return None
+    ready = {link.status.entry for link in _ready(state, now_s)}
+    if state.coordinator not in ready:
+        state.coordinator = min(ready, default=None)
+    return state.coordinator
+
+
+def _ready(state: Registrar, now_s: float) -> list[EntryLink]:
+    return [
+        link
         for link in state.entries.values()
         if link.status.state is MemberState.READY and now_s - link.heard_s <= ENTRY_SILENT_S
-    )
+    ]
+
+
+def _ready_addresses(state: Registrar, now_s: float) -> tuple[Address, ...]:
+    return tuple(link.status.address for link in _ready(state, now_s))
 
 
 def _log_change(record: UpstreamRecord) -> None:
--- a/src/lycheefall/_relay/control_link.py
+++ b/src/lycheefall/_relay/control_link.py
@@ -22,6 +22,8 @@
 STATUS_PERIOD_S = 0.25
 # A connection that is silent for this long is closed and replaced.
 SILENT_AFTER_S = 1.0
+# An entry that the leader named stops placing experts when it isn't named again for this long.
+COORDINATOR_S = 1.0
 # A file that did not come within this time is asked for again.
 FETCH_AGAIN_S = 0.3
 
@@ -59,6 +61,8 @@
     newest: Revision = Revision(0)
     fetched_s: float = float("-inf")
     reached: set[InstanceId] = field(default_factory=set)
+    # Until when this entry places experts.
+    coordinates_until_s: float = float("-inf")
 
 
 async def run_control_link(state: ControlLink) -> None:
@@ -92,7 +96,7 @@
         state.state,
         state.number,
         link.news,
-        known.in_flight if is_first else {},
+        known.in_flight if is_first else None,
         known.crashes,
     )
     link.end.send(encode(status))
@@ -150,6 +154,9 @@
         log(Event.MESSAGE_DROPPED, source=replica, detail="the dispatcher's inbox is full")
         return
     link.news = news.news
+    if news.coordinator is not None:
+        is_named = news.coordinator == state.entry
+        state.coordinates_until_s = state.now() + COORDINATOR_S if is_named else float("-inf")
     if news.replicas:
         state.voters[replica] = news.replicas
     state.newest = max(state.newest, news.number)
--- /dev/null
+++ b/src/lycheefall/_relay/rank_calls.py
@@ -0,0 +1,141 @@
+"""Calls of the map coordinator to the ranks of a group."""
+
+import asyncio
+from collections.abc import Callable
+from typing import TypeVar
+
+from msgspec import Struct
+
+from lycheefall._core.dialect import Dialect
+from lycheefall._core.events import Event
+from lycheefall._core.exceptions import LycheefallError
+from lycheefall._core.expert_maps import ExpertCounts, HeldExperts, RankOrder, RankStatus
+from lycheefall._core.log import log
+from lycheefall._core.relay import UpstreamRecord
+from lycheefall._relay import connections
+from lycheefall._relay.connections import Connections
+from lycheefall._rules.map_rollout import Ranks, Reply
+from lycheefall._wire.http_front import Headers
+from lycheefall._wire.http_upstream import (
+    ExchangeLost,
+    OutgoingRequest,
+    discard,
+    read_head,
+    read_rest,
+    send_request,
+)
+
+# A rank answers within a few milliseconds or, where orders get lost, not at all.
+CALL_TIMEOUT_S = 0.12
+
+T = TypeVar("T")
+
+
+class Rank(Struct, frozen=True):
+    """A rank and how it is reached."""
+
+    record: UpstreamRecord
+    dialect: Dialect
+    connections: Connections
+
+
+class _Answer(Struct, frozen=True):
+    status: int
+    body: bytes
+
+
+def ranks_of(members: list[Rank]) -> Ranks:
+    """Return the functions by which a rollout reaches the ranks."""
+
+    async def order(rank: int, message: RankOrder) -> Reply:
+        return await give_order(members[rank], message)
+
+    async def status(rank: int) -> RankStatus | None:
+        return await status_of(members[rank])
+
+    return Ranks(len(members), order, status)
+
+
+async def status_of(rank: Rank) -> RankStatus | None:
+    """Return what a rank reports, or None."""
+    calls = rank.dialect.ranks
+    answer = await _call(rank, b"GET", calls.status, b"")
+    return None if answer is None else _decoded(rank, calls.decode_status, answer)
+
+
+async def counts_of(rank: Rank, sets: int) -> ExpertCounts | None:
+    """Return how often the requests of a rank chose each expert, or None."""
+    calls = rank.dialect.ranks
+    answer = await _call(rank, b"GET", calls.counts, b"")
+    if answer is None:
+        return None
+    return _decoded(rank, lambda body: calls.decode_counts(body, sets), answer)
+
+
+async def held_by(rank: Rank) -> HeldExperts | None:
+    """Return the experts that a rank holds, or None."""
+    calls = rank.dialect.ranks
+    answer = await _call(rank, b"GET", calls.held, b"")
+    return None if answer is None else _decoded(rank, calls.decode_held, answer)
+
+
+async def give_order(rank: Rank, order: RankOrder) -> Reply:
+    """Give an order and tell what came of it."""
+    calls = rank.dialect.ranks
+    answer = await _call(rank, b"POST", calls.orders, calls.encode_order(order))
+    if answer is None:
+        reply = Reply.UNANSWERED
+    else:
+        reply = Reply.TAKEN if answer.status in (200, 202) else Reply.REFUSED
+    log(
+        Event.RANK_ORDERED,
+        upstream=rank.record.upstream,
+        order=type(order).__name__.lower(),
+        epoch=order.epoch,
+        expected=getattr(order, "expected", None),
+        step=getattr(order, "step", None),
+        version=getattr(order, "version", None),
+        reply=reply.value,
+        status=None if answer is None else answer.status,
+    )
+    return reply
+
+
+async def _call(rank: Rank, method: bytes, target: str, body: bytes) -> _Answer | None:
+    names = rank.dialect.headers
+    headers: Headers = (
+        (b"Host", rank.record.address.encode()),
+        (names.expected_upstream, rank.record.upstream.encode()),
+    )
+    if body:
+        headers = (
+            *headers,
+            (b"Content-Type", b"application/json"),
+            (b"Content-Length", str(len(body)).encode()),
+        )
+    request = OutgoingRequest(method, target.encode(), headers, body)
+    now = asyncio.get_running_loop().time
+    try:
+        async with asyncio.timeout(CALL_TIMEOUT_S):
+            connection = await connections.take(rank.connections, rank.record, True, now())
+            try:
+                send_request(connection, request)
+                head = await read_head(connection)
+                answer = _Answer(head.status, await read_rest(connection))
+            except BaseException:
+                discard(connection)
+                raise
+    except (ExchangeLost, TimeoutError):
+        return None
+    connections.give_back(rank.connections, rank.record, connection, now())
+    return answer
+
+
+def _decoded(rank: Rank, decode: Callable[[bytes], T], answer: _Answer) -> T | None:
+    if answer.status != 200:
+        return None
+    try:
+        return decode(answer.body)
+    except LycheefallError as error:
+        log(Event.MESSAGE_DROPPED, source=rank.record.upstream, detail=error.detail)
+        return None
--- a/src/lycheefall/_relay/service.py
+++ b/src/lycheefall/_relay/service.py
@@ -10,18 +10,21 @@
 
 from lycheefall._core.enums import MemberState
 from lycheefall._core.events import Event
+from lycheefall._core.ids import PoolId
 from lycheefall._core.log import log
 from lycheefall._core.pipeline import Inbox, tick
 from lycheefall._core.process import new_incarnation, run_until
-from lycheefall._core.relay import RelayConfiguration
+from lycheefall._core.relay import ExpertLayout, RelayConfiguration, UpstreamRecord
 from lycheefall._operate.exposition import run_exposition
 from lycheefall._relay import connections
 from lycheefall._relay.connections import Connections
 from lycheefall._relay.control_link import ControlLink, run_control_link, send_status
 from lycheefall._relay.dispatch import BEAT_PERIOD_S, Dispatcher, known, run_dispatch
 from lycheefall._relay.exchange import Relay, relaying
+from lycheefall._relay.map_coordinator import Coordinator, run_coordinator
 from lycheefall._relay.messages import Beat, ToDispatch
 from lycheefall._relay.settings import RelaySettings
+from lycheefall._rules import record_table
 from lycheefall._rules.dispatching import Dispatching
 from lycheefall._rules.identification import Index, index_of
 from lycheefall._wire.http_front import (
@@ -99,6 +102,16 @@
             tick(inbox, Beat(), BEAT_PERIOD_S),
             _sweep(held),
             _serve(settings, front, link, dispatcher),
+            run_coordinator(
+                Coordinator(
+                    dialect=settings.dialect,
+                    records=lambda: _live_records(dispatcher),
+                    layout_of=partial(_layout_of, current),
+                    may_act=lambda: now() < link.coordinates_until_s,
+                    connections=held,
+                    random=random,
+                )
+            ),
             _stop(settings, stop, done, front, link),
             *_optional(settings, link),
         )
@@ -112,6 +125,24 @@
     current.index = index_of(configuration)
 
 
+def _live_records(dispatcher: Dispatcher) -> tuple[UpstreamRecord, ...]:
+    """Return the upstreams that have not left; those that drain are still ranks."""
+    return tuple(
+        each
+        for each in record_table.records(dispatcher.table)
+        if each.state is not MemberState.FAILED
+    )
+
+
+def _layout_of(current: _Current, pool: PoolId) -> ExpertLayout | None:
+    if current.index is None:
+        return None
+    for each in current.index.configuration.pools:
+        if each.name == pool:
+            return None if each.engine is None else each.engine.layout
+    return None
+
+
 def _limits(current: _Current) -> FrontLimits:
     if current.index is None:
         return FrontLimits()
--- a/src/lycheefall/_rules/dispatching.py
+++ b/src/lycheefall/_rules/dispatching.py
@@ -9,7 +9,7 @@
 from math import exp
 from random import Random
 
-from msgspec import Struct, field
+from msgspec import Struct, field, structs
 
 from lycheefall._core.ids import DataCentreId, GroupId, InstanceId, PoolId, TeamId, UpstreamId
 from lycheefall._core.relay import RelayConfiguration, RelayPool, RequestKind, UpstreamRecord
@@ -135,7 +135,8 @@
     """Another entry as it was last heard of."""
 
     data_centre: DataCentreId
-    in_flight: dict[UpstreamId, int]
+    # None where the word came over a replica that does not know it.
+    in_flight: dict[UpstreamId, int] | None
     heard_s: float
 
 
@@ -193,7 +194,11 @@
 def use_others(state: Dispatching, others: dict[InstanceId, Other], now_s: float) -> None:
     """Take what other entries have in flight."""
     known = set(state.others)
-    state.others |= others
+    for entry, heard in others.items():
+        held = state.others.get(entry)
+        if heard.in_flight is None and held is not None:
+            heard = structs.replace(heard, in_flight=held.in_flight)
+        state.others[entry] = heard
     for entry, other in list(state.others.items()):
         if now_s - other.heard_s > _OTHERS_FORGOTTEN_S:
             del state.others[entry]
@@ -424,4 +429,6 @@
 def _count_others(state: Dispatching) -> None:
     for pool in state.pools.values():
         for upstream, seat in pool.seats.by_id.items():
-            seat.others = sum(other.in_flight.get(upstream, 0) for other in state.others.values())
+            seat.others = sum(
+                (other.in_flight or {}).get(upstream, 0) for other in state.others.values()
+            )
--- /dev/null
+++ b/src/lycheefall/_rules/expert_maps.py
@@ -0,0 +1,190 @@
+"""Which ranks hold which experts, so that no rank of a group has much more to do than others.
+
+All ranks wait for the most loaded one in each set of layers. Experts that are in demand get
+replicas on further ranks, which share their tokens evenly.
+"""
+
+from collections.abc import Sequence
+
+from msgspec import Struct
+
+from lycheefall._core.expert_maps import ExpertMap
+from lycheefall._core.relay import ExpertLayout
+
+# The search ends at this ratio of the most loaded rank to the mean: less is not worth a copy.
+_GOOD_ENOUGH = 1.04
+# A change has to take this part off the most loaded rank.
+_LEAST_GAIN = 0.004
+# Experts of the most loaded rank, and ranks that could take one, that are tried at each turn.
+_TRIED_EXPERTS = 6
+_TRIED_RANKS = 4
+
+
+class _Search(Struct, eq=False):
+    """A set of layers while its placement is improved."""
+
+    load: Sequence[float]
+    # What each rank holds before the change; holding it again needs no copy.
+    before: list[frozenset[int]]
+    holders: list[set[int]]
+    held: list[set[int]]
+    rank_load: list[float]
+    added: list[int]
+    places: int
+    spare: int
+
+
+def initial_map(layout: ExpertLayout, ranks: int) -> ExpertMap:
+    """Return map 0, which assigns the experts in turn."""
+    one_set = tuple(tuple(range(rank, layout.experts, ranks)) for rank in range(ranks))
+    return (one_set,) * layout.sets
+
+
+def improved_set(
+    before: Sequence[Sequence[int]], load: Sequence[float], layout: ExpertLayout
+) -> tuple[tuple[int, ...], ...]:
+    """Return a better placement of one set that each rank can reach with one change."""
+    search = _begin(before, load, layout)
+    while _improve(search):
+        pass
+    _restore_unused(search)
+    return tuple(tuple(sorted(held)) for held in search.held)
+
+
+def skew_of_set(held: Sequence[Sequence[int]], load: Sequence[float]) -> float:
+    """Return the load of the most loaded rank against the mean."""
+    counts = [0] * len(load)
+    for experts in held:
+        for expert in experts:
+            counts[expert] += 1
+    rank_load = [sum(load[each] / counts[each] for each in experts) for experts in held]
+    total = sum(rank_load)
+    return max(rank_load) * len(rank_load) / total if total > 0 else 1.0
+
+
+def pass_ratio(experts: ExpertMap, loads: Sequence[Sequence[float]], layout: ExpertLayout) -> float:
+    """Return how long a pass takes against one with an even load."""
+    skews = [skew_of_set(held, load) for held, load in zip(experts, loads, strict=True)]
+    mean = sum(skews) / len(skews)
+    return 1.0 - layout.work_share + layout.work_share * mean
+
+
+def copies(before: ExpertMap, after: ExpertMap) -> int:
+    """Return the most experts that one rank has to copy."""
+    ranks = len(after[0])
+    return max(
+        sum(len(set(new[rank]) - set(old[rank])) for old, new in zip(before, after, strict=True))
+        for rank in range(ranks)
+    )
+
+
+def _begin(before: Sequence[Sequence[int]], load: Sequence[float], layout: ExpertLayout) -> _Search:
+    """Keep one replica of each expert, on the least loaded rank that holds it."""
+    ranks = len(before)
+    holders_before: list[list[int]] = [[] for _ in load]
+    for rank, experts in enumerate(before):
+        for expert in experts:
+            holders_before[expert].append(rank)
+    search = _Search(
+        load,
+        [frozenset(experts) for experts in before],
+        [set() for _ in load],
+        [set() for _ in range(ranks)],
+        [0.0] * ranks,
+        [0] * ranks,
+        layout.places,
+        layout.spare,
+    )
+    for expert in sorted(range(len(load)), key=lambda each: -load[each]):
+        candidates = [r for r in holders_before[expert] if len(search.held[r]) < layout.places]
+        rank = min(candidates, key=lambda each: (search.rank_load[each], each))
+        _add(search, expert, rank)
+    return search
+
+
+def _add(search: _Search, expert: int, rank: int) -> None:
+    holders = search.holders[expert]
+    load = search.load[expert]
+    before = load / len(holders) if holders else 0.0
+    after = load / (len(holders) + 1)
+    for each in holders:
+        search.rank_load[each] += after - before
+    holders.add(rank)
+    search.held[rank].add(expert)
+    search.rank_load[rank] += after
+    if expert not in search.before[rank]:
+        search.added[rank] += 1
+
+
+def _remove(search: _Search, expert: int, rank: int) -> None:
+    holders = search.holders[expert]
+    load = search.load[expert]
+    before = load / len(holders)
+    holders.discard(rank)
+    search.held[rank].discard(expert)
+    search.rank_load[rank] -= before
+    after = load / len(holders)
+    for each in holders:
+        search.rank_load[each] += after - before
+    if expert not in search.before[rank]:
+        search.added[rank] -= 1
+
+
+def _improve(search: _Search) -> bool:
+    """Take load off the most loaded rank; return whether that was possible."""
+    ranks = range(len(search.rank_load))
+    mean = sum(search.rank_load) / len(search.rank_load)
+    worst = max(ranks, key=lambda each: search.rank_load[each])
+    peak = search.rank_load[worst]
+    if peak <= mean * _GOOD_ENOUGH:
+        return False
+    experts = sorted(search.held[worst], key=lambda each: -_share(search, each))
+    targets = sorted(ranks, key=lambda each: search.rank_load[each])
+    best: tuple[float, int, int, bool] | None = None
+    for expert in experts[:_TRIED_EXPERTS]:
+        open_ranks = [each for each in targets if _may_add(search, expert, each)]
+        for target in open_ranks[:_TRIED_RANKS]:
+            for moves in (False, True):
+                reached = _peak_after(search, expert, worst, target, moves)
+                if best is None or reached < best[0]:
+                    best = (reached, expert, target, moves)
+    if best is None or best[0] > peak * (1.0 - _LEAST_GAIN):
+        return False
+    _, expert, target, moves = best
+    _add(search, expert, target)
+    if moves:
+        _remove(search, expert, worst)
+    return True
+
+
+def _share(search: _Search, expert: int) -> float:
+    return search.load[expert] / len(search.holders[expert])
+
+
+def _may_add(search: _Search, expert: int, rank: int) -> bool:
+    if rank in search.holders[expert] or len(search.held[rank]) >= search.places:
+        return False
+    return expert in search.before[rank] or search.added[rank] < search.spare
+
+
+def _peak_after(search: _Search, expert: int, worst: int, target: int, moves: bool) -> float:
+    """Return the higher load of the two ranks after a replica is added, or moved."""
+    count = len(search.holders[expert])
+    load = search.load[expert]
+    share = load / count
+    if moves:
+        return max(search.rank_load[worst] - share, search.rank_load[target] + share)
+    shared = load / (count + 1)
+    return max(search.rank_load[worst] - share + shared, search.rank_load[target] + shared)
+
+
+def _restore_unused(search: _Search) -> None:
+    """Keep replicas in free places where they do no harm: a later change need not copy them."""
+    peak = max(search.rank_load)
+    for rank, before in enumerate(search.before):
+        for expert in sorted(before - search.held[rank], key=lambda each: -search.load[each]):
+            if len(search.held[rank]) >= search.places:
+                break
+            added = search.load[expert] / (len(search.holders[expert]) + 1)
+            if search.rank_load[rank] + added <= peak:
+                _add(search, expert, rank)
--- a/src/lycheefall/_wire/http_upstream.py
+++ b/src/lycheefall/_wire/http_upstream.py
@@ -50,7 +50,7 @@
     headers: Headers
     body: bytes
     # Header by which the upstream names the request that it answers, and its value.
-    echo: tuple[bytes, bytes]
+    echo: tuple[bytes, bytes] | None = None
 
 
 class _Protocol(asyncio.StreamReaderProtocol):
@@ -200,6 +200,8 @@
     """Tell whether an answer names the request; a failure may name none."""
     if connection.request is None:
         return False
+    if connection.request.echo is None:
+        return True
     name, expected = connection.request.echo
     echoed = header_of(head.headers, name)
     return echoed == expected or (echoed is None and head.status >= 300)
