Serve requests that can be in time first, and refuse the others soon

Cause: under more load than there is room for, the oldest requests went first, so nearly all were late, and those that waited in vain were held for seconds. Entries learned each other's loads too late and took the same free places.

Change: requests that can still meet their target go first, each rank gets about the same part of what it asks for, waits of late ones end after 1 s, a caller's retry is known by the shorter time that it gives, places of an engine are left to the entry that uses it first, and loads are told every 100 ms.

--- a/src/lycheefall/_registry/registrar.py
+++ b/src/lycheefall/_registry/registrar.py
@@ -38,6 +38,8 @@
 BEAT_PERIOD_S = 0.05
 # Entries are told something at least this often, which also shows that the connection works.
 NEWS_PERIOD_S = 0.25
+# The replica that knows the loads of the entries spreads them this often.
+LOADS_PERIOD_S = 0.1
 # An entry that is silent for this long is left out of the directory and not waited for.
 ENTRY_SILENT_S = 1.2
 # Upstreams and operators give up on a call after 1 s.
@@ -153,11 +155,14 @@
 
 
 def _beat(state: Registrar, to_entry: SendToEntry, to_peers: SendToPeers, now_s: float) -> None:
+    links = state.entries.values()
+    knows_loads = any(link.status.in_flight is not None for link in links)
+    period_s = LOADS_PERIOD_S if knows_loads else NEWS_PERIOD_S
     for entry, link in list(state.entries.items()):
         if now_s - link.heard_s > ENTRY_SILENT_S:
             del state.entries[entry]
             log(Event.ENTRY_LOST, entry=entry, silent_s=round(now_s - link.heard_s, 3))
-        elif now_s - link.sent_s >= NEWS_PERIOD_S:
+        elif now_s - link.sent_s >= period_s:
             _tell(state, link, to_entry, now_s)
     if now_s - state.repeated_s >= REPEAT_PERIOD_S:
         state.repeated_s = now_s
--- a/src/lycheefall/_relay/control_link.py
+++ b/src/lycheefall/_relay/control_link.py
@@ -20,6 +20,8 @@
 from lycheefall._wire.zmq_ends import DealerEnd
 
 STATUS_PERIOD_S = 0.25
+# The replica that spreads the loads of the entries is told more often.
+LOADS_PERIOD_S = 0.1
 # A connection that is silent for this long is closed and replaced.
 SILENT_AFTER_S = 1.0
 # An entry that the leader named stops placing experts when it isn't named again for this long.
@@ -71,7 +73,11 @@
         while True:
             _keep_links(state)
             send_status(state)
-            await asyncio.sleep(STATUS_PERIOD_S)
+            until_s = state.now() + STATUS_PERIOD_S
+            while state.now() < until_s - LOADS_PERIOD_S:
+                await asyncio.sleep(LOADS_PERIOD_S)
+                _tell(state, _spreader(state))
+            await asyncio.sleep(max(0.0, until_s - state.now()))
     finally:
         for link in state.links.values():
             link.end.close()
@@ -83,11 +89,15 @@
         _tell(state, replica)
 
 
+def _spreader(state: ControlLink) -> InstanceId:
+    """Return the replica that spreads the loads; all entries choose the same one."""
+    return min(state.reached, default=min(state.links))
+
+
 def _tell(state: ControlLink, replica: InstanceId) -> None:
     link = state.links[replica]
     known = state.known()
-    # One replica is enough to spread the load of all entries; all entries choose the same one.
-    is_first = replica == min(state.reached, default=replica)
+    is_first = replica == _spreader(state)
     status = EntryStatus(
         state.entry,
         state.incarnation,
--- a/src/lycheefall/_relay/exchange.py
+++ b/src/lycheefall/_relay/exchange.py
@@ -10,7 +10,7 @@
 
 from lycheefall._core.dialect import Dialect
 from lycheefall._core.events import Event
-from lycheefall._core.ids import Fingerprint
+from lycheefall._core.ids import Fingerprint, RouteId
 from lycheefall._core.log import log
 from lycheefall._core.messages.relay import Crash
 from lycheefall._core.pipeline import Inbox
@@ -59,6 +59,8 @@
 
 # A repeatable request is sent elsewhere when the first byte takes this many times the target.
 FIRST_BYTE_PATIENCE = 3.0
+# First tries of one route differ in their time by less than this; a shorter one is a retry.
+RETURNED_RATIO = 0.83
 # Part of its time that an attempt of a repeatable request may take before another one begins.
 ATTEMPT_TIME_RATIO = 0.45
 # A stream that pauses this long is taken over by another upstream where one has a place. Callers
@@ -87,6 +89,8 @@
     now: Callable[[], float]
     numbers: Iterator[int]
     random: Random
+    # The longest time that callers of a route gave.
+    longest_s: dict[RouteId, float] = field(default_factory=dict)
 
 
 class Next(Enum):
@@ -115,7 +119,11 @@
     # The caller's own limit and the earlier one of caller and route.
     caller_deadline_s: float
     limit_s: float
+    # The caller has used up a good part of its time before, so its target has passed.
+    came_back: bool
     tried: list[UpstreamRecord] = field(default_factory=list)
+    # The latest one whose answer began.
+    answered_by: UpstreamRecord | None = None
     # Upstreams that it reached, or may have reached.
     arrivals: int = 0
     # Those of them that may have run it.
@@ -124,6 +132,10 @@
     events: Events = field(default_factory=Events)
     has_begun: bool = False
     status: int = 0
+    # Times after the head of the request: of the first byte of the answer and of the last event.
+    first_byte_s: float | None = None
+    last_event_s: float = 0.0
+    longest_pause_s: float = 0.0
 
     @property
     def is_repeatable(self) -> bool:
@@ -179,6 +191,10 @@
     left_ms = headers.number_of(header_of(request.headers, names.deadline_ms))
     timeout_s = found.route.timeout_s
     left_s = timeout_s if left_ms is None else left_ms / 1000
+    longest_s = relay.longest_s[found.route.name] = max(
+        left_s, relay.longest_s.get(found.route.name, 0.0)
+    )
+    came_back = left_s < longest_s * RETURNED_RATIO
     exchange = Exchange(
         number=next(relay.numbers),
         request=request,
@@ -187,6 +203,7 @@
         attempt_id=header_of(request.headers, names.attempt) or b"",
         caller_deadline_s=request.received_s + left_s,
         limit_s=request.received_s + min(left_s, timeout_s),
+        came_back=came_back,
     )
     refused = relay.known().refused
     if refused and _fingerprint(relay, request) in refused:
@@ -218,6 +235,7 @@
     found: asyncio.Future[Place | Refuse] = asyncio.get_running_loop().create_future()
     # A stream that has begun is as urgent as one that just arrived: its caller waits mid-answer.
     since_s = relay.now() if exchange.has_begun else exchange.request.received_s
+    is_late = exchange.came_back and not exchange.has_begun
     request = Ask(
         number=exchange.number,
         pool=exchange.found.pool,
@@ -225,7 +243,7 @@
         rank=exchange.found.rank,
         team=exchange.found.team,
         arrived_s=since_s,
-        target_s=since_s + exchange.found.route.target_s,
+        target_s=since_s + (0.0 if is_late else exchange.found.route.target_s),
         deadline_s=limit_s,
         tried=tuple(each.upstream for each in exchange.tried),
         is_retry=exchange.arrivals > 0,
@@ -282,7 +300,8 @@
         is_open = False
         took_s = relay.now() - started_s
         stalled = outcome is Outcome.NOT_RUN and took_s > GROUP_STALL_S
-        relay.dispatch.offer(Ended(record.pool, record.upstream, outcome, stalled))
+        had_answered = exchange.answered_by is record
+        relay.dispatch.offer(Ended(record.pool, record.upstream, outcome, had_answered, stalled))
         ATTEMPTS.labels(record.pool, outcome.value).inc()
         if outcome is not Outcome.ANSWERED:
             log(
@@ -325,6 +344,7 @@
         exchange.sent -= 1
         ended(Outcome.NOT_RUN, f"status {head.status}")
         return Next.TRY_ELSEWHERE
+    exchange.answered_by = record
     relay.dispatch.offer(FirstByte(record.pool, record.upstream, relay.now() - sent_s))
     if head.status < 300 and header_of(head.headers, names.seal) is None:
         raise ExchangeLost(Loss.BROKEN, "the answer has no seal")
@@ -419,6 +439,8 @@
         await begin_answer(
             exchange.caller, head.status, head.reason, headers.to_caller_of_stream(head)
         )
+    elif events:
+        _measure_pause(exchange)
     await send_data(exchange.caller, events)
 
 
@@ -532,9 +554,17 @@
 
 def _measure(exchange: Exchange) -> None:
     delay_s = asyncio.get_running_loop().time() - exchange.request.received_s
+    exchange.first_byte_s = exchange.last_event_s = delay_s
     LATENCY_S.labels(exchange.found.route.name).observe(delay_s)
 
 
+def _measure_pause(exchange: Exchange) -> None:
+    since_s = asyncio.get_running_loop().time() - exchange.request.received_s
+    pause_s = since_s - exchange.last_event_s
+    exchange.longest_pause_s = max(exchange.longest_pause_s, pause_s)
+    exchange.last_event_s = since_s
+
+
 def _log_placed(relay: Relay, exchange: Exchange, place: Place) -> None:
     index = relay.index()
     log(
@@ -547,6 +577,7 @@
         sequence=place.record.sequence,
         load=place.load,
         waited_s=round(place.waited_s, 4),
+        left_s=round(exchange.caller_deadline_s - relay.now(), 3),
         tried=len(exchange.tried) - 1,
         revision=0 if index is None else index.configuration.number,
     )
@@ -593,5 +624,7 @@
         outcome=outcome,
         sent=exchange.sent,
         last_event=exchange.events.last_id,
+        first_byte_s=None if exchange.first_byte_s is None else round(exchange.first_byte_s, 4),
+        longest_pause_s=round(exchange.longest_pause_s, 4),
         took_s=round(relay.now() - exchange.request.received_s, 4),
     )
--- a/src/lycheefall/_rules/dispatching.py
+++ b/src/lycheefall/_rules/dispatching.py
@@ -1,33 +1,44 @@
 """Which request goes to which upstream, which waits, and which is refused.
 
 Answers bursts of one kind of work, upstreams that fail or turn slow, and teams that ask for far
-more than others. Requests that can still be in time go first, then more urgent ones; each rank
-keeps a small share. A request is refused as soon as its wait would be too long.
+more than others. Requests that can still be in time go first: under more load than there is room
+for, serving the oldest first would make all of them late. Each rank gets about the same part of
+what it asks for, urgent ones a little more, so that no flood takes everything. A request is
+refused as soon as its wait would be too long.
 """
 
 from enum import Enum
-from math import exp
 from random import Random
 
 from msgspec import Struct, field, structs
 
 from lycheefall._core.ids import DataCentreId, GroupId, InstanceId, PoolId, TeamId, UpstreamId
 from lycheefall._core.relay import RelayConfiguration, RelayPool, RequestKind, UpstreamRecord
-from lycheefall._rules import retry_share, seats
+from lycheefall._rules import fading, retry_share, seats
+from lycheefall._rules.fading import Fading
 from lycheefall._rules.preferred import EntryPlace, UpstreamPlace, preferred
 from lycheefall._rules.record_table import RecordTable, is_usable
 from lycheefall._rules.retry_share import RetryBounds, RetryShare
 from lycheefall._rules.seats import Seat, Seats
 
-# Part of recent places that each rank keeps while its requests wait.
-RANK_SHARE = 0.12
-# Time in which the counts of recent places lose most of their weight.
-_RECENT_S = 1.5
+# A rank may fall behind the one before it by this part of what it asks for: a more urgent rank
+# goes first, and a less urgent one is never left without places.
+RANK_STEP = 0.1
+# Time in which the counts of places and requests by rank lose most of their weight.
+_SHARE_S = 4.0
+# The same for the rate of places.
+_RATE_S = 1.5
 # A plain service takes this many requests for each of its places: they last for tens of
 # milliseconds, and a short queue at the upstream hides the way between.
 _SERVICE_DEPTH = 2
-# Longest part of its remaining time that a request waits for a place; the rest is for its answer.
-_MAX_WAIT_RATIO = 0.5
+# Places of an engine that are left to the entry that uses it first. What other entries have in
+# flight is known some hundred milliseconds late: without this, all of them take the place that
+# became free, and the requests wait for each other at the engine.
+_FOREIGN_MARGIN = 2
+# Longest wait of a request that will be late, and longest part of its time. Callers that are
+# refused soon can come back; one that waits in vain for long is lost.
+MAX_LATE_WAIT_S = 1.0
+_MAX_WAIT_RATIO = 0.35
 _MIN_RETRY_AFTER_S = 0.2
 # Callers come back at most after a third of the time that they have left.
 _RETRY_AFTER_RATIO = 0.33
@@ -40,8 +51,8 @@
 GROUP_PAUSE_S = 0.8
 # An entry that was not heard of for this long counts as having nothing in flight.
 _OTHERS_FORGOTTEN_S = 1.5
-# Part of the time to the target that is left for the first byte itself.
-_FIRST_BYTE_S = 0.1
+# Delay from place to first byte before any was measured.
+_FIRST_DELAY_S = 0.1
 
 
 class RefusalReason(Enum):
@@ -110,6 +121,8 @@
     pool: PoolId
     upstream: UpstreamId
     outcome: Outcome
+    # Whether `FirstByte` was told before.
+    had_answered: bool = False
     # Whether its group stood still.
     group_stalled: bool = False
 
@@ -145,9 +158,11 @@
 
     seats: Seats = field(default_factory=Seats)
     waiting: list[Ask] = field(default_factory=list)
-    # Recent places by rank, and their time.
-    places: dict[int, float] = field(default_factory=dict)
-    places_s: float = 0.0
+    # Recent requests and places by rank.
+    asked: Fading = field(default_factory=lambda: Fading(_SHARE_S))
+    placed: Fading = field(default_factory=lambda: Fading(_SHARE_S))
+    # Recent places of all ranks together.
+    rate: Fading = field(default_factory=lambda: Fading(_RATE_S))
     in_service: dict[TeamId | None, int] = field(default_factory=dict)
     retries: RetryShare = field(default_factory=RetryShare)
 
@@ -219,11 +234,12 @@
             return [_refuse(state, message, RefusalReason.NO_RETRY_LEFT, now_s)]
     else:
         retry_share.earn(pool.retries, state.bounds, entries)
+        fading.add(pool.asked, message.rank, now_s)
     if not pool.seats.by_id:
         return [_refuse(state, message, RefusalReason.NO_UPSTREAM, now_s)]
     pool.waiting.append(message)
     outputs = serve(state, message.pool, now_s)
-    if message in pool.waiting and _wait_s(pool, message, now_s) > _longest_wait_s(message, now_s):
+    if message in pool.waiting and _waits_too_long(pool, message, now_s):
         pool.waiting.remove(message)
         outputs.append(_refuse(state, message, RefusalReason.QUEUE_FULL, now_s))
     return outputs
@@ -240,6 +256,7 @@
     pool = _pool(state, message.pool)
     seat = pool.seats.by_id.get(message.upstream)
     if seat is not None:
+        seat.unanswered = max(0, seat.unanswered - 1)
         seats.note_delay(pool.seats, seat, message.delay_s, now_s)
 
 
@@ -250,6 +267,8 @@
     if seat is None:
         return serve(state, message.pool, now_s)
     seat.own = max(0, seat.own - 1)
+    if not message.had_answered:
+        seat.unanswered = max(0, seat.unanswered - 1)
     match message.outcome:
         case Outcome.ANSWERED:
             seats.note_outcome(seat, False, now_s)
@@ -280,7 +299,7 @@
     outputs: list[Output] = []
     for name, pool in state.pools.items():
         for message in list(pool.waiting):
-            if now_s >= _latest_start_s(message):
+            if now_s >= _latest_start_s(pool, message, now_s):
                 pool.waiting.remove(message)
                 outputs.append(_refuse(state, message, RefusalReason.EXPIRED, now_s))
         outputs += serve(state, name, now_s)
@@ -313,7 +332,8 @@
     """Return how many attempts an upstream should have in flight."""
     pool = state.engines.get(seat.record.pool)
     if pool is not None and pool.engine is not None:
-        return max(1, seat.record.slots or pool.engine.slots)
+        slots = max(1, seat.record.slots or pool.engine.slots)
+        return slots if seat.is_preferred else max(1, slots - _FOREIGN_MARGIN)
     return max(1, seat.record.slots) * _SERVICE_DEPTH
 
 
@@ -334,7 +354,9 @@
             return None
         pool.waiting.remove(message)
         seat.own += 1
-        _count_place(pool, message, now_s)
+        seat.unanswered += 1
+        fading.add(pool.placed, message.rank, now_s)
+        fading.add(pool.rate, 0, now_s)
         pool.in_service[message.team] = pool.in_service.get(message.team, 0) + 1
         state.teams[message.number] = (name, message.team)
         load = seats.load_of(seat)
@@ -344,32 +366,44 @@
 
 def _ordered(pool: PoolState, now_s: float) -> list[Ask]:
     """Return who waits, the next one first."""
-    recent = _recent_places(pool, now_s)
-    total = sum(recent.values())
+    served = {
+        rank: fading.value(pool.placed, rank, now_s) / asked + RANK_STEP * rank
+        for rank, asked in fading.values(pool.asked, now_s).items()
+    }
 
-    def order(message: Ask) -> tuple[bool, bool, int, int, float]:
-        is_late = now_s > message.target_s - _FIRST_BYTE_S
-        has_share = recent.get(message.rank, 0.0) >= RANK_SHARE * total
+    def order(message: Ask) -> tuple[bool, float, int, float]:
         in_service = pool.in_service.get(message.team, 0)
-        return is_late, has_share, message.rank, in_service, message.arrived_s
+        share = served.get(message.rank, 0.0)
+        return _is_late(pool, message, now_s), share, in_service, message.arrived_s
 
     return sorted(pool.waiting, key=order)
 
 
+def _is_late(pool: PoolState, message: Ask, now_s: float) -> bool:
+    """Tell whether an answer that began as soon as possible would miss the target."""
+    return now_s + (pool.seats.delay_s or _FIRST_DELAY_S) > message.target_s
+
+
 def _wait_s(pool: PoolState, message: Ask, now_s: float) -> float:
     """Estimate the time until a request gets a place, from the places given lately."""
-    rate_per_s = sum(_recent_places(pool, now_s).values()) / _RECENT_S
     ahead = _ordered(pool, now_s).index(message)
-    return (ahead + 1) / max(rate_per_s, 1.0)
+    return (ahead + 1) / _places_per_s(pool, now_s)
+
+
+def _places_per_s(pool: PoolState, now_s: float) -> float:
+    return max(1.0, fading.value(pool.rate, 0, now_s) / _RATE_S)
 
 
-def _latest_start_s(message: Ask) -> float:
-    """Return until when a request that waits may still get a place."""
-    return message.arrived_s + (message.deadline_s - message.arrived_s) * _MAX_WAIT_RATIO
+def _waits_too_long(pool: PoolState, message: Ask, now_s: float) -> bool:
+    starts_s = now_s + _wait_s(pool, message, now_s)
+    return starts_s > _latest_start_s(pool, message, now_s)
 
 
-def _longest_wait_s(message: Ask, now_s: float) -> float:
-    return _latest_start_s(message) - now_s
+def _latest_start_s(pool: PoolState, message: Ask, now_s: float) -> float:
+    """Return until when a request may get a place: in time, or soon after it came."""
+    longest_s = (message.deadline_s - message.arrived_s) * _MAX_WAIT_RATIO
+    in_time_s = message.target_s - (pool.seats.delay_s or _FIRST_DELAY_S)
+    return max(in_time_s, message.arrived_s + min(longest_s, MAX_LATE_WAIT_S))
 
 
 def _refuse(state: Dispatching, message: Ask, reason: RefusalReason, now_s: float) -> Refuse:
@@ -378,24 +412,12 @@
     if reason is RefusalReason.NO_UPSTREAM:
         wait_s = _NO_UPSTREAM_RETRY_S
     else:
-        rate_per_s = sum(_recent_places(pool, now_s).values()) / _RECENT_S
-        wait_s = (len(pool.waiting) + 1) / max(rate_per_s, 1.0)
+        wait_s = (len(pool.waiting) + 1) / _places_per_s(pool, now_s)
     wait_s = max(_MIN_RETRY_AFTER_S, min(wait_s, left_s * _RETRY_AFTER_RATIO))
     spread = 1.0 - _RETRY_SPREAD * state.random.random()
     return Refuse(message.number, reason, round(wait_s * spread, 2), len(pool.waiting))
 
 
-def _recent_places(pool: PoolState, now_s: float) -> dict[int, float]:
-    faded = exp(-(now_s - pool.places_s) / _RECENT_S)
-    return {rank: count * faded for rank, count in pool.places.items()}
-
-
-def _count_place(pool: PoolState, message: Ask, now_s: float) -> None:
-    pool.places = _recent_places(pool, now_s)
-    pool.places_s = now_s
-    pool.places[message.rank] = pool.places.get(message.rank, 0.0) + 1.0
-
-
 def _pause_group(pool: PoolState, seat: Seat, now_s: float) -> None:
     group: GroupId | None = None if seat.record.group is None else seat.record.group.group
     if group is None:
--- a/src/lycheefall/_rules/retry_share.py
+++ b/src/lycheefall/_rules/retry_share.py
@@ -9,7 +9,7 @@
 from msgspec import Struct
 
 # The rest is left for entries that this one doesn't know yet, and for a restart within a window.
-USED_SHARE = 0.6
+USED_SHARE = 0.85
 
 
 class RetryShare(Struct):
--- a/src/lycheefall/_rules/seats.py
+++ b/src/lycheefall/_rules/seats.py
@@ -18,12 +18,16 @@
 _FAR_COST = 0.04
 # Cost of an upstream that another entry uses first; that entry knows best how full it is.
 _FOREIGN_COST = 0.2
+# Cost of each request whose prompt is still being read: prompts of one upstream are read one
+# after the other, those of several upstreams at the same time.
+_READING_COST = 0.25
 # An upstream that can't be reached is left alone for this time; each further failure doubles it.
 SUSPENDED_S = 0.5
 MAX_SUSPENDED_S = 4.0
 # An upstream that is slower than the pool by this factor counts as that much fuller.
 _MAX_SLOWNESS = 8.0
 _DELAY_WEIGHT = 0.2
+_POOL_DELAY_WEIGHT = 0.05
 _DELAY_HALF_LIFE_S = 4.0
 
 
@@ -33,6 +37,8 @@
     record: UpstreamRecord
     # Attempts in flight of this entry.
     own: int = 0
+    # Those of them whose answer has not begun.
+    unanswered: int = 0
     # Those of other entries, as they last told.
     others: int = 0
     # This entry uses it before other entries do.
@@ -77,7 +83,10 @@
 
 def note_delay(seats: Seats, seat: Seat, delay_s: float, now_s: float) -> None:
     """Count the delay of an answer against the mean of the pool."""
-    seats.delay_s = seats.delay_s * 0.98 + delay_s * 0.02 if seats.delay_s else delay_s
+    if seats.delay_s:
+        seats.delay_s += _POOL_DELAY_WEIGHT * (delay_s - seats.delay_s)
+    else:
+        seats.delay_s = delay_s
     relative = min(_MAX_SLOWNESS, delay_s / max(seats.delay_s, 1e-3))
     current = slowness(seat, now_s)
     seat.slowness = current + _DELAY_WEIGHT * (relative - current)
@@ -144,4 +153,5 @@
     far = 0.0 if seat.record.data_centre == data_centre else _FAR_COST
     foreign = 0.0 if seat.is_preferred else _FOREIGN_COST
     cold = min(1.0, seat.record.cold_s)
-    return load + far + foreign + cold + _FAILURE_COST * failure_ratio(seat, now_s)
+    reading = _READING_COST * seat.unanswered
+    return load + far + foreign + reading + cold + _FAILURE_COST * failure_ratio(seat, now_s)
