Follow a shift of expert demand within a second

Cause: what is in demand shifts at once, in several sets of layers, every few seconds; an old map is then as bad as map 0.

Change: a sample every 0.4 s, a set that became unlike its model starts anew, few copies, and no polls between preparing and switching. Maps change only while the pool is under pressure.

--- a/src/lycheefall/_relay/map_coordinator.py
+++ b/src/lycheefall/_relay/map_coordinator.py
@@ -8,25 +8,27 @@
 
 from lycheefall._core.dialect import Dialect
 from lycheefall._core.events import Event
-from lycheefall._core.expert_maps import ExpertCounts, ExpertMap, MapVersion, RankStatus
+from lycheefall._core.expert_maps import ExpertMap, MapVersion, RankStatus
 from lycheefall._core.ids import GroupId, PoolId
 from lycheefall._core.log import log
 from lycheefall._core.relay import ExpertLayout, GroupHealth, UpstreamRecord
 from lycheefall._relay.connections import Connections
 from lycheefall._relay.rank_calls import Rank, counts_of, held_by, ranks_of, status_of
-from lycheefall._rules import expert_maps, map_rollout
-from lycheefall._rules.map_rollout import Ranks, Rollout
+from lycheefall._rules import expert_demand, expert_maps, map_rollout
+from lycheefall._rules.expert_demand import Demand
+from lycheefall._rules.map_rollout import Rollout
 
-# Between two looks at the demand of a group. Counts are paid for, and demand shifts in seconds.
-LOOK_PERIOD_S = 1.0
-# Weight of what was chosen since the last look.
-FRESH_WEIGHT = 0.6
+# Between two looks at the demand. Demand shifts within seconds; each look is paid for.
+LOOK_PERIOD_S = 0.4
+# Between two reports of the first rank of a group.
+STATUS_PERIOD_S = 1.2
 # A new map has to make passes this much shorter: each change costs orders and copies.
-LEAST_GAIN = 1.05
-# Copies make the passes longer meanwhile by this part.
-COPY_SLOWDOWN = 0.15
-_FIRST_PASS_S = 0.05
-_EVEN_LOAD = 1.0
+LEAST_GAIN = 1.12
+# Part of the places in use below which passes are short enough with any map.
+LEAST_PRESSURE = 0.45
+# A refused or lost change is not tried again at once.
+PAUSE_AFTER_FAILURE_S = 1.0
+_FIRST_PASS_S = 0.06
 
 
 class Coordinator(Struct, eq=False, kw_only=True):
@@ -35,212 +37,223 @@
     dialect: Dialect
     records: Callable[[], tuple[UpstreamRecord, ...]]
     layout_of: Callable[[PoolId], ExpertLayout | None]
+    # Part of the places of a pool that are in use.
+    pressure_of: Callable[[PoolId], float]
     may_act: Callable[[], bool]
     connections: Connections
     random: Random
-    groups: dict[GroupId, "asyncio.Task[None]"] = field(default_factory=dict)
+    pools: dict[PoolId, "Pool"] = field(default_factory=dict)
+    rollouts: "set[asyncio.Task[None]]" = field(default_factory=set)
 
 
 class Group(Struct, eq=False):
-    """A group and what is known of its demand."""
+    """A group and its map."""
 
     name: GroupId
-    layout: ExpertLayout
+    members: list[Rank] = field(default_factory=list)
     epoch: int = -1
-    ranks: int = 0
     # The map in force; None while it is not known.
     experts: ExpertMap | None = None
     version: MapVersion = MapVersion(0)
-    loads: list[list[float]] = field(default_factory=list)
-    counted: dict[int, ExpertCounts] = field(default_factory=dict)
-    turn: int = 0
-    step: int = 0
-    step_s: float = 0.0
+    highest: MapVersion = MapVersion(0)
+    status: RankStatus | None = None
+    asked_s: float = float("-inf")
     pass_s: float = _FIRST_PASS_S
+    # The rank whose counts are read.
+    counted: int = 0
     held_since_s: float | None = None
+    is_changing: bool = False
+    not_before_s: float = float("-inf")
+
+
+class Pool(Struct, eq=False):
+    """Groups that serve the same work, and what their requests choose."""
+
+    name: PoolId
+    layout: ExpertLayout
+    demand: Demand
+    groups: dict[GroupId, Group] = field(default_factory=dict)
+    turn: int = 0
 
 
 async def run_coordinator(state: Coordinator) -> None:
-    """Run one task for each group while this entry is the coordinator."""
+    """Look at the demand while this entry is the coordinator; changes that began are finished."""
     try:
         while True:
             await asyncio.sleep(LOOK_PERIOD_S)
-            if state.may_act():
-                _start_groups(state)
+            if not state.may_act():
+                state.pools.clear()
+                continue
+            _find_groups(state)
+            for pool in state.pools.values():
+                await _look(state, pool)
     finally:
-        for task in state.groups.values():
+        for task in state.rollouts:
             task.cancel()
-        await asyncio.gather(*state.groups.values(), return_exceptions=True)
+        await asyncio.gather(*state.rollouts, return_exceptions=True)
 
 
-def _start_groups(state: Coordinator) -> None:
+def _find_groups(state: Coordinator) -> None:
+    """Find the ranks of all groups; one with a missing rank has no members."""
+    latest: dict[tuple[PoolId, GroupId], dict[int, UpstreamRecord]] = {}
     for record in state.records():
         if record.group is None:
             continue
-        name = record.group.group
-        layout = state.layout_of(record.pool)
-        running = state.groups.get(name)
-        if layout is not None and (running is None or running.done()):
-            group = Group(name, layout)
-            state.groups[name] = asyncio.create_task(_run_group(state, group))
-
-
-async def _run_group(state: Coordinator, group: Group) -> None:
-    """Look at a group again and again, until another entry is the coordinator."""
-    while state.may_act():
-        await _look(state, group)
-        await asyncio.sleep(LOOK_PERIOD_S)
+        ranks = latest.setdefault((record.pool, record.group.group), {})
+        known = ranks.get(record.group.rank)
+        if known is None or record.born_ms > known.born_ms:
+            ranks[record.group.rank] = record
+    for (pool_name, name), ranks in latest.items():
+        layout = state.layout_of(pool_name)
+        if layout is None:
+            continue
+        pool = state.pools.get(pool_name)
+        if pool is None:
+            pool = state.pools[pool_name] = Pool(pool_name, layout, Demand())
+        group = pool.groups.setdefault(name, Group(name))
+        is_whole = sorted(ranks) == list(range(len(ranks)))
+        group.members = [
+            Rank(ranks[rank], state.dialect, state.connections)
+            for rank in range(len(ranks) if is_whole else 0)
+        ]
 
 
-async def _look(state: Coordinator, group: Group) -> None:
-    members = _members(state, group)
-    if not members:
-        return
-    turn = group.turn % len(members)
-    group.turn += 1
-    status = await status_of(members[0])
-    if status is None or status.membership is None:
-        return
-    if status.membership.health is GroupHealth.BROKEN:
-        group.epoch = -1
+async def _look(state: Coordinator, pool: Pool) -> None:
+    groups = [each for each in pool.groups.values() if each.members]
+    if not groups:
         return
-    if not _is_current(group, status, members) and not await _learn(group, status, members):
+    await asyncio.gather(*(_check(each, pool.layout) for each in groups))
+    pool.turn += 1
+    if state.pressure_of(pool.name) < LEAST_PRESSURE:
         return
-    ranks = ranks_of(members)
-    if status.held is not None:
-        await _release(group, ranks)
-        return
-    group.held_since_s = None
-    await _count(group, members[turn], turn)
-    if any(group.loads) and status.running + status.waiting > 0:
-        await _improve(state, group, ranks)
+    await _count(pool, groups[pool.turn % len(groups)])
+    for group in groups:
+        if _may_change(group) and expert_demand.is_known(pool.demand):
+            await _improve(state, pool, group)
 
 
-def _members(state: Coordinator, group: Group) -> list[Rank]:
-    """Return the ranks in their order, or nothing while one is missing."""
-    latest: dict[int, UpstreamRecord] = {}
-    for record in state.records():
-        place = record.group
-        if place is None or place.group != group.name:
-            continue
-        known = latest.get(place.rank)
-        if known is None or record.born_ms > known.born_ms:
-            latest[place.rank] = record
-    if sorted(latest) != list(range(len(latest))):
-        return []
-    return [Rank(latest[rank], state.dialect, state.connections) for rank in range(len(latest))]
+def _may_change(group: Group) -> bool:
+    now_s = asyncio.get_running_loop().time()
+    return group.experts is not None and not group.is_changing and now_s >= group.not_before_s
 
 
-def _is_current(group: Group, status: RankStatus, members: list[Rank]) -> bool:
+async def _check(group: Group, layout: ExpertLayout) -> None:
+    """Ask the first rank how the group is, and learn its map where it is not known."""
     now_s = asyncio.get_running_loop().time()
-    if status.step > group.step and group.step:
-        group.pass_s = (now_s - group.step_s) / (status.step - group.step)
-    group.step, group.step_s = status.step, now_s
-    epoch = -1 if status.membership is None else status.membership.epoch
-    return (
-        group.experts is not None
-        and epoch == group.epoch
-        and status.map_version == group.version
-        and len(members) == group.ranks == status.ranks
-    )
+    is_due = now_s - group.asked_s >= STATUS_PERIOD_S or group.experts is None
+    if group.is_changing or not is_due:
+        return
+    status = await status_of(group.members[0])
+    if status is None or status.membership is None:
+        return
+    if group.status is not None and status.step > group.status.step and status.running:
+        passes = status.step - group.status.step
+        group.pass_s = (now_s - group.asked_s) / passes
+    group.asked_s, group.status = now_s, status
+    if status.membership.health is GroupHealth.BROKEN or status.ranks != len(group.members):
+        group.experts = None
+        return
+    epoch = status.membership.epoch
+    if (group.epoch, group.version) != (epoch, status.map_version) or group.experts is None:
+        await _learn(group, layout, status)
+    if status.held is None:
+        group.held_since_s = None
+    else:
+        await _release(group, now_s)
 
 
-async def _learn(group: Group, status: RankStatus, members: list[Rank]) -> bool:
+async def _learn(group: Group, layout: ExpertLayout, status: RankStatus) -> None:
     """Ask the ranks for the map in force, after a new epoch or as a new coordinator."""
-    if status.membership is None or len(members) != status.ranks:
-        return False
-    if group.epoch != status.membership.epoch:
-        group.counted = {}
-    group.epoch = status.membership.epoch
-    group.ranks = len(members)
+    group.epoch = -1 if status.membership is None else status.membership.epoch
     group.version = status.map_version
+    group.highest = max(group.highest, status.map_version, status.prepared)
+    group.experts = None
     if not status.map_version:
-        group.experts = expert_maps.initial_map(group.layout, group.ranks)
-        return True
-    held = await asyncio.gather(*(held_by(each) for each in members))
+        group.experts = expert_maps.initial_map(layout, len(group.members))
+        return
+    held = await asyncio.gather(*(held_by(each) for each in group.members))
     known = [each for each in held if each is not None and each.version == status.map_version]
-    if len(known) != len(members):
-        group.experts = None
-        return False
-    group.experts = tuple(
-        tuple(each.experts[number] for each in known) for number in range(group.layout.sets)
-    )
-    return True
+    if len(known) == len(group.members):
+        group.experts = tuple(
+            tuple(each.experts[number] for each in known) for number in range(layout.sets)
+        )
 
 
-async def _count(group: Group, member: Rank, rank: int) -> None:
-    """Blend in what the requests of one rank chose since it was last asked."""
-    counts = await counts_of(member, group.layout.sets)
-    if counts is None:
-        return
-    before = group.counted.get(rank)
-    group.counted[rank] = counts
-    if counts.epoch != group.epoch:
-        return
-    fresh = [list(map(float, each)) for each in counts.counts]
-    if before is not None:
-        fresh = [
-            [max(0.0, new - old) for new, old in zip(each, earlier, strict=True)]
-            for each, earlier in zip(fresh, map(list, before.counts), strict=True)
-        ]
-    if not group.loads:
-        group.loads = [[] for _ in fresh]
-    for number, each in enumerate(fresh):
-        total = sum(each)
-        if total > 0:
-            share = [value / total for value in each]
-            held = group.loads[number] or share
-            group.loads[number] = [
-                old + FRESH_WEIGHT * (new - old) for old, new in zip(held, share, strict=True)
-            ]
-
-
-async def _improve(state: Coordinator, group: Group, ranks: Ranks) -> None:
-    """Plan a better map and put it in force, where that is worth its orders and copies."""
+async def _count(pool: Pool, group: Group) -> None:
+    """Take what the requests of one rank chose since it was last asked."""
+    rank = group.counted % len(group.members)
+    counts = await counts_of(group.members[rank], pool.layout.sets)
+    source = (group.name, rank, group.members[rank].record.born_ms)
+    if counts is None or not expert_demand.take(pool.demand, source, counts):
+        # An idle rank tells nothing; the next one may.
+        group.counted += 1
+
+
+async def _improve(state: Coordinator, pool: Pool, group: Group) -> None:
+    """Plan a better map and begin to put it in force, where that is worth its costs."""
     before = group.experts
-    if before is None or not all(group.loads):
+    if before is None or group.status is None:
         return
+    loads = pool.demand.loads
     sets = []
-    for held, load in zip(before, group.loads, strict=True):
-        sets.append(expert_maps.improved_set(held, load, group.layout))
+    for held, load in zip(before, loads, strict=True):
+        sets.append(expert_maps.worthwhile_set(held, load, pool.layout))
         # Requests go on between the sets of a plan.
         await asyncio.sleep(0)
     after = tuple(sets)
-    ratio_before = expert_maps.pass_ratio(before, group.loads, group.layout)
-    ratio_after = expert_maps.pass_ratio(after, group.loads, group.layout)
-    gain = ratio_before / ratio_after
-    if gain < LEAST_GAIN or not state.may_act():
+    ratio_before = expert_maps.pass_ratio(before, loads, pool.layout)
+    ratio_after = expert_maps.pass_ratio(after, loads, pool.layout)
+    if ratio_before < LEAST_GAIN * ratio_after or not state.may_act():
         return
-    known = await map_rollout.statuses(ranks)
-    if known is None:
+    group.is_changing = True
+    task = asyncio.create_task(_roll_out(state, pool, group, after, (ratio_before, ratio_after)))
+    state.rollouts.add(task)
+    task.add_done_callback(state.rollouts.discard)
+
+
+async def _roll_out(
+    state: Coordinator,
+    pool: Pool,
+    group: Group,
+    after: ExpertMap,
+    ratios: tuple[float, float],
+) -> None:
+    before, status = group.experts, group.status
+    if before is None or status is None:
         return
-    version = map_rollout.next_version(known, state.random)
+    version = map_rollout.next_version(group.highest, state.random)
     copied = expert_maps.copies(before, after)
-    copy_s = copied * group.layout.expert_bytes / group.layout.link_bytes_per_s
-    result = await map_rollout.roll_out(ranks, known, after, version, copy_s, group.pass_s)
-    if result is Rollout.IN_FORCE:
-        group.experts, group.version = after, version
-    else:
-        group.experts = None
-    log(
-        Event.EXPERTS_PLACED,
-        group=group.name,
-        epoch=group.epoch,
-        version=version,
-        outcome=result.value,
-        ratio_before=round(ratio_before, 3),
-        ratio_after=round(ratio_after, 3),
-        copies=copied,
-        pass_s=round(group.pass_s, 4),
-    )
+    copy_s = copied * pool.layout.expert_bytes / pool.layout.link_bytes_per_s
+    result = Rollout.GROUP_LOST
+    try:
+        ranks = ranks_of(group.members)
+        result = await map_rollout.roll_out(ranks, status, after, version, copy_s, group.pass_s)
+    finally:
+        group.highest = version
+        group.is_changing = False
+        group.experts = after if result is Rollout.IN_FORCE else None
+        group.version = version if result is Rollout.IN_FORCE else group.version
+        if result is not Rollout.IN_FORCE:
+            now_s = asyncio.get_running_loop().time()
+            group.not_before_s = now_s + PAUSE_AFTER_FAILURE_S
+        log(
+            Event.EXPERTS_PLACED,
+            group=group.name,
+            epoch=group.epoch,
+            version=version,
+            outcome=result.value,
+            ratio_before=round(ratios[0], 3),
+            ratio_after=round(ratios[1], 3),
+            copies=copied,
+            pass_s=round(group.pass_s, 4),
+        )
 
 
-async def _release(group: Group, ranks: Ranks) -> None:
+async def _release(group: Group, now_s: float) -> None:
     """Let a group go on that was left held."""
-    now_s = asyncio.get_running_loop().time()
     if group.held_since_s is None:
         group.held_since_s = now_s
-        return
+    ranks = ranks_of(group.members)
     known = await map_rollout.statuses(ranks)
     if known is None:
         return
--- a/src/lycheefall/_relay/service.py
+++ b/src/lycheefall/_relay/service.py
@@ -24,7 +24,7 @@
 from lycheefall._relay.map_coordinator import Coordinator, run_coordinator
 from lycheefall._relay.messages import Beat, ToDispatch
 from lycheefall._relay.settings import RelaySettings
-from lycheefall._rules import record_table
+from lycheefall._rules import dispatching, record_table
 from lycheefall._rules.dispatching import Dispatching
 from lycheefall._rules.identification import Index, index_of
 from lycheefall._wire.http_front import (
@@ -107,7 +107,10 @@
                     dialect=settings.dialect,
                     records=lambda: _live_records(dispatcher),
                     layout_of=partial(_layout_of, current),
-                    may_act=lambda: now() < link.coordinates_until_s,
+                    pressure_of=lambda pool: dispatching.pressure(dispatcher.rules, pool),
+                    may_act=lambda: (
+                        link.state is MemberState.READY and now() < link.coordinates_until_s
+                    ),
                     connections=held,
                     random=random,
                 )
--- a/src/lycheefall/_rules/dispatching.py
+++ b/src/lycheefall/_rules/dispatching.py
@@ -328,6 +328,14 @@
     }
 
 
+def pressure(state: Dispatching, name: PoolId) -> float:
+    """Return the part of a pool's places that are in use, over 1 where requests wait."""
+    pool = _pool(state, name)
+    places = sum(max(1, seat.record.slots) for seat in pool.seats.by_id.values())
+    used = sum(seats.load_of(seat) for seat in pool.seats.by_id.values()) + len(pool.waiting)
+    return used / max(1, places)
+
+
 def places_of(state: Dispatching, seat: Seat) -> int:
     """Return how many attempts an upstream should have in flight."""
     pool = state.engines.get(seat.record.pool)
--- a/src/lycheefall/_rules/expert_maps.py
+++ b/src/lycheefall/_rules/expert_maps.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Sequence
 
-from msgspec import Struct
+from msgspec import Struct, structs
 
 from lycheefall._core.expert_maps import ExpertMap
 from lycheefall._core.relay import ExpertLayout
@@ -15,6 +15,11 @@
 _GOOD_ENOUGH = 1.04
 # A change has to take this part off the most loaded rank.
 _LEAST_GAIN = 0.004
+# A set whose most loaded rank has less than this against the mean stays as it is.
+WORTHWHILE_SKEW = 1.35
+# Copies to one rank of one set in one change. More were no better in play: what is in demand
+# shifts again before a second copy pays.
+FEW_COPIES = 1
 # Experts of the most loaded rank, and ranks that could take one, that are tried at each turn.
 _TRIED_EXPERTS = 6
 _TRIED_RANKS = 4
@@ -51,6 +56,18 @@
     return tuple(tuple(sorted(held)) for held in search.held)
 
 
+def worthwhile_set(
+    before: Sequence[Sequence[int]], load: Sequence[float], layout: ExpertLayout
+) -> tuple[tuple[int, ...], ...]:
+    """Return a better placement of one set, or the old one where it is good enough."""
+    skew = skew_of_set(before, load)
+    if skew < WORTHWHILE_SKEW:
+        return tuple(tuple(held) for held in before)
+    # Fewer copies are in force sooner; what is left is for the next change.
+    few = structs.replace(layout, spare=min(layout.spare, FEW_COPIES))
+    return improved_set(before, load, few)
+
+
 def skew_of_set(held: Sequence[Sequence[int]], load: Sequence[float]) -> float:
     """Return the load of the most loaded rank against the mean."""
     counts = [0] * len(load)
--- a/src/lycheefall/_rules/map_rollout.py
+++ b/src/lycheefall/_rules/map_rollout.py
@@ -3,14 +3,14 @@
 Orders may get no answer and be carried out seconds later, and nobody checks who gives them. So
 the rules are:
 
-- A map is prepared on all ranks before anything else happens.
+- All ranks take the order to prepare a map before anything else happens.
 - A hold on the first rank stops the group before the pass of the switch. Only one hold fits
   there, so it also keeps out a second coordinator.
 - All ranks are armed for that pass, and only then may the pass begin. Nothing is taken back:
   whoever finds a held group completes the switch, so that any mixture of orders of two
   coordinators leads to the same map.
-- Each order names the count of orders that the rank has accepted. An order that is carried out
-  late finds another count and has no effect.
+- An order that is carried out late finds a later map, or its pass begun, and has no effect; or
+  the group is still held for just this order. Each order also names the epoch of the group.
 """
 
 import asyncio
@@ -36,12 +36,13 @@
 
 # What a rank reports is older than its orders by up to this time.
 STATUS_LAG_S = 0.3
-STATUS_PERIOD_S = 0.2
-# All ranks copy at the same time; a rank that needs longer than this was cut off.
-PREPARE_TIMEOUT_S = 5.0
-# Time between the hold and the pass of the switch, in which the ranks are armed. The group
-# stands still only if that takes longer.
-LEAD_S = 0.5
+# All ranks copy at the same time. A rank that did not take the order after this time was lost.
+PREPARE_TIMEOUT_S = 3.0
+# The copy is taken to last a little longer than its bytes need on an idle link.
+COPY_MARGIN_S = 0.05
+# Time between the hold and the pass of the switch, in which the ranks are armed: a few
+# milliseconds where no order is lost. The group stands still only if it takes longer.
+LEAD_S = 0.1
 # Bounds of the time that one pass is taken to last.
 _MIN_PASS_S = 0.012
 _MAX_PASS_S = 0.15
@@ -91,31 +92,34 @@
     return known if len({(each.group, each.epoch) for each in groups}) == 1 else None
 
 
-def next_version(known: Sequence[RankStatus], random: Random) -> MapVersion:
+def next_version(highest: MapVersion, random: Random) -> MapVersion:
     """Return a version above all that the ranks have had."""
-    highest = max(max(each.map_version, each.prepared, each.armed) for each in known)
     return MapVersion(highest + 1 + random.randrange(_VERSION_SPREAD))
 
 
 async def roll_out(
     ranks: Ranks,
-    known: Sequence[RankStatus],
+    first: RankStatus,
     experts: ExpertMap,
     version: MapVersion,
     copy_s: float,
     pass_s: float,
 ) -> Rollout:
-    """Prepare a map on all ranks, then switch to it."""
-    if any(each.held is not None or each.armed for each in known):
+    """Prepare a map on all ranks, then switch to it; `first` is what the first rank reported."""
+    if first.held is not None or first.armed:
         return Rollout.UNFIT
-    epoch = _epoch(known)
-    expected = await _prepare(ranks, known, experts, version, copy_s)
-    if expected is None:
+    epoch = _epoch(first)
+    prepare = Prepare(version=version, experts=experts, epoch=epoch, expected=first.sequence)
+    prepared = await asyncio.gather(
+        *(_prepare(ranks, rank, prepare) for rank in range(ranks.count))
+    )
+    if not all(prepared):
         return Rollout.NOT_PREPARED
-    held = await _hold(ranks, epoch, version, pass_s)
+    await asyncio.sleep(copy_s + COPY_MARGIN_S)
+    held = await _hold(ranks, epoch, pass_s)
     if held is None:
         return Rollout.NOT_HELD
-    return await complete(ranks, epoch, version, held, expected)
+    return await complete(ranks, epoch, version, held, [first.sequence] * ranks.count)
 
 
 async def complete(
@@ -138,21 +142,20 @@
     step = known[0].held
     if step is None:
         return None
+    epoch = _epoch(known[0])
     versions = {each.armed or each.prepared for each in known}
     if len(versions) == 1 and 0 not in versions:
         expected = [each.sequence for each in known]
-        return await complete(ranks, _epoch(known), versions.pop(), step, expected)
-    if not any(each.armed for each in known):
-        # A hold that was carried out late, after its coordinator gave up before arming.
-        return await _go(ranks, _epoch(known), step)
+        return await complete(ranks, epoch, versions.pop(), step, expected)
     if held_for_s < LATEST_ORDER_S:
+        # A rank may still be copying, or an order for it may still be on its way.
         return None
+    if not any(each.armed for each in known):
+        # A hold that was carried out late, after its coordinator gave up before arming.
+        return await _go(ranks, epoch, step)
     await asyncio.gather(
         *(
-            ranks.order(
-                rank,
-                Disarm(version=each.armed, epoch=_epoch(known), expected=each.sequence),
-            )
+            ranks.order(rank, Disarm(version=each.armed, epoch=epoch, expected=each.sequence))
             for rank, each in enumerate(known)
             if each.armed
         )
@@ -160,72 +163,40 @@
     return None
 
 
-def _epoch(known: Sequence[RankStatus]) -> int:
-    membership = known[0].membership
-    return 0 if membership is None else membership.epoch
+def _epoch(status: RankStatus) -> int:
+    return 0 if status.membership is None else status.membership.epoch
 
 
-async def _prepare(
-    ranks: Ranks,
-    known: Sequence[RankStatus],
-    experts: ExpertMap,
-    version: MapVersion,
-    copy_s: float,
-) -> list[int] | None:
-    """Have all ranks copy a map; return the counts of orders that they have accepted then."""
-    until_s = asyncio.get_running_loop().time() + copy_s + PREPARE_TIMEOUT_S
-    found = await asyncio.gather(
-        *(
-            _prepare_rank(
-                ranks,
-                rank,
-                Prepare(
-                    version=version,
-                    experts=experts,
-                    epoch=_epoch(known),
-                    expected=each.sequence,
-                ),
-                copy_s,
-                until_s,
-            )
-            for rank, each in enumerate(known)
-        )
-    )
-    counts = [each for each in found if each is not None]
-    return counts if len(counts) == ranks.count else None
-
-
-async def _prepare_rank(
-    ranks: Ranks, rank: int, order: Prepare, copy_s: float, until_s: float
-) -> int | None:
-    """Order one rank until it takes the order, then wait for its copy."""
-    loop = asyncio.get_running_loop()
-    reply = await ranks.order(rank, order)
-    while reply is Reply.UNANSWERED and loop.time() < until_s:
+async def _prepare(ranks: Ranks, rank: int, order: Prepare) -> bool:
+    """Order one rank to copy a map, however often the order is lost."""
+    until_s = asyncio.get_running_loop().time() + PREPARE_TIMEOUT_S
+    is_lost = False
+    while asyncio.get_running_loop().time() < until_s:
         reply = await ranks.order(rank, order)
-    if reply is Reply.TAKEN:
-        await asyncio.sleep(copy_s)
-    # A refusal after an order without an answer may mean that the first one was taken.
-    while loop.time() < until_s:
-        await asyncio.sleep(STATUS_PERIOD_S)
-        status = await ranks.status(rank)
-        if status is None or _epoch([status]) != order.epoch:
-            return None
-        if status.prepared == order.version:
-            return status.sequence
-        if status.sequence == order.expected and reply is Reply.REFUSED:
-            return None
-    return None
+        if reply is Reply.TAKEN:
+            return True
+        if reply is Reply.REFUSED and not is_lost:
+            return False
+        if reply is Reply.REFUSED:
+            # The first order may have been taken although no answer came.
+            await asyncio.sleep(STATUS_LAG_S)
+            status = await ranks.status(rank)
+            if status is None or _epoch(status) != order.epoch:
+                return False
+            if status.prepared == order.version:
+                return True
+        is_lost = True
+    return False
 
 
-async def _hold(ranks: Ranks, epoch: int, version: MapVersion, pass_s: float) -> PassNumber | None:
+async def _hold(ranks: Ranks, epoch: int, pass_s: float) -> PassNumber | None:
     """Hold the group before a pass that is far enough ahead; return that pass."""
     pass_s = min(_MAX_PASS_S, max(_MIN_PASS_S, pass_s))
     for attempt in range(HOLD_ATTEMPTS):
         status = await ranks.status(0)
-        if status is None or status.prepared != version or status.held is not None:
+        if status is None or _epoch(status) != epoch or status.held is not None:
             return None
-        ahead_s = STATUS_LAG_S + LEAD_S * (attempt + 1)
+        ahead_s = STATUS_LAG_S + LEAD_S * (2 * attempt + 1)
         step = PassNumber(status.step + 2 + int(ahead_s / pass_s))
         order = Hold(step=step, epoch=epoch, expected=status.sequence)
         reply = await ranks.order(0, order)
@@ -235,7 +206,7 @@
         await asyncio.sleep(STATUS_LAG_S)
         status = await ranks.status(0)
         if status is not None and status.held is not None:
-            return status.held if status.prepared == version else None
+            return status.held if status.held == step else None
     return None
 
 
@@ -251,7 +222,7 @@
             continue
         await asyncio.sleep(STATUS_LAG_S)
         status = await ranks.status(rank)
-        if status is None or _epoch([status]) != order.epoch:
+        if status is None or _epoch(status) != order.epoch:
             return False
         if order.version in (status.armed, status.map_version):
             return True
@@ -271,7 +242,7 @@
             continue
         await asyncio.sleep(STATUS_LAG_S)
         status = await ranks.status(0)
-        if status is None or _epoch([status]) != epoch:
+        if status is None or _epoch(status) != epoch:
             return Rollout.GROUP_LOST
         if status.held is None:
             return Rollout.IN_FORCE
