--- a/src/lycheefall/_relay/map_coordinator.py
+++ b/src/lycheefall/_relay/map_coordinator.py
@@ -25,7 +25,9 @@
 # A new map has to make passes this much shorter: each change costs orders and copies.
 LEAST_GAIN = 1.12
 # Part of the places in use below which passes are short enough with any map.
-LEAST_PRESSURE = 0.45
+LEAST_PRESSURE = 0.62
+# The switch is some passes ahead, and until then a rank takes no other map.
+PAUSE_AFTER_CHANGE_S = 0.6
 # A refused or lost change is not tried again at once.
 PAUSE_AFTER_FAILURE_S = 1.0
 _FIRST_PASS_S = 0.06
@@ -233,8 +235,12 @@
         group.is_changing = False
         group.experts = after if result is Rollout.IN_FORCE else None
         group.version = version if result is Rollout.IN_FORCE else group.version
-        if result is not Rollout.IN_FORCE:
-            now_s = asyncio.get_running_loop().time()
+        now_s = asyncio.get_running_loop().time()
+        if result is Rollout.IN_FORCE:
+            # A report from before the switch would name the map before.
+            group.asked_s = now_s
+            group.not_before_s = now_s + PAUSE_AFTER_CHANGE_S
+        else:
             group.not_before_s = now_s + PAUSE_AFTER_FAILURE_S
         log(
             Event.EXPERTS_PLACED,
