--- a/src/lycheefall/_rules/dispatching.py
+++ b/src/lycheefall/_rules/dispatching.py
@@ -51,6 +51,8 @@
 GROUP_PAUSE_S = 0.8
 # An entry that was not heard of for this long counts as having nothing in flight.
 _OTHERS_FORGOTTEN_S = 1.5
+# Time for which a request keeps its place, until the rate of places is measured.
+_USUAL_SERVICE_S = 2.0
 # Delay from place to first byte before any was measured.
 _FIRST_DELAY_S = 0.1
 
@@ -399,7 +401,9 @@
 
 
 def _places_per_s(pool: PoolState, now_s: float) -> float:
-    return max(1.0, fading.value(pool.rate, 0, now_s) / _RATE_S)
+    """Return how many places become free here: as measured, or as the slots let expect."""
+    slots = sum(seat.record.slots for seat in pool.seats.by_id.values() if seat.is_preferred)
+    return max(1.0, slots / _USUAL_SERVICE_S, fading.value(pool.rate, 0, now_s) / _RATE_S)
 
 
 def _waits_too_long(pool: PoolState, message: Ask, now_s: float) -> bool:
--- a/src/lycheefall/_rules/expert_maps.py
+++ b/src/lycheefall/_rules/expert_maps.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Sequence
+from math import ceil
 
 from msgspec import Struct, structs
 
@@ -21,8 +22,8 @@
 # shifts again before a second copy pays.
 FEW_COPIES = 1
 # Experts of the most loaded rank, and ranks that could take one, that are tried at each turn.
-_TRIED_EXPERTS = 6
-_TRIED_RANKS = 4
+_TRIED_EXPERTS = 12
+_TRIED_RANKS = 6
 
 
 class _Search(Struct, eq=False):
@@ -50,10 +51,14 @@
 ) -> tuple[tuple[int, ...], ...]:
     """Return a better placement of one set that each rank can reach with one change."""
     search = _begin(before, load, layout)
+    _spread_heavy(search)
     while _improve(search):
         pass
     _restore_unused(search)
-    return tuple(tuple(sorted(held)) for held in search.held)
+    after = tuple(tuple(sorted(held)) for held in search.held)
+    if skew_of_set(after, load) < skew_of_set(before, load):
+        return after
+    return tuple(tuple(held) for held in before)
 
 
 def worthwhile_set(
@@ -147,6 +152,23 @@
         search.added[rank] -= 1
 
 
+def _spread_heavy(search: _Search) -> None:
+    """Give experts that are too much for one rank their replicas before anything else.
+
+    Otherwise the search spends the copies that a rank may make on lesser experts.
+    """
+    mean = sum(search.rank_load) / len(search.rank_load)
+    for expert in sorted(range(len(search.load)), key=lambda each: -search.load[each]):
+        if search.load[expert] <= mean:
+            return
+        wanted = min(len(search.rank_load), ceil(search.load[expert] / mean))
+        while len(search.holders[expert]) < wanted:
+            ranks = [r for r in range(len(search.rank_load)) if _may_add(search, expert, r)]
+            if not ranks:
+                break
+            _add(search, expert, min(ranks, key=lambda each: (search.rank_load[each], each)))
+
+
 def _improve(search: _Search) -> bool:
     """Take load off the most loaded rank; return whether that was possible."""
     ranks = range(len(search.rank_load))
@@ -166,7 +188,7 @@
                 if best is None or reached < best[0]:
                     best = (reached, expert, target, moves)
     if best is None or best[0] > peak * (1.0 - _LEAST_GAIN):
-        return False
+        return _swap(search, worst, experts, targets)
     _, expert, target, moves = best
     _add(search, expert, target)
     if moves:
@@ -174,12 +196,44 @@
     return True
 
 
+def _swap(search: _Search, worst: int, experts: list[int], targets: list[int]) -> bool:
+    """Exchange an expert of the most loaded rank for a lesser one, where no move helps."""
+    best: tuple[float, int, int, int] | None = None
+    for expert in experts[:_TRIED_EXPERTS]:
+        share = _share(search, expert)
+        for target in targets[:_TRIED_RANKS]:
+            if not _may_take(search, expert, target):
+                continue
+            for lesser in search.held[target]:
+                difference = share - _share(search, lesser)
+                if difference <= 0 or not _may_take(search, lesser, worst):
+                    continue
+                reached = max(
+                    search.rank_load[worst] - difference, search.rank_load[target] + difference
+                )
+                if best is None or reached < best[0]:
+                    best = (reached, expert, target, lesser)
+    if best is None or best[0] > search.rank_load[worst] * (1.0 - _LEAST_GAIN):
+        return False
+    _, expert, target, lesser = best
+    _add(search, expert, target)
+    _remove(search, expert, worst)
+    _add(search, lesser, worst)
+    _remove(search, lesser, target)
+    return True
+
+
 def _share(search: _Search, expert: int) -> float:
     return search.load[expert] / len(search.holders[expert])
 
 
 def _may_add(search: _Search, expert: int, rank: int) -> bool:
-    if rank in search.holders[expert] or len(search.held[rank]) >= search.places:
+    return len(search.held[rank]) < search.places and _may_take(search, expert, rank)
+
+
+def _may_take(search: _Search, expert: int, rank: int) -> bool:
+    """Tell whether a rank can hold an expert, apart from its places."""
+    if rank in search.holders[expert]:
         return False
     return expert in search.before[rank] or search.added[rank] < search.spare
 
--- /dev/null
+++ b/tests/test_dispatching.py
@@ -0,0 +1,384 @@
+"""Tests of placing, waiting and refusing, with loads that are played on a model of upstreams."""
+
+import heapq
+from collections import Counter
+from dataclasses import dataclass, field
+from itertools import count
+from random import Random
+
+import pytest
+
+from lycheefall._core.ids import DataCentreId, GroupId, InstanceId, TeamId, UpstreamId
+from lycheefall._core.relay import RequestKind, UpstreamRecord
+from lycheefall._rules import dispatching, record_table
+from lycheefall._rules.dispatching import (
+    Ask,
+    Dispatching,
+    Ended,
+    FirstByte,
+    Other,
+    Outcome,
+    Place,
+    RefusalReason,
+    Refuse,
+    Withdraw,
+)
+from lycheefall._rules.record_table import RecordTable
+from lycheefall._rules.retry_share import RetryBounds
+from relay_values import DESK, POOL, configuration, record
+
+BOUNDS = RetryBounds(ratio=0.2, window_s=10.0, allowance=88.0)
+TARGET_S = 0.4
+DEADLINE_S = 8.0
+
+
+def dispatcher(*known: UpstreamRecord) -> Dispatching:
+    """Return the state of an entry that knows these upstreams."""
+    state = Dispatching(
+        instance=InstanceId("e1"),
+        data_centre=DataCentreId("dc1"),
+        bounds=BOUNDS,
+        random=Random(1),
+    )
+    dispatching.use_configuration(state, configuration())
+    learn(state, *known)
+    return state
+
+
+def learn(state: Dispatching, *known: UpstreamRecord) -> None:
+    """Let the entry know exactly these upstreams."""
+    table = RecordTable()
+    for each in known:
+        record_table.take(table, each, 0.0)
+    dispatching.use_records(state, table)
+
+
+def ask(number: int, now_s: float = 0.0, **changes: object) -> Ask:
+    """Return a request that looks for a place."""
+    values: dict[str, object] = {
+        "pool": POOL,
+        "kind": RequestKind.STREAMING,
+        "rank": 0,
+        "team": TeamId("t1"),
+        "arrived_s": now_s,
+        "target_s": now_s + TARGET_S,
+        "deadline_s": now_s + DEADLINE_S,
+    }
+    return Ask(number=number, **(values | changes))  # type: ignore[arg-type]
+
+
+def end(upstream: str, outcome: Outcome = Outcome.ANSWERED, began: bool = False) -> Ended:
+    """Return the end of an attempt, and whether its first byte was told before."""
+    return Ended(POOL, UpstreamId(upstream), outcome, had_answered=began)
+
+
+class TestPlaces:
+    def test_no_more_than_the_slots(self) -> None:
+        """Guards against requests that wait for each other at an engine."""
+        state = dispatcher(record("u1"), record("u2"))
+        placed = [dispatching.ask(state, ask(n), 0.0) for n in range(4)]
+        names = Counter(each[0].record.upstream for each in placed if isinstance(each[0], Place))
+        assert names == {"u1": 2, "u2": 2}
+        assert dispatching.ask(state, ask(4), 0.0) == []
+
+    def test_free_place_goes_to_who_waits(self) -> None:
+        """Guards against a place that stays free while a request waits."""
+        state = dispatcher(record("u1", slots=1))
+        dispatching.ask(state, ask(0), 0.0)
+        assert dispatching.ask(state, ask(1), 0.0) == []
+        outputs = dispatching.ended(state, end("u1"), 0.1)
+        assert [each.number for each in outputs] == [1]
+
+    def test_others_in_flight_count(self) -> None:
+        """Guards against entries that all take the same free place."""
+        state = dispatcher(record("u1"), record("u2"))
+        heard = {InstanceId("e2"): Other(DataCentreId("dc1"), {UpstreamId("u1"): 2}, 0.0)}
+        dispatching.use_others(state, heard, 0.0)
+        outputs = dispatching.ask(state, ask(0), 0.0)
+        assert isinstance(outputs[0], Place)
+        assert outputs[0].record.upstream == "u2"
+
+    def test_word_without_loads_keeps_them(self) -> None:
+        """Guards against loads overwritten by a replica that does not know them."""
+        state = dispatcher(record("u1", slots=8))
+        known = Other(DataCentreId("dc1"), {UpstreamId("u1"): 8}, 0.0)
+        dispatching.use_others(state, {InstanceId("e2"): known}, 0.0)
+        unknown = Other(DataCentreId("dc1"), None, 0.1)
+        dispatching.use_others(state, {InstanceId("e2"): unknown}, 0.1)
+        assert dispatching.ask(state, ask(0), 0.1) == []
+
+    def test_place_left_to_the_entry_that_uses_it_first(self) -> None:
+        """Guards against the herd that a place freed at another entry's upstream attracts."""
+        names = [record(f"u{n}", slots=4) for n in range(4)]
+        state = dispatcher(*names)
+        idle = Other(DataCentreId("dc1"), {}, 0.0)
+        dispatching.use_others(state, {InstanceId("e2"): idle}, 0.0)
+        for number in range(16):
+            dispatching.ask(state, ask(number), 0.0)
+        own = {s.record.upstream: s.own for s in state.pools[POOL].seats.by_id.values()}
+        preferred = {
+            s.record.upstream for s in state.pools[POOL].seats.by_id.values() if s.is_preferred
+        }
+        assert {own[each] for each in preferred} == {4}
+        assert {count for name, count in own.items() if name not in preferred} == {2}
+
+    def test_departed_upstream(self) -> None:
+        """Guards against new work for an upstream that left while requests ran there."""
+        state = dispatcher(record("u1"), record("u2"))
+        dispatching.ask(state, ask(0), 0.0)
+        learn(state, record("u2"))
+        outputs = [dispatching.ask(state, ask(n), 0.0) for n in (1, 2)]
+        assert all(isinstance(o[0], Place) and o[0].record.upstream == "u2" for o in outputs)
+        assert dispatching.ended(state, end("u1"), 0.0) == []
+
+
+class TestRefusals:
+    def test_no_upstream(self) -> None:
+        """Guards against a request that waits although nothing can serve it."""
+        state = dispatcher()
+        outputs = dispatching.ask(state, ask(0), 0.0)
+        assert isinstance(outputs[0], Refuse)
+        assert outputs[0].reason is RefusalReason.NO_UPSTREAM
+        assert 0.0 < outputs[0].retry_after_s <= DEADLINE_S / 3
+
+    def test_soon_when_the_wait_is_long(self) -> None:
+        """Guards against a request that is held for long and then refused."""
+        state = dispatcher(record("u1", slots=1))
+        refusals = []
+        for number in range(40):
+            for output in dispatching.ask(state, ask(number), 0.0):
+                if isinstance(output, Refuse):
+                    refusals.append(output)
+        assert refusals
+        assert all(each.reason is RefusalReason.QUEUE_FULL for each in refusals)
+        for step in range(1, 60):
+            for output in dispatching.tick(state, step * 0.025):
+                assert isinstance(output, Refuse)
+        assert not state.pools[POOL].waiting
+        assert dispatching.tick(state, 8.0) == []
+
+    def test_spread(self) -> None:
+        """Guards against refused callers that all come back at the same moment."""
+        state = dispatcher()
+        found = [dispatching.ask(state, ask(n), 0.0)[0] for n in range(50)]
+        times = {each.retry_after_s for each in found if isinstance(each, Refuse)}
+        assert len(times) > 20
+
+    def test_withdrawn(self) -> None:
+        """Guards against a place for a caller that left."""
+        state = dispatcher(record("u1", slots=1))
+        dispatching.ask(state, ask(0), 0.0)
+        dispatching.ask(state, ask(1), 0.0)
+        dispatching.withdraw(state, Withdraw(1))
+        assert dispatching.ended(state, end("u1"), 0.1) == []
+
+    def test_retry_needs_another_upstream(self) -> None:
+        """Guards against a second run at the upstream that failed, and against a vain wait."""
+        state = dispatcher(record("u1"))
+        dispatching.ask(state, ask(0), 0.0)
+        retry = ask(0, tried=(UpstreamId("u1"),), is_retry=True)
+        outputs = dispatching.ask(state, retry, 0.1)
+        assert isinstance(outputs[0], Refuse)
+        assert outputs[0].reason is RefusalReason.ALL_TRIED
+
+    def test_retries_are_bounded(self) -> None:
+        """Guards against a storm of second tries when all upstreams fail."""
+        state = dispatcher(*(record(f"u{n}", slots=100) for n in range(4)))
+        reasons: Counter[object] = Counter()
+        for number in range(200):
+            outputs = dispatching.ask(
+                state, ask(number, tried=(UpstreamId("u1"),), is_retry=True), 0.001 * number
+            )
+            reasons[getattr(outputs[0], "reason", "placed")] += 1
+        assert reasons["placed"] <= BOUNDS.allowance
+        assert reasons[RefusalReason.NO_RETRY_LEFT] > 100
+
+    def test_first_wait(self) -> None:
+        """Guards against a refusal for want of any measured rate, right after a start."""
+        state = dispatcher(record("u1", slots=6))
+        for number in range(6):
+            dispatching.ask(state, ask(number), 0.0)
+        state.pools[POOL].rate.counts.clear()
+        assert dispatching.ask(state, ask(6), 0.0) == []
+
+
+class TestFailures:
+    def test_unreachable_upstream_is_left_alone(self) -> None:
+        """Guards against requests that go on to an upstream that can't be reached."""
+        state = dispatcher(record("u1", slots=8), record("u2", slots=8))
+        dispatching.ended(state, end("u1", Outcome.NOT_CONNECTED), 0.0)
+        outputs = [dispatching.ask(state, ask(n, 0.1), 0.1) for n in range(8)]
+        assert all(isinstance(o[0], Place) and o[0].record.upstream == "u2" for o in outputs)
+
+    def test_last_resort(self) -> None:
+        """Guards against a refusal while the only upstream may work again."""
+        state = dispatcher(record("u1"))
+        dispatching.ended(state, end("u1", Outcome.NOT_CONNECTED), 0.0)
+        assert isinstance(dispatching.ask(state, ask(0, 0.1), 0.1)[0], Place)
+
+    def test_failing_upstream_gets_less(self) -> None:
+        """Guards against an upstream that fails at once and so always has a free place."""
+        state = dispatcher(*(record(f"u{n}", slots=6) for n in range(4)))
+        got: Counter[str] = Counter()
+        for number in range(400):
+            now_s = number * 0.02
+            place = dispatching.ask(state, ask(number, now_s), now_s)[0]
+            assert isinstance(place, Place)
+            name = place.record.upstream
+            got[name] += 1
+            outcome = Outcome.FAILED if name == "u0" else Outcome.ANSWERED
+            dispatching.ended(state, end(name, outcome), now_s)
+        assert got["u0"] < 40
+
+    def test_stalled_group(self) -> None:
+        """Guards against requests for the other ranks of a group that stands still."""
+        ranks = [record(f"u{n}", slots=8, rank=n) for n in range(2)]
+        state = dispatcher(*ranks, record("other", slots=8))
+        stalled = Ended(POOL, UpstreamId("u0"), Outcome.NOT_RUN, group_stalled=True)
+        dispatching.ended(state, stalled, 0.0)
+        outputs = [dispatching.ask(state, ask(n, 0.1), 0.1) for n in range(8)]
+        assert all(isinstance(o[0], Place) and o[0].record.upstream == "other" for o in outputs)
+        assert ranks[0].group is not None
+        assert ranks[0].group.group == GroupId("g")
+
+
+@dataclass
+class Played:
+    """What callers got, by rank or team."""
+
+    asked: Counter[object] = field(default_factory=Counter)
+    in_time: Counter[object] = field(default_factory=Counter)
+    refused_after_s: list[float] = field(default_factory=list)
+
+
+@dataclass
+class Caller:
+    """A stream of requests of one rank and team."""
+
+    rank: int
+    team: str
+    per_s: float
+    # Times between which it asks, with a factor.
+    burst: tuple[float, float, float] = (0.0, 0.0, 1.0)
+
+
+def play(
+    callers: list[Caller], upstreams: int = 4, slots: int = 6, length_s: float = 20.0
+) -> Played:
+    """Play a load on upstreams that serve each request for about 1.5 s, and count what came."""
+    random = Random(7)
+    state = dispatcher(*(record(f"u{n}", slots=slots) for n in range(upstreams)))
+    events: list[tuple[float, int, str, object]] = []
+    order = count()
+    for caller in callers:
+        now_s = 0.0
+        while now_s < length_s:
+            begin_s, end_s, factor = caller.burst
+            rate = caller.per_s * (factor if begin_s <= now_s < end_s else 1.0)
+            now_s += random.expovariate(rate)
+            heapq.heappush(events, (now_s, next(order), "ask", caller))
+    for step in range(int(length_s / 0.025)):
+        heapq.heappush(events, (step * 0.025, next(order), "tick", None))
+    played = Played()
+    waiting: dict[int, tuple[float, Caller]] = {}
+    numbers = count()
+    while events:
+        now_s, _, what, value = heapq.heappop(events)
+        if what == "ask":
+            assert isinstance(value, Caller)
+            number = next(numbers)
+            waiting[number] = (now_s, value)
+            played.asked[(value.rank, value.team)] += 1
+            asked = ask(number, now_s, rank=value.rank, team=TeamId(value.team))
+            outputs = dispatching.ask(state, asked, now_s)
+        elif what == "tick":
+            outputs = dispatching.tick(state, now_s)
+        elif what == "byte":
+            assert isinstance(value, FirstByte)
+            dispatching.first_byte(state, value, now_s)
+            outputs = []
+        else:
+            number, upstream = value  # type: ignore[misc]
+            dispatching.team_done(state, number)
+            outputs = dispatching.ended(state, end(upstream, began=True), now_s)
+        for output in outputs:
+            asked_s, caller = waiting.pop(output.number)
+            if isinstance(output, Refuse):
+                played.refused_after_s.append(now_s - asked_s)
+                continue
+            delay_s = random.uniform(0.12, 0.2)
+            upstream = output.record.upstream
+            byte = FirstByte(POOL, upstream, delay_s)
+            heapq.heappush(events, (now_s + delay_s, next(order), "byte", byte))
+            ends_s = now_s + delay_s + random.uniform(1.0, 2.0)
+            heapq.heappush(events, (ends_s, next(order), "end", (output.number, upstream)))
+            if now_s + delay_s - asked_s <= TARGET_S:
+                played.in_time[(caller.rank, caller.team)] += 1
+    return played
+
+
+def share(played: Played, rank: int | None = None, team: str | None = None) -> float:
+    """Return the part of the requests that was answered in time."""
+    keys = [
+        key
+        for key in played.asked
+        if rank in (None, key[0]) and team in (None, key[1])  # type: ignore[index]
+    ]
+    return sum(played.in_time[key] for key in keys) / sum(played.asked[key] for key in keys)
+
+
+class TestPlayedLoads:
+    """24 places and about 1.66 s for each request: room for 14 requests a second."""
+
+    def test_calm(self) -> None:
+        """Guards against lateness or refusals while there is room."""
+        played = play([Caller(0, "t1", 4.0), Caller(1, "t2", 3.0), Caller(2, "t1", 2.0)])
+        assert share(played) >= 0.97
+        assert len(played.refused_after_s) <= 2
+
+    def test_overload_keeps_what_fits_in_time(self) -> None:
+        """Guards against a queue in which all requests become late, as with oldest first."""
+        played = play([Caller(0, "t1", 12.0), Caller(1, "t1", 10.0), Caller(2, "t1", 6.0)])
+        answered = sum(played.in_time.values())
+        assert answered >= 0.8 * 14 * 20
+        assert max(played.refused_after_s) <= 1.1
+
+    def test_flood_of_the_least_urgent(self) -> None:
+        """Guards against a flood of batch work that takes the places of urgent work."""
+        flood = Caller(2, "t1", 2.0, burst=(4.0, 14.0, 10.0))
+        played = play([Caller(0, "t1", 6.0), Caller(1, "t1", 4.0), flood])
+        assert share(played, rank=0) >= 0.6
+        assert share(played, rank=0) >= share(played, rank=2)
+
+    def test_flood_of_the_most_urgent(self) -> None:
+        """Guards against less urgent ranks that get nothing during an urgent flood."""
+        flood = Caller(0, "t1", 6.0, burst=(4.0, 14.0, 5.0))
+        played = play([flood, Caller(1, "t1", 4.0), Caller(2, "t1", 2.0)])
+        assert share(played, rank=2) >= 0.25
+        assert share(played, rank=1) >= 0.25
+        assert share(played, rank=0) >= share(played, rank=2) - 0.15
+
+    def test_small_team_beside_a_large_one(self) -> None:
+        """Guards against a small team that gets nothing beside one that asks for far more."""
+        played = play([Caller(0, "large", 30.0), Caller(0, "small", 1.0)])
+        assert share(played, team="small") >= 2 * share(played, team="large")
+        assert share(played, team="small") >= 0.7
+
+    @pytest.mark.parametrize("seed", range(3))
+    def test_returning_callers_wait_behind_fresh_ones(self, seed: int) -> None:
+        """Guards against a retry, which is late in any case, that makes a fresh request late."""
+        state = dispatcher(record("u1", slots=1))
+        state.random = Random(seed)
+        dispatching.ask(state, ask(0), 0.0)
+        dispatching.ask(state, ask(1, target_s=0.0), 0.0)
+        dispatching.ask(state, ask(2, 0.05), 0.05)
+        outputs = dispatching.ended(state, end("u1"), 0.1)
+        assert [each.number for each in outputs] == [2]
+
+
+class TestServices:
+    def test_depth_of_a_plain_service(self) -> None:
+        """Guards against lookups that wait for one whole answer at a time."""
+        state = dispatcher(record("s1", pool=DESK, slots=2))
+        outputs = [dispatching.ask(state, ask(n, pool=DESK), 0.0) for n in range(4)]
+        assert all(isinstance(each[0], Place) for each in outputs)
--- /dev/null
+++ b/tests/test_map_rollout.py
@@ -0,0 +1,183 @@
+"""Tests of putting an expert map in force on all ranks at one pass, or on none."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from random import Random
+
+import pytest
+
+from lycheefall._core.expert_maps import ExpertMap, Hold, MapVersion, PassNumber, Prepare
+from lycheefall._rules import map_rollout
+from lycheefall._rules.map_rollout import Ranks, Reply, Rollout
+from rank_world import COPY_S, PASS_S, RankWorld
+
+FIRST: ExpertMap = (((0, 1), (2, 3), (0, 2), (1, 3)),)
+SECOND: ExpertMap = (((0, 2), (1, 3), (0, 1), (2, 3)),)
+
+
+@asynccontextmanager
+async def running(world: RankWorld) -> AsyncIterator[RankWorld]:
+    """Let a group run, and fail with the first pass of unequal maps."""
+    world.begin()
+    await asyncio.sleep(1.0)
+    try:
+        yield world
+        failed = [each.exception() for each in world.tasks if each.done()]
+        assert [each for each in failed if each is not None] == []
+    finally:
+        await world.end()
+
+
+async def change(world: RankWorld, experts: ExpertMap, version: int) -> Rollout:
+    """Roll a map out as a coordinator does."""
+    ranks = world.reached()
+    first = await ranks.status(0)
+    assert first is not None
+    return await map_rollout.roll_out(ranks, first, experts, MapVersion(version), COPY_S, PASS_S)
+
+
+@pytest.mark.looptime
+class TestRollOut:
+    async def test_in_force_without_a_pause(self) -> None:
+        """Guards against a switch that holds the group up although all orders are answered."""
+        async with running(RankWorld()) as world:
+            assert await change(world, FIRST, 5) is Rollout.IN_FORCE
+            await asyncio.sleep(1.0)
+            assert {each.version for each in world.ranks} == {5}
+            assert world.held_s == 0.0
+            assert await change(world, SECOND, 9) is Rollout.IN_FORCE
+            await asyncio.sleep(1.0)
+            assert {each.version for each in world.ranks} == {9}
+
+    @pytest.mark.parametrize("seed", range(20))
+    async def test_orders_late_and_answers_lost(self, seed: int) -> None:
+        """Guards against a rank that switches alone because of a late order."""
+        world = RankWorld(late_ratio=0.35, lost_answer_ratio=0.1, seed=seed)
+        async with running(world):
+            outcomes = []
+            for turn in range(4):
+                experts = FIRST if turn % 2 else SECOND
+                outcomes.append(await change(world, experts, 10 * (turn + 1)))
+                await asyncio.sleep(2.0)
+                await release_if_held(world)
+            assert Rollout.IN_FORCE in outcomes
+            await asyncio.sleep(14.0)
+            await release_if_held(world)
+            before = world.step
+            await asyncio.sleep(1.0)
+            assert world.step > before, "the group is held for good"
+
+    async def test_idle_group(self) -> None:
+        """Guards against a switch that waits for passes which an idle group never makes."""
+        async with running(RankWorld(busy=False)) as world:
+            assert await change(world, FIRST, 5) is Rollout.IN_FORCE
+            assert world.held is None
+
+    async def test_group_that_breaks(self) -> None:
+        """Guards against orders of an earlier epoch that reach the next one."""
+        async with running(RankWorld()) as world:
+            rollout = asyncio.create_task(change(world, FIRST, 5))
+            await asyncio.sleep(0.05)
+            world.break_group()
+            assert await rollout is not Rollout.IN_FORCE
+            await asyncio.sleep(1.0)
+            assert {each.version for each in world.ranks} == {0}
+
+    async def test_refused_preparation(self) -> None:
+        """Guards against a hold while a rank does not have the map."""
+        async with running(RankWorld()) as world:
+            world.ranks[2].highest = 100
+            assert await change(world, FIRST, 5) is Rollout.NOT_PREPARED
+            assert world.held is None
+
+    async def test_another_switch_under_way(self) -> None:
+        """Guards against two coordinators that change the map at the same time."""
+        async with running(RankWorld()) as world:
+            world.held = world.step + 1000
+            await asyncio.sleep(0.5)
+            assert await change(world, FIRST, 5) is Rollout.UNFIT
+
+
+async def release_if_held(world: RankWorld) -> None:
+    """Do what a coordinator does that finds the group held."""
+    for _ in range(3):
+        known = await map_rollout.statuses(world.reached())
+        if known is None or known[0].held is None:
+            return
+        await map_rollout.release(world.reached(), known, map_rollout.LATEST_ORDER_S + 1.0)
+        await asyncio.sleep(0.5)
+
+
+@pytest.mark.looptime
+class TestTakeover:
+    @pytest.mark.parametrize("seed", range(10))
+    @pytest.mark.parametrize("killed_after_s", [0.05, 0.12, 0.16, 0.17, 0.2, 0.4])
+    async def test_coordinator_that_ends_anywhere(self, seed: int, killed_after_s: float) -> None:
+        """Guards against a group that stays held, or switches in part, after a lost coordinator."""
+        world = RankWorld(late_ratio=0.25, seed=seed)
+        async with running(world):
+            first = asyncio.create_task(change(world, FIRST, 5))
+            await asyncio.sleep(killed_after_s)
+            first.cancel()
+            await asyncio.gather(first, return_exceptions=True)
+            for _ in range(20):
+                await release_if_held(world)
+                await asyncio.sleep(1.0)
+            before = world.step
+            await asyncio.sleep(1.0)
+            assert world.step > before, "the group is held for good"
+            assert await change(world, SECOND, 500) in (Rollout.IN_FORCE, Rollout.NOT_PREPARED)
+
+    async def test_two_coordinators(self) -> None:
+        """Guards against unequal maps when an old coordinator goes on beside a new one."""
+        for seed in range(30):
+            async with running(RankWorld(seed=seed)) as world:
+                random = Random(seed)
+
+                async def one(
+                    experts: ExpertMap,
+                    version: int,
+                    random: Random = random,
+                    world: RankWorld = world,
+                ) -> Rollout:
+                    await asyncio.sleep(random.uniform(0.0, 0.3))
+                    return await change(world, experts, version)
+
+                await asyncio.gather(one(FIRST, 5), one(SECOND, 6))
+                await asyncio.sleep(1.0)
+                await release_if_held(world)
+
+    async def test_copy_under_way_is_waited_for(self) -> None:
+        """Guards against a release that lets a group go while a rank may still be armed."""
+        async with running(RankWorld()) as world:
+            ranks = world.reached()
+            order = Prepare(version=MapVersion(5), experts=FIRST, epoch=1, expected=0)
+            for rank in range(3):
+                assert await ranks.order(rank, order) is Reply.TAKEN
+            step = PassNumber(world.step + 3)
+            await ranks.order(0, Hold(step=step, epoch=1, expected=0))
+            await asyncio.sleep(1.0)
+            known = await map_rollout.statuses(ranks)
+            assert known is not None
+            assert await map_rollout.release(ranks, known, 1.0) is None
+            assert world.held == step
+
+
+class TestStatuses:
+    async def test_silent_rank(self) -> None:
+        """Guards against a change of a group of which one rank can't be asked."""
+
+        async def silent(rank: int) -> None:
+            return None
+
+        async def refuse(rank: int, order: object) -> Reply:
+            return Reply.REFUSED
+
+        assert await map_rollout.statuses(Ranks(2, refuse, silent)) is None
+
+    def test_versions_of_two_coordinators(self) -> None:
+        """Guards against two maps under one version."""
+        versions = {map_rollout.next_version(MapVersion(7), Random(seed)) for seed in range(50)}
+        assert len(versions) == 50
+        assert min(versions) > 7
--- /dev/null
+++ b/tests/test_retry_share.py
@@ -0,0 +1,58 @@
+"""Tests of an entry's part of the retries."""
+
+from collections import deque
+from random import Random
+
+import pytest
+
+from lycheefall._rules.retry_share import RetryBounds, RetryShare, earn, fill, spend
+
+BOUNDS = RetryBounds(ratio=0.2, window_s=10.0, allowance=88.0)
+
+
+def largest_window(spent_s: list[float]) -> int:
+    """Return the most retries in any window."""
+    recent: deque[float] = deque()
+    most = 0
+    for at_s in sorted(spent_s):
+        recent.append(at_s)
+        while recent[0] < at_s - BOUNDS.window_s:
+            recent.popleft()
+        most = max(most, len(recent))
+    return most
+
+
+class TestRetryShare:
+    @pytest.mark.parametrize("entries", [1, 4, 16])
+    @pytest.mark.parametrize("requests_per_s", [0.0, 50.0])
+    def test_all_entries_together(self, entries: int, requests_per_s: float) -> None:
+        """Guards against a sum over all entries above what the system may send."""
+        random = Random(1)
+        shares = [RetryShare() for _ in range(entries)]
+        spent: list[float] = []
+        for step in range(4_000):
+            now_s = step * 0.01
+            for share in shares:
+                fill(share, BOUNDS, entries, now_s)
+                if random.random() < requests_per_s / entries * 0.01:
+                    earn(share, BOUNDS, entries)
+                if spend(share):
+                    spent.append(now_s)
+        requests = requests_per_s * BOUNDS.window_s
+        assert largest_window(spent) <= BOUNDS.ratio * requests + BOUNDS.allowance
+        assert spent
+
+    def test_restarts_save_nothing(self) -> None:
+        """Guards against a full allowance at each start of an entry that keeps crashing."""
+        spent: list[float] = []
+        for start in range(10):
+            share = RetryShare()
+            for step in range(100):
+                fill(share, BOUNDS, 4, start + step * 0.01)
+                if spend(share):
+                    spent.append(start + step * 0.01)
+        assert largest_window(spent) <= BOUNDS.allowance / 2
+
+    def test_empty(self) -> None:
+        """Guards against a retry that was not earned."""
+        assert not spend(RetryShare())
