--- a/src/lycheefall/_wire/http_front.py
+++ b/src/lycheefall/_wire/http_front.py
@@ -11,7 +11,7 @@
 from lycheefall._core.exceptions import PortInUse
 from lycheefall._core.ids import Address
 from lycheefall._core.log import log
-from lycheefall._wire.sockets import notice_dead_peer
+from lycheefall._wire.sockets import notice_dead_peer, reset
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -195,8 +195,8 @@
     except _Rejected as rejected:
         await _reject(caller, rejected.status)
     except (OSError, TimeoutError):
-        # The caller is gone or too slow to take its answer; a cut answer is not complete.
-        caller.writer.transport.abort()
+        # The caller is gone or too slow to take its answer.
+        _cut(caller)
     finally:
         front.callers.discard(caller)
         caller.writer.close()
@@ -227,22 +227,31 @@
         raise
     work, caller.work = caller.work, None
     if work.cancelled():
-        caller.writer.transport.abort()
+        _cut(caller)
         return
     error = work.exception()
     if isinstance(error, OSError | h11.LocalProtocolError):
-        caller.writer.transport.abort()
+        _cut(caller)
         return
     if error is not None:
         log(Event.HANDLER_FAILED, error=repr(error), target=request.target.decode("latin-1"))
-        caller.writer.transport.abort()
+        _cut(caller)
         return
     if caller.http.our_state not in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED):
         # The handler gave the answer up; the caller must not take it for complete.
-        caller.writer.transport.abort()
+        _cut(caller)
         caller.has_left = True
 
 
+def _cut(caller: Caller) -> None:
+    """End an answer that is not complete so that it does not look complete."""
+    transport = cast(asyncio.Transport, caller.writer.transport)
+    if has_begun(caller):
+        reset(transport)
+    else:
+        transport.abort()
+
+
 async def _read_request(caller: Caller, limits: FrontLimits) -> IncomingRequest | None:
     head = await _read_head(caller, limits)
     if head is None:
@@ -258,6 +267,9 @@
     while True:
         event = _next_event(caller)
         if isinstance(event, h11.Request):
+            # The parser bounds heads that are incomplete after a read only.
+            if _size_of(event) > limits.header_bytes:
+                raise _Rejected(431)
             return event
         if event is not h11.NEED_DATA:
             return None
@@ -302,6 +314,11 @@
             raise ConnectionResetError("the caller left within its request")
 
 
+def _size_of(head: h11.Request) -> int:
+    pairs = head.headers.raw_items()
+    return len(head.target) + sum(len(name) + len(value) + 4 for name, value in pairs)
+
+
 def _declared_length(head: h11.Request) -> int:
     for name, value in head.headers:
         if name == b"content-length":
--- a/src/lycheefall/_wire/sockets.py
+++ b/src/lycheefall/_wire/sockets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 
 # A peer that acknowledges nothing for this long is gone. Links delay packets by milliseconds
 # and a lost packet is sent again within a few hundred.
@@ -11,6 +12,7 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 
+_NO_LINGER = struct.pack("ii", 1, 0)
 _OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -28,3 +30,11 @@
         return
     for level, option, value in _OPTIONS:
         connection.setsockopt(level, option, value)
+
+
+def reset(transport: asyncio.Transport) -> None:
+    """End a connection with a reset, which no peer takes for the proper end of an answer."""
+    connection: socket.socket | None = transport.get_extra_info("socket")
+    if connection is not None:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    transport.abort()
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,348 @@
+"""Tests of the platform's adapter: what it reads, refuses and writes."""
+
+import copy
+import json
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+import announcement_body
+import configuration_body
+import group_calls
+import settings_file
+from lycheefall._core.enums import MemberState
+from lycheefall._core.exceptions import LycheefallError
+from lycheefall._core.expert_maps import Arm, Go, Hold, MapVersion, PassNumber, Prepare
+from lycheefall._core.ids import UpstreamId
+from lycheefall._core.relay import GroupHealth, RequestKind
+from relay_world import ADAPTER
+
+CONFIGURATION: dict[str, Any] = {
+    "Version": 7,
+    "Routes": [
+        {
+            "Name": "r1",
+            "Host": "h.example",
+            "PathPrefix": "/a/",
+            "Kind": "streaming",
+            "TimeoutMs": 8000,
+            "TargetLatencyMs": 402,
+            "Priority": 1,
+            "TrafficSplit": [{"Service": "s1", "Weight": 90}, {"Service": "s2", "Weight": 10}],
+            "Attempts": 2,
+            "Anonymous": False,
+            "Sticky": True,
+            "Resumable": True,
+            "ItlTargetMs": 120,
+        },
+        {"Name": "r2", "Host": "h.example", "PathPrefix": "/b/", "Service": "s2", "New": [1]},
+    ],
+    "Services": [
+        {
+            "Name": "s1",
+            "MaxConnections": 408,
+            "Engine": {
+                "Slots": 6,
+                "KvCapacityTokens": 186000,
+                "step_ms": 5.85,
+                "per_seq_ms": 0.71,
+                "context_per_k": 0.072,
+                "read_per_s": 61200.0,
+                "pairs_per_m": 0.325,
+                "chunk": 512,
+                "Stride": 5,
+                "usual": {"prompt": 835, "answer": 139},
+                "Sets": 6,
+                "Experts": 64,
+                "Placements": 11,
+                "Spare": 4,
+                "ExpertMb": 580.0,
+                "ExpertShare": 0.85,
+                "LinkMbps": 92000.0,
+            },
+        },
+        {"Name": "s2", "HealthPath": "/healthz"},
+    ],
+    "Limits": {"MaxHeaderBytes": 100, "MaxBodyBytes": 200, "IdleTimeoutMs": 1500},
+    "Tenants": [{"Name": "t1", "ApiKeys": ["k1", "k2"], "Priority": 2}],
+}
+
+
+def changed(**changes: Any) -> bytes:
+    """Return a configuration in which paths like `Routes.0.TimeoutMs` have other values."""
+    body = copy.deepcopy(CONFIGURATION)
+    for path, value in changes.items():
+        *steps, last = path.split("__")
+        place: Any = body
+        for step in steps:
+            place = place[int(step) if step.isdigit() else step]
+        place[int(last) if last.isdigit() else last] = value
+    return json.dumps(body).encode()
+
+
+class TestConfiguration:
+    def test_all_that_is_used(self) -> None:
+        """Guards against a field that is lost on the way in."""
+        read = configuration_body.decode(changed())
+        first, second = read.routes
+        assert (read.number, first.host, first.path_prefix) == (7, "h.example", "/a/")
+        assert first.kind is RequestKind.STREAMING
+        assert (first.timeout_s, first.target_s, first.rank) == (8.0, 0.402, 1)
+        assert [(part.pool, part.weight) for part in first.split] == [("s1", 90.0), ("s2", 10.0)]
+        assert (first.max_attempts, first.resumable, first.pause_target_s) == (2, True, 0.12)
+        assert second.kind is RequestKind.NON_IDEMPOTENT
+        engine = read.pools[0].engine
+        assert engine is not None and engine.layout is not None
+        assert (engine.slots, engine.steps_per_pass) == (6, 5)
+        assert engine.step_s == pytest.approx(0.00585)
+        assert (engine.layout.sets, engine.layout.experts, engine.layout.spare) == (6, 64, 4)
+        assert engine.layout.expert_bytes / engine.layout.link_bytes_per_s == pytest.approx(
+            0.0504, rel=0.01
+        )
+        assert read.limits.header_bytes == 100
+        assert (read.limits.idle_timeout_s, read.limits.header_timeout_s) == (1.5, 3.0)
+        assert (read.teams[0].name, read.teams[0].keys, read.teams[0].rank) == (
+            "t1",
+            ("k1", "k2"),
+            2,
+        )
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            changed()[:-10],
+            b"",
+            b"\xff\xfe",
+            b"[]",
+            changed(Routes__0__TrafficSplit__1__Service="s3"),
+            changed(Routes__1__Service="s3"),
+            changed(Routes__1__PathPrefix="/a/"),
+            changed(Routes__0__TrafficSplit=[{"Service": "s1", "Weight": 0}]),
+            changed(Routes__0__TimeoutMs=0),
+            changed(
+                Tenants=[
+                    {"Name": "t1", "ApiKeys": ["k"]},
+                    {"Name": "t2", "ApiKeys": ["k"]},
+                ]
+            ),
+            changed(Version="seven"),
+        ],
+        ids=[
+            "cut short",
+            "empty",
+            "no text",
+            "no object",
+            "unknown service in a split",
+            "unknown service",
+            "two routes at one place",
+            "no weight",
+            "no timeout",
+            "shared key",
+            "no number",
+        ],
+    )
+    def test_invalid(self, body: bytes) -> None:
+        """Guards against an invalid configuration that is acknowledged."""
+        with pytest.raises(LycheefallError):
+            configuration_body.decode(body)
+
+    @given(st.integers(0, len(changed()) - 1))
+    def test_cut_anywhere(self, size: int) -> None:
+        """Guards against a part of a configuration taken for the whole."""
+        with pytest.raises(LycheefallError):
+            configuration_body.decode(changed()[:size])
+
+    def test_engine_that_cant_be_read(self) -> None:
+        """Guards against a valid configuration refused for figures that only help."""
+        read = configuration_body.decode(changed(Services__0__Engine={"Slots": "many"}))
+        assert read.pools[0].engine is None
+
+
+ANNOUNCEMENT: dict[str, Any] = {
+    "Service": "s1",
+    "Address": "10.128.0.9:8080",
+    "Zone": "dc1",
+    "Version": "v1",
+    "Slots": 6,
+    "State": "ready",
+    "ColdRemainingMs": 500,
+    "Stage": "both",
+    "Models": [{"Name": "m", "Version": 1, "Adapters": []}],
+    "Sequence": 4,
+    "born": 1787533929093,
+    "group": {"Name": "g0-0", "epoch": 1, "rank": 6, "State": "broken"},
+}
+
+
+class TestAnnouncement:
+    def test_all_that_is_used(self) -> None:
+        """Guards against a field that is lost on the way in."""
+        read = announcement_body.decode(UpstreamId("i-1"), json.dumps(ANNOUNCEMENT).encode())
+        assert (read.upstream, read.pool, read.address) == ("i-1", "s1", "10.128.0.9:8080")
+        assert (read.state, read.slots, read.sequence) == (MemberState.READY, 6, 4)
+        assert (read.born_ms, read.cold_s, read.data_centre) == (1787533929093, 0.5, "dc1")
+        assert read.group is not None
+        assert (read.group.group, read.group.rank) == ("g0-0", 6)
+        assert read.group.health is GroupHealth.BROKEN
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"State": "resting"},
+            {"Service": 4},
+            {"Address": "nowhere"},
+            {"Address": "10.0.0.1:99999"},
+            {"Sequence": "4"},
+            {"born": 1.5},
+        ],
+    )
+    def test_names_no_upstream(self, change: dict[str, Any]) -> None:
+        """Guards against work for an upstream whose announcement can't be read."""
+        body = json.dumps(ANNOUNCEMENT | change).encode()
+        with pytest.raises(LycheefallError):
+            announcement_body.decode(UpstreamId("i-1"), body)
+
+    @pytest.mark.parametrize("body", [b"", b"\x80", b"{}", b"null"])
+    def test_bytes_that_cant_be_read(self, body: bytes) -> None:
+        """Guards against a process that ends because of another's bytes."""
+        with pytest.raises(LycheefallError):
+            announcement_body.decode(UpstreamId("i-1"), body)
+        assert announcement_body.decode_departure(body) == 0
+
+    def test_group_that_cant_be_read(self) -> None:
+        """Guards against a lost upstream because of a part that only helps."""
+        body = json.dumps(ANNOUNCEMENT | {"group": {"rank": "x"}}).encode()
+        assert announcement_body.decode(UpstreamId("i-1"), body).group is None
+
+    def test_departure(self) -> None:
+        """Guards against a departure that ends another start."""
+        assert announcement_body.decode_departure(b'{"born": 12}') == 12
+
+
+REPORT = (
+    b'{"Stage":"both","group":{"Name":"g0-0","epoch":3,"rank":6,"State":"open"},"size":8,'
+    b'"Busy":false,"Sequence":2,"Waiting":1,"Running":5,"KvUsed":0,"KvTotal":186000,'
+    b'"born":1,"pace":1.5,"step":201,"Map":4,"Prepared":9,"Armed":null,"held":210}'
+)
+
+
+class TestGroupCalls:
+    def test_report(self) -> None:
+        """Guards against a held or armed rank that is taken for a free one."""
+        read = group_calls.RANK_CALLS.decode_status(REPORT)
+        assert (read.ranks, read.sequence, read.step, read.held) == (8, 2, 201, 210)
+        assert (read.map_version, read.prepared, read.armed) == (4, 9, 0)
+        assert (read.running, read.waiting, read.pace) == (5, 1, 1.5)
+        assert read.membership is not None
+        assert read.membership.epoch == 3
+
+    def test_counts_by_set(self) -> None:
+        """Guards against counts of one set taken for another's."""
+        body = b'{"step":1,"epoch":2,"Counts":[1,2,3,4,5,6]}'
+        read = group_calls.RANK_CALLS.decode_counts(body, 2)
+        assert read.counts == ((1, 2, 3), (4, 5, 6))
+        for sets in (0, 4):
+            with pytest.raises(LycheefallError):
+                group_calls.RANK_CALLS.decode_counts(body, sets)
+
+    def test_held_experts(self) -> None:
+        """Guards against a new coordinator that plans from a wrong map."""
+        body = b'{"epoch":1,"Map":{"Version":5,"Experts":[[6,14],[7]]},"Prepared":null}'
+        read = group_calls.RANK_CALLS.decode_held(body)
+        assert (read.version, read.experts) == (5, ((6, 14), (7,)))
+
+    def test_orders(self) -> None:
+        """Guards against an order without the epoch that makes it void in the next one."""
+        encode = group_calls.RANK_CALLS.encode_order
+        version, step = MapVersion(4), PassNumber(9)
+        orders = [
+            Prepare(version=version, experts=(((0, 2), (1, 0)),), epoch=1, expected=3),
+            Arm(version=version, step=step, epoch=1, expected=3),
+            Hold(step=step, epoch=1, expected=3),
+            Go(step=step, epoch=1),
+        ]
+        sent = [json.loads(encode(each)) for each in orders]
+        assert [each["Op"] for each in sent] == ["prepare", "arm", "Hold", "go"]
+        assert all(each["epoch"] == 1 for each in sent)
+        assert sent[0]["Map"] == [[[0, 2], [1, 0]]]
+        assert sent[1] == {"Op": "arm", "Version": 4, "step": 9, "epoch": 1, "Expected": 3}
+
+
+SETTINGS = """
+NodeName = "edge-1"
+Ip = "10.1.0.40"
+Zone = "dc1"
+InternalPortRange = [7340, 7355]
+Seeds = ["10.1.0.42:8229"]
+New = { unknown = true }
+[Listen]
+Front = "10.1.0.40:8227"
+"""
+
+
+class TestSettings:
+    def test_unknown_fields(self, tmp_path: Path) -> None:
+        """Guards against a process that ends because the platform added a field."""
+        path = tmp_path / "s.toml"
+        path.write_text(SETTINGS)
+        read = settings_file.read(path)
+        assert (read.listen.front, read.seeds) == ("10.1.0.40:8227", ["10.1.0.42:8229"])
+
+    @pytest.mark.parametrize(
+        "text",
+        [
+            "",
+            "not toml",
+            SETTINGS.replace('Zone = "dc1"', "Zone = 4"),
+            SETTINGS.replace("Ip", "Ig"),
+        ],
+    )
+    def test_one_clear_line(self, tmp_path: Path, text: str) -> None:
+        """Guards against a traceback, or a start with settings that are wrong."""
+        path = tmp_path / "s.toml"
+        path.write_text(text)
+        ended = subprocess.run(
+            [sys.executable, str(ADAPTER / "run_role.py"), "entry"],
+            env={"LYCHEEFALL_SETTINGS": str(path), "PYTHONPATH": str(ADAPTER.parent / "src")},
+            capture_output=True,
+            text=True,
+            timeout=30,
+            check=False,
+        )
+        assert ended.returncode == 2
+        assert ended.stderr.count("\n") == 1
+        assert str(path) in ended.stderr
+
+    def test_seeds_change(self, tmp_path: Path) -> None:
+        """Guards against old seeds after the settings changed, with or without a signal."""
+        path = tmp_path / "s.toml"
+        path.write_text(SETTINGS)
+        seeds = settings_file.seeds_of(path, lambda: False)
+        assert seeds() == ("10.1.0.42:8229",)
+        path.write_text(SETTINGS.replace("10.1.0.42", "10.9.0.1"))
+        assert seeds() == ("10.9.0.1:8229",)
+        path.write_text("broken")
+        assert seeds() == ("10.9.0.1:8229",)
+
+
+class TestFolder:
+    def test_names_stay_in_the_folder(self) -> None:
+        """Guards against the platform's names outside the adapter."""
+        names = ("Attempt-Id", "Server-Seal", "Expect-Instance", "/-/config", "HeartbeatUrl")
+        sources = (ADAPTER.parent / "src").rglob("*.py")
+        found = [each for each in sources if any(name in each.read_text() for name in names)]
+        assert found == []
+
+    def test_small(self) -> None:
+        """Guards against decisions in the adapter, which is a tenth of the code at most."""
+
+        def lines(folder: Path) -> int:
+            return sum(len(each.read_text().splitlines()) for each in folder.rglob("*.py"))
+
+        assert lines(ADAPTER) * 10 <= lines(ADAPTER.parent / "src")
+        assert not (ADAPTER / "__init__.py").exists()
