Let few entries compete for an engine, and keep the pace of streams

Maps were ordered from reports that were old, with a wrong time of a pass.

Change: an entry uses its own upstreams and those of the next two entries; batches shrink while pauses are too long; maps change by pressure and skew together; a report is read right before a change.

--- a/src/lycheefall/_relay/dispatch.py
+++ b/src/lycheefall/_relay/dispatch.py
@@ -22,6 +22,7 @@
     Other,
     Outcome,
     Output,
+    PauseSeen,
     Place,
     Refuse,
     Withdraw,
@@ -92,6 +93,8 @@
             return dispatching.ended(rules, message, now_s)
         case FirstByte():
             dispatching.first_byte(rules, message, now_s)
+        case PauseSeen():
+            dispatching.pause_seen(rules, message, now_s)
         case TeamDone(number):
             dispatching.team_done(rules, number)
         case InForce(configuration):
--- a/src/lycheefall/_relay/exchange.py
+++ b/src/lycheefall/_relay/exchange.py
@@ -26,6 +26,7 @@
     Ended,
     FirstByte,
     Outcome,
+    PauseSeen,
     Place,
     RefusalReason,
     Refuse,
@@ -66,6 +67,8 @@
 # A stream that pauses this long is taken over by another upstream where one has a place. Callers
 # give up after 2 s, and a new run needs some hundred milliseconds until its first event.
 STREAM_SILENCE_S = 0.8
+# A stream tells the dispatcher its longest pause this often.
+PAUSE_PERIOD_S = 0.4
 # A stream in the middle waits this long at most for a place elsewhere.
 RESUME_WAIT_S = 0.4
 # Time before the end of a request's time at which a refusal still reaches its caller.
@@ -136,6 +139,9 @@
     first_byte_s: float | None = None
     last_event_s: float = 0.0
     longest_pause_s: float = 0.0
+    # The same since the dispatcher was told.
+    recent_pause_s: float = 0.0
+    pause_told_s: float = 0.0
 
     @property
     def is_repeatable(self) -> bool:
@@ -405,12 +411,12 @@
             break
         events = event_stream.take(exchange.events, data)
         if events:
-            await _send_events(exchange, head, events)
+            await _send_events(relay, exchange, head, events)
     if exchange.events.rest:
         raise ExchangeLost(Loss.BROKEN, "the stream ended within an event")
     connections.give_back(relay.connections, record, connection, relay.now())
     ended(Outcome.ANSWERED, "")
-    await _send_events(exchange, head, b"")
+    await _send_events(relay, exchange, head, b"")
     await finish_answer(exchange.caller)
     exchange.status = head.status
     return Next.DONE
@@ -431,7 +437,7 @@
     return found
 
 
-async def _send_events(exchange: Exchange, head: AnswerHead, events: bytes) -> None:
+async def _send_events(relay: Relay, exchange: Exchange, head: AnswerHead, events: bytes) -> None:
     if not exchange.has_begun:
         exchange.has_begun = True
         exchange.status = head.status
@@ -440,7 +446,7 @@
             exchange.caller, head.status, head.reason, headers.to_caller_of_stream(head)
         )
     elif events:
-        _measure_pause(exchange)
+        _measure_pause(relay, exchange)
     await send_data(exchange.caller, events)
 
 
@@ -558,11 +564,19 @@
     LATENCY_S.labels(exchange.found.route.name).observe(delay_s)
 
 
-def _measure_pause(exchange: Exchange) -> None:
-    since_s = asyncio.get_running_loop().time() - exchange.request.received_s
+def _measure_pause(relay: Relay, exchange: Exchange) -> None:
+    """Note a pause, and tell the dispatcher of the longest one from time to time."""
+    since_s = relay.now() - exchange.request.received_s
     pause_s = since_s - exchange.last_event_s
-    exchange.longest_pause_s = max(exchange.longest_pause_s, pause_s)
     exchange.last_event_s = since_s
+    exchange.longest_pause_s = max(exchange.longest_pause_s, pause_s)
+    exchange.recent_pause_s = max(exchange.recent_pause_s, pause_s)
+    target_s = exchange.found.route.pause_target_s
+    if target_s and since_s - exchange.pause_told_s >= PAUSE_PERIOD_S:
+        told = PauseSeen(exchange.found.pool, exchange.recent_pause_s, target_s)
+        relay.dispatch.offer(told)
+        exchange.recent_pause_s = 0.0
+        exchange.pause_told_s = since_s
 
 
 def _log_placed(relay: Relay, exchange: Exchange, place: Place) -> None:
--- a/src/lycheefall/_relay/map_coordinator.py
+++ b/src/lycheefall/_relay/map_coordinator.py
@@ -24,8 +24,10 @@
 STATUS_PERIOD_S = 1.2
 # A new map has to make passes this much shorter: each change costs orders and copies.
 LEAST_GAIN = 1.12
-# Part of the places in use below which passes are short enough with any map.
-LEAST_PRESSURE = 0.62
+# Part of the places in use below which passes are short enough with any map, and the same
+# multiplied by how much longer passes take than with an even load.
+LEAST_PRESSURE = 0.4
+LEAST_URGENCY = 1.5
 # The switch is some passes ahead, and until then a rank takes no other map.
 PAUSE_AFTER_CHANGE_S = 0.6
 # A refused or lost change is not tried again at once.
@@ -59,7 +61,9 @@
     version: MapVersion = MapVersion(0)
     highest: MapVersion = MapVersion(0)
     status: RankStatus | None = None
-    asked_s: float = float("-inf")
+    status_s: float = float("-inf")
+    # No report is due before this time.
+    next_status_s: float = float("-inf")
     pass_s: float = _FIRST_PASS_S
     # The rank whose counts are read.
     counted: int = 0
@@ -142,16 +146,14 @@
 async def _check(group: Group, layout: ExpertLayout) -> None:
     """Ask the first rank how the group is, and learn its map where it is not known."""
     now_s = asyncio.get_running_loop().time()
-    is_due = now_s - group.asked_s >= STATUS_PERIOD_S or group.experts is None
+    is_due = now_s >= group.next_status_s or group.experts is None
     if group.is_changing or not is_due:
         return
     status = await status_of(group.members[0])
     if status is None or status.membership is None:
         return
-    if group.status is not None and status.step > group.status.step and status.running:
-        passes = status.step - group.status.step
-        group.pass_s = (now_s - group.asked_s) / passes
-    group.asked_s, group.status = now_s, status
+    _take_status(group, status, now_s)
+    group.next_status_s = now_s + STATUS_PERIOD_S
     if status.membership.health is GroupHealth.BROKEN or status.ranks != len(group.members):
         group.experts = None
         return
@@ -164,6 +166,14 @@
         await _release(group, now_s)
 
 
+def _take_status(group: Group, status: RankStatus, now_s: float) -> None:
+    """Keep a report, and learn how long a pass takes from the one before it."""
+    before = group.status
+    if before is not None and status.step > before.step and status.running:
+        group.pass_s = (now_s - group.status_s) / (status.step - before.step)
+    group.status, group.status_s = status, now_s
+
+
 async def _learn(group: Group, layout: ExpertLayout, status: RankStatus) -> None:
     """Ask the ranks for the map in force, after a new epoch or as a new coordinator."""
     group.epoch = -1 if status.membership is None else status.membership.epoch
@@ -205,7 +215,9 @@
     after = tuple(sets)
     ratio_before = expert_maps.pass_ratio(before, loads, pool.layout)
     ratio_after = expert_maps.pass_ratio(after, loads, pool.layout)
-    if ratio_before < LEAST_GAIN * ratio_after or not state.may_act():
+    is_urgent = state.pressure_of(pool.name) * ratio_before >= LEAST_URGENCY
+    is_worth_it = ratio_before >= LEAST_GAIN * ratio_after
+    if not (is_urgent and is_worth_it and state.may_act()):
         return
     group.is_changing = True
     task = asyncio.create_task(_roll_out(state, pool, group, after, (ratio_before, ratio_after)))
@@ -220,9 +232,12 @@
     after: ExpertMap,
     ratios: tuple[float, float],
 ) -> None:
-    before, status = group.experts, group.status
+    before = group.experts
+    status = await status_of(group.members[0])
     if before is None or status is None:
+        group.is_changing = False
         return
+    _take_status(group, status, asyncio.get_running_loop().time())
     version = map_rollout.next_version(group.highest, state.random)
     copied = expert_maps.copies(before, after)
     copy_s = copied * pool.layout.expert_bytes / pool.layout.link_bytes_per_s
@@ -238,7 +253,7 @@
         now_s = asyncio.get_running_loop().time()
         if result is Rollout.IN_FORCE:
             # A report from before the switch would name the map before.
-            group.asked_s = now_s
+            group.next_status_s = now_s + STATUS_PERIOD_S
             group.not_before_s = now_s + PAUSE_AFTER_CHANGE_S
         else:
             group.not_before_s = now_s + PAUSE_AFTER_FAILURE_S
--- a/src/lycheefall/_relay/messages.py
+++ b/src/lycheefall/_relay/messages.py
@@ -6,7 +6,7 @@
 
 from lycheefall._core.messages.relay import Crash, News
 from lycheefall._core.relay import RelayConfiguration
-from lycheefall._rules.dispatching import Ask, Ended, FirstByte, Place, Refuse, Withdraw
+from lycheefall._rules.dispatching import Ask, Ended, FirstByte, PauseSeen, Place, Refuse, Withdraw
 
 
 class Seek(Struct, frozen=True):
@@ -38,4 +38,6 @@
     """Let time pass."""
 
 
-ToDispatch = Seek | Withdraw | Ended | FirstByte | TeamDone | InForce | News | CrashSeen | Beat
+ToDispatch = (
+    Seek | Withdraw | Ended | FirstByte | PauseSeen | TeamDone | InForce | News | CrashSeen | Beat
+)
--- a/src/lycheefall/_rules/dispatching.py
+++ b/src/lycheefall/_rules/dispatching.py
@@ -14,7 +14,8 @@
 
 from lycheefall._core.ids import DataCentreId, GroupId, InstanceId, PoolId, TeamId, UpstreamId
 from lycheefall._core.relay import RelayConfiguration, RelayPool, RequestKind, UpstreamRecord
-from lycheefall._rules import fading, retry_share, seats
+from lycheefall._rules import batch_limit, fading, retry_share, seats
+from lycheefall._rules.batch_limit import BatchLimit
 from lycheefall._rules.fading import Fading
 from lycheefall._rules.preferred import EntryPlace, UpstreamPlace, preferred
 from lycheefall._rules.record_table import RecordTable, is_usable
@@ -34,7 +35,8 @@
 # Places of an engine that are left to the entry that uses it first. What other entries have in
 # flight is known some hundred milliseconds late: without this, all of them take the place that
 # became free, and the requests wait for each other at the engine.
-_FOREIGN_MARGIN = 2
+_NEAR_MARGIN = 1
+_FAR_MARGIN = 2
 # Longest wait of a request that will be late, and longest part of its time. Callers that are
 # refused soon can come back; one that waits in vain for long is lost.
 MAX_LATE_WAIT_S = 1.0
@@ -137,6 +139,14 @@
     delay_s: float
 
 
+class PauseSeen(Struct, frozen=True):
+    """The longest pause between events of a stream lately, against the one that is in time."""
+
+    pool: PoolId
+    pause_s: float
+    target_s: float
+
+
 class Withdraw(Struct, frozen=True):
     """The caller of a waiting request left."""
 
@@ -166,6 +176,8 @@
     # Recent places of all ranks together.
     rate: Fading = field(default_factory=lambda: Fading(_RATE_S))
     in_service: dict[TeamId | None, int] = field(default_factory=dict)
+    # Part of an engine's slots that are used, so that its streams don't pause too long.
+    batch: BatchLimit = field(default_factory=BatchLimit)
     retries: RetryShare = field(default_factory=RetryShare)
 
 
@@ -262,6 +274,12 @@
         seats.note_delay(pool.seats, seat, message.delay_s, now_s)
 
 
+def pause_seen(state: Dispatching, message: PauseSeen, now_s: float) -> None:
+    """Learn whether the batches of a pool's engines are too large."""
+    is_late = message.pause_s > message.target_s
+    batch_limit.observe(_pool(state, message.pool).batch, is_late, now_s)
+
+
 def ended(state: Dispatching, message: Ended, now_s: float) -> list[Output]:
     """Free the place of an attempt, learn from its outcome and serve who waits."""
     pool = _pool(state, message.pool)
@@ -343,7 +361,11 @@
     pool = state.engines.get(seat.record.pool)
     if pool is not None and pool.engine is not None:
         slots = max(1, seat.record.slots or pool.engine.slots)
-        return slots if seat.is_preferred else max(1, slots - _FOREIGN_MARGIN)
+        slots = batch_limit.places(_pool(state, seat.record.pool).batch, slots)
+        if seat.distance == 0:
+            return slots
+        margin = _NEAR_MARGIN if seats.is_near(seat) else _FAR_MARGIN
+        return max(1, slots - margin)
     return max(1, seat.record.slots) * _SERVICE_DEPTH
 
 
@@ -402,7 +424,7 @@
 
 def _places_per_s(pool: PoolState, now_s: float) -> float:
     """Return how many places become free here: as measured, or as the slots let expect."""
-    slots = sum(seat.record.slots for seat in pool.seats.by_id.values() if seat.is_preferred)
+    slots = sum(seat.record.slots for seat in pool.seats.by_id.values() if seat.distance == 0)
     return max(1.0, slots / _USUAL_SERVICE_S, fading.value(pool.rate, 0, now_s) / _RATE_S)
 
 
@@ -448,6 +470,7 @@
 def _prefer(state: Dispatching) -> None:
     entries = [EntryPlace(name, other.data_centre) for name, other in state.others.items()]
     entries.append(EntryPlace(state.instance, state.data_centre))
+    order = sorted(each.entry for each in entries)
     for pool in state.pools.values():
         owners = preferred(
             entries,
@@ -457,7 +480,8 @@
             ],
         )
         for seat in pool.seats.by_id.values():
-            seat.is_preferred = owners.get(seat.record.upstream) == state.instance
+            owner = owners.get(seat.record.upstream, state.instance)
+            seat.distance = (order.index(owner) - order.index(state.instance)) % len(order)
 
 
 def _count_others(state: Dispatching) -> None:
--- a/src/lycheefall/_rules/seats.py
+++ b/src/lycheefall/_rules/seats.py
@@ -17,7 +17,14 @@
 # Cost of an upstream in another data centre: bytes between data centres are paid for.
 _FAR_COST = 0.04
 # Cost of an upstream that another entry uses first; that entry knows best how full it is.
-_FOREIGN_COST = 0.2
+_FOREIGN_COST = 0.1
+# Entries whose upstreams an entry uses beside its own. What others have in flight is known some
+# hundred milliseconds late; if all entries compared all upstreams, they would choose the same one
+# at the same time.
+NEIGHBOURS = 2
+# Upstreams that are compared where none of those works; see M. Mitzenmacher, "The Power of Two Choices
+# in Randomized Load Balancing", 2001.
+_FAR_CHOICES = 2
 # Cost of each request whose prompt is still being read: prompts of one upstream are read one
 # after the other, those of several upstreams at the same time.
 _READING_COST = 0.25
@@ -41,8 +48,8 @@
     unanswered: int = 0
     # Those of other entries, as they last told.
     others: int = 0
-    # This entry uses it before other entries do.
-    is_preferred: bool = False
+    # Entries between the one that uses it first and this one, in the order of their names.
+    distance: int = 0
     failure_ratio: float = 0.0
     outcome_s: float = 0.0
     suspensions: int = 0
@@ -137,21 +144,27 @@
     healthy = [
         seat for seat in candidates if seat.suspended_until_s <= now_s and not is_broken(seat)
     ]
-    best: Seat | None = None
-    best_cost = float("inf")
-    for seat in healthy or candidates:
-        if load_of(seat) >= places(seat):
-            continue
-        cost = _cost(seat, data_centre, now_s) + random.random() * 1e-3
-        if cost < best_cost:
-            best, best_cost = seat, cost
-    return best
+    usable = healthy or candidates
+    near = [seat for seat in usable if is_near(seat)]
+    compared = [seat for seat in near or usable if load_of(seat) < places(seat)]
+    if not near:
+        compared = random.sample(compared, min(_FAR_CHOICES, len(compared)))
+    return min(
+        compared,
+        key=lambda seat: _cost(seat, data_centre, now_s) + random.random() * 1e-3,
+        default=None,
+    )
+
+
+def is_near(seat: Seat) -> bool:
+    """Tell whether this entry or one next to it uses the upstream first."""
+    return seat.distance <= NEIGHBOURS
 
 
 def _cost(seat: Seat, data_centre: DataCentreId, now_s: float) -> float:
     load = (load_of(seat) + 1) / max(1, seat.record.slots) * slowness(seat, now_s)
     far = 0.0 if seat.record.data_centre == data_centre else _FAR_COST
-    foreign = 0.0 if seat.is_preferred else _FOREIGN_COST
+    foreign = _FOREIGN_COST * min(seat.distance, NEIGHBOURS)
     cold = min(1.0, seat.record.cold_s)
     reading = _READING_COST * seat.unanswered
     return load + far + foreign + reading + cold + _FAILURE_COST * failure_ratio(seat, now_s)
--- a/src/lycheefall/_wire/sockets.py
+++ b/src/lycheefall/_wire/sockets.py
@@ -35,6 +35,7 @@
 def reset(transport: asyncio.Transport) -> None:
     """End a connection with a reset, which no peer takes for the proper end of an answer."""
     connection: socket.socket | None = transport.get_extra_info("socket")
-    if connection is not None:
+    # A connection that the peer has ended has no descriptor any more.
+    if connection is not None and not transport.is_closing() and connection.fileno() >= 0:
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
     transport.abort()
