Complete a switch of maps that another coordinator left held

Change: the right to place experts ends by the clock that counts suspensions, and is checked before a hold; whoever coordinates completes a held switch at once, after preparing the map in force anew where the ranks differ.

--- a/src/lycheefall/_core/process.py
+++ b/src/lycheefall/_core/process.py
@@ -3,6 +3,7 @@
 import asyncio
 import secrets
 import signal
+import time
 from collections.abc import Coroutine
 from typing import Any
 
@@ -14,6 +15,14 @@
     return Incarnation(secrets.token_hex(8))
 
 
+def boot_time_s() -> float:
+    """Return a clock that counts the time for which this machine was suspended.
+
+    The loop's clock does not. A right that ends with time is checked with this one.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def stop_on_signals() -> asyncio.Event:
     """Return an event that SIGTERM or SIGINT sets."""
     stop = asyncio.Event()
--- a/src/lycheefall/_relay/control_link.py
+++ b/src/lycheefall/_relay/control_link.py
@@ -12,6 +12,7 @@
 from lycheefall._core.log import log
 from lycheefall._core.messages.relay import EntryStatus, FetchFile, FileBody, News, ToRelay
 from lycheefall._core.pipeline import Inbox
+from lycheefall._core.process import boot_time_s
 from lycheefall._core.relay import RelayConfiguration
 from lycheefall._relay.dispatch import Known
 from lycheefall._relay.messages import InForce, ToDispatch
@@ -63,8 +64,9 @@
     newest: Revision = Revision(0)
     fetched_s: float = float("-inf")
     reached: set[InstanceId] = field(default_factory=set)
-    # Until when this entry places experts.
+    # Until when this entry places experts, by the clock that counts suspensions.
     coordinates_until_s: float = float("-inf")
+    boot_now: Callable[[], float] = boot_time_s
 
 
 async def run_control_link(state: ControlLink) -> None:
@@ -166,7 +168,7 @@
     link.news = news.news
     if news.coordinator is not None:
         is_named = news.coordinator == state.entry
-        state.coordinates_until_s = state.now() + COORDINATOR_S if is_named else float("-inf")
+        state.coordinates_until_s = state.boot_now() + COORDINATOR_S if is_named else float("-inf")
     if news.replicas:
         state.voters[replica] = news.replicas
     state.newest = max(state.newest, news.number)
@@ -199,3 +201,9 @@
     log(Event.CONFIGURATION_IN_FORCE, revision=message.number, replica=replica)
     send_status(state)
     _fetch(state, state.links[replica])
+
+
+def may_coordinate(state: ControlLink) -> bool:
+    """Tell whether this entry places experts now."""
+    is_named = state.boot_now() < state.coordinates_until_s
+    return is_named and state.state is MemberState.READY
--- a/src/lycheefall/_relay/map_coordinator.py
+++ b/src/lycheefall/_relay/map_coordinator.py
@@ -128,7 +128,7 @@
     groups = [each for each in pool.groups.values() if each.members]
     if not groups:
         return
-    await asyncio.gather(*(_check(each, pool.layout) for each in groups))
+    await asyncio.gather(*(_check(state, each, pool.layout) for each in groups))
     pool.turn += 1
     if state.pressure_of(pool.name) < LEAST_PRESSURE:
         return
@@ -143,7 +143,7 @@
     return group.experts is not None and not group.is_changing and now_s >= group.not_before_s
 
 
-async def _check(group: Group, layout: ExpertLayout) -> None:
+async def _check(state: Coordinator, group: Group, layout: ExpertLayout) -> None:
     """Ask the first rank how the group is, and learn its map where it is not known."""
     now_s = asyncio.get_running_loop().time()
     is_due = now_s >= group.next_status_s or group.experts is None
@@ -163,7 +163,7 @@
     if status.held is None:
         group.held_since_s = None
     else:
-        await _release(group, now_s)
+        await _release(state, group, now_s)
 
 
 def _take_status(group: Group, status: RankStatus, now_s: float) -> None:
@@ -244,7 +244,9 @@
     result = Rollout.GROUP_LOST
     try:
         ranks = ranks_of(group.members)
-        result = await map_rollout.roll_out(ranks, status, after, version, copy_s, group.pass_s)
+        result = await map_rollout.roll_out(
+            ranks, status, after, version, copy_s, group.pass_s, state.may_act
+        )
     finally:
         group.highest = version
         group.is_changing = False
@@ -270,20 +272,27 @@
         )
 
 
-async def _release(group: Group, now_s: float) -> None:
+async def _release(state: Coordinator, group: Group, now_s: float) -> None:
     """Let a group go on that was left held."""
+    # Until it goes on, each look counts.
+    group.next_status_s = now_s
     if group.held_since_s is None:
         group.held_since_s = now_s
+    held_for_s = now_s - group.held_since_s
     ranks = ranks_of(group.members)
     known = await map_rollout.statuses(ranks)
-    if known is None:
+    if known is None or group.experts is None or not state.may_act():
         return
-    result = await map_rollout.release(ranks, known, now_s - group.held_since_s)
-    group.experts = None
+    highest = max(max(each.map_version, each.prepared, each.armed) for each in known)
+    version = map_rollout.next_version(max(group.highest, highest), state.random)
+    result = await map_rollout.release(ranks, known, group.experts, version, held_for_s)
+    if result is not None:
+        group.experts = None
+        group.highest = version
     log(
         Event.EXPERTS_PLACED,
         group=group.name,
         epoch=group.epoch,
         outcome="waiting" if result is None else result.value,
-        held_s=round(now_s - group.held_since_s, 3),
+        held_s=round(held_for_s, 3),
     )
--- a/src/lycheefall/_relay/service.py
+++ b/src/lycheefall/_relay/service.py
@@ -18,7 +18,12 @@
 from lycheefall._operate.exposition import run_exposition
 from lycheefall._relay import connections
 from lycheefall._relay.connections import Connections
-from lycheefall._relay.control_link import ControlLink, run_control_link, send_status
+from lycheefall._relay.control_link import (
+    ControlLink,
+    may_coordinate,
+    run_control_link,
+    send_status,
+)
 from lycheefall._relay.dispatch import BEAT_PERIOD_S, Dispatcher, known, run_dispatch
 from lycheefall._relay.exchange import Relay, relaying
 from lycheefall._relay.map_coordinator import Coordinator, run_coordinator
@@ -108,9 +113,7 @@
                     records=lambda: _live_records(dispatcher),
                     layout_of=partial(_layout_of, current),
                     pressure_of=lambda pool: dispatching.pressure(dispatcher.rules, pool),
-                    may_act=lambda: (
-                        link.state is MemberState.READY and now() < link.coordinates_until_s
-                    ),
+                    may_act=partial(may_coordinate, link),
                     connections=held,
                     random=random,
                 )
--- a/src/lycheefall/_rules/batch_limit.py
+++ b/src/lycheefall/_rules/batch_limit.py
@@ -15,6 +15,9 @@
 # Above this part of late pauses the batch becomes smaller, below the other it grows.
 _TOO_MANY_LATE = 0.15
 _FEW_LATE = 0.04
+# Pauses this far above the target have another cause, such as a slow rank: a smaller batch
+# would only serve fewer callers.
+HOPELESS_RATIO = 1.4
 _DECREASE = 0.9
 _INCREASE = 0.02
 # A change shows in the pauses after about two passes.
@@ -31,8 +34,9 @@
     changed_s: float = float("-inf")
 
 
-def observe(limit: BatchLimit, is_late: bool, now_s: float) -> None:
-    """Take the pace of one stream, and change the limit when it is time."""
+def observe(limit: BatchLimit, pause_ratio: float, now_s: float) -> None:
+    """Take a stream's pause against its target, and change the limit when it is time."""
+    is_late = 1.0 < pause_ratio < HOPELESS_RATIO
     limit.late += _WEIGHT * (float(is_late) - limit.late)
     if now_s - limit.changed_s < CHANGE_PERIOD_S:
         return
--- a/src/lycheefall/_rules/dispatching.py
+++ b/src/lycheefall/_rules/dispatching.py
@@ -276,8 +276,8 @@
 
 def pause_seen(state: Dispatching, message: PauseSeen, now_s: float) -> None:
     """Learn whether the batches of a pool's engines are too large."""
-    is_late = message.pause_s > message.target_s
-    batch_limit.observe(_pool(state, message.pool).batch, is_late, now_s)
+    ratio = message.pause_s / message.target_s
+    batch_limit.observe(_pool(state, message.pool).batch, ratio, now_s)
 
 
 def ended(state: Dispatching, message: Ended, now_s: float) -> list[Output]:
--- a/src/lycheefall/_rules/map_rollout.py
+++ b/src/lycheefall/_rules/map_rollout.py
@@ -49,6 +49,9 @@
 HOLD_ATTEMPTS = 4
 # An order that was not answered is carried out within this time, or never.
 LATEST_ORDER_S = 13.0
+# A coordinator that works gets from the hold to the last rank in a fraction of this time.
+PREPARED_LEFT_S = 0.6
+ARMED_LEFT_S = 1.5
 # Versions of two coordinators must differ, or a rank could prepare the other's map.
 _VERSION_SPREAD = 1 << 20
 
@@ -104,8 +107,12 @@
     version: MapVersion,
     copy_s: float,
     pass_s: float,
+    may_go_on: Callable[[], bool],
 ) -> Rollout:
-    """Prepare a map on all ranks, then switch to it; `first` is what the first rank reported."""
+    """Prepare a map on all ranks, then switch to it; `first` is what the first rank reported.
+
+    A process that was suspended meanwhile must not go on: another one may have taken over.
+    """
     if first.held is not None or first.armed:
         return Rollout.UNFIT
     epoch = _epoch(first)
@@ -116,6 +123,8 @@
     if not all(prepared):
         return Rollout.NOT_PREPARED
     await asyncio.sleep(copy_s + COPY_MARGIN_S)
+    if not may_go_on():
+        return Rollout.NOT_HELD
     held = await _hold(ranks, epoch, pass_s)
     if held is None:
         return Rollout.NOT_HELD
@@ -137,30 +146,41 @@
     return await _go(ranks, epoch, step)
 
 
-async def release(ranks: Ranks, known: Sequence[RankStatus], held_for_s: float) -> Rollout | None:
-    """Complete what a lost coordinator left held; return None where nothing may be done yet."""
+async def release(
+    ranks: Ranks,
+    known: Sequence[RankStatus],
+    in_force: ExpertMap,
+    version: MapVersion,
+    held_for_s: float,
+) -> Rollout | None:
+    """Complete a switch that was left held; return None where it is too early for that.
+
+    Where the ranks don't have one map prepared, the map in force is prepared anew on all of
+    them. After that no order of an earlier coordinator can arm a rank.
+    """
     step = known[0].held
     if step is None:
         return None
     epoch = _epoch(known[0])
+    expected = [each.sequence for each in known]
     versions = {each.armed or each.prepared for each in known}
     if len(versions) == 1 and 0 not in versions:
-        expected = [each.sequence for each in known]
         return await complete(ranks, epoch, versions.pop(), step, expected)
-    if held_for_s < LATEST_ORDER_S:
-        # A rank may still be copying, or an order for it may still be on its way.
+    armed = [rank for rank, each in enumerate(known) if each.armed]
+    if held_for_s < (ARMED_LEFT_S if armed else PREPARED_LEFT_S):
         return None
-    if not any(each.armed for each in known):
-        # A hold that was carried out late, after its coordinator gave up before arming.
-        return await _go(ranks, epoch, step)
-    await asyncio.gather(
-        *(
-            ranks.order(rank, Disarm(version=each.armed, epoch=epoch, expected=each.sequence))
-            for rank, each in enumerate(known)
-            if each.armed
-        )
+    for rank in armed:
+        order = Disarm(version=known[rank].armed, epoch=epoch, expected=expected[rank])
+        if await ranks.order(rank, order) is not Reply.TAKEN:
+            return None
+    prepare = Prepare(version=version, experts=in_force, epoch=epoch, expected=expected[0])
+    prepared = await asyncio.gather(
+        *(_prepare(ranks, rank, prepare) for rank in range(ranks.count))
     )
-    return None
+    if not all(prepared):
+        return None
+    await asyncio.sleep(COPY_MARGIN_S)
+    return await complete(ranks, epoch, version, step, expected)
 
 
 def _epoch(status: RankStatus) -> int:
@@ -226,6 +246,9 @@
             return False
         if order.version in (status.armed, status.map_version):
             return True
+        if status.prepared not in (0, order.version):
+            # Another coordinator took over and prepared a later map.
+            return False
         order = structs.replace(order, expected=status.sequence)
     return False
 
--- a/src/lycheefall/_rules/seats.py
+++ b/src/lycheefall/_rules/seats.py
@@ -22,8 +22,8 @@
 # hundred milliseconds late; if all entries compared all upstreams, they would choose the same one
 # at the same time.
 NEIGHBOURS = 2
-# Upstreams that are compared where none of those works; see M. Mitzenmacher, "The Power of Two Choices
-# in Randomized Load Balancing", 2001.
+# Upstreams that are compared where none of those works; see M. Mitzenmacher, "The Power of Two
+# Choices in Randomized Load Balancing", 2001.
 _FAR_CHOICES = 2
 # Cost of each request whose prompt is still being read: prompts of one upstream are read one
 # after the other, those of several upstreams at the same time.
--- a/tests/test_map_rollout.py
+++ b/tests/test_map_rollout.py
@@ -1,13 +1,22 @@
 """Tests of putting an expert map in force on all ranks at one pass, or on none."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from random import Random
 
 import pytest
 
-from lycheefall._core.expert_maps import ExpertMap, Hold, MapVersion, PassNumber, Prepare
+from lycheefall._core.expert_maps import (
+    Arm,
+    ExpertMap,
+    Hold,
+    MapVersion,
+    PassNumber,
+    Prepare,
+    RankOrder,
+    RankStatus,
+)
 from lycheefall._rules import map_rollout
 from lycheefall._rules.map_rollout import Ranks, Reply, Rollout
 from rank_world import COPY_S, PASS_S, RankWorld
@@ -29,12 +38,19 @@
         await world.end()
 
 
-async def change(world: RankWorld, experts: ExpertMap, version: int) -> Rollout:
+async def change(
+    world: RankWorld,
+    experts: ExpertMap,
+    version: int,
+    may_go_on: Callable[[], bool] = lambda: True,
+) -> Rollout:
     """Roll a map out as a coordinator does."""
     ranks = world.reached()
     first = await ranks.status(0)
     assert first is not None
-    return await map_rollout.roll_out(ranks, first, experts, MapVersion(version), COPY_S, PASS_S)
+    return await map_rollout.roll_out(
+        ranks, first, experts, MapVersion(version), COPY_S, PASS_S, may_go_on
+    )
 
 
 @pytest.mark.looptime
@@ -99,14 +115,20 @@
             assert await change(world, FIRST, 5) is Rollout.UNFIT
 
 
-async def release_if_held(world: RankWorld) -> None:
+async def release_if_held(world: RankWorld, held_for_s: float = 2.0) -> Rollout | None:
     """Do what a coordinator does that finds the group held."""
     for _ in range(3):
         known = await map_rollout.statuses(world.reached())
         if known is None or known[0].held is None:
-            return
-        await map_rollout.release(world.reached(), known, map_rollout.LATEST_ORDER_S + 1.0)
+            return None
+        highest = max(each.highest for each in world.ranks)
+        version = map_rollout.next_version(MapVersion(highest), world.random)
+        in_force = world.ranks[0].experts
+        result = await map_rollout.release(world.reached(), known, in_force, version, held_for_s)
+        if result is not None:
+            return result
         await asyncio.sleep(0.5)
+    return None
 
 
 @pytest.mark.looptime
@@ -148,8 +170,8 @@
                 await asyncio.sleep(1.0)
                 await release_if_held(world)
 
-    async def test_copy_under_way_is_waited_for(self) -> None:
-        """Guards against a release that lets a group go while a rank may still be armed."""
+    async def test_prepared_in_part(self) -> None:
+        """Guards against a group that stays held because its ranks have different maps prepared."""
         async with running(RankWorld()) as world:
             ranks = world.reached()
             order = Prepare(version=MapVersion(5), experts=FIRST, epoch=1, expected=0)
@@ -158,10 +180,78 @@
             step = PassNumber(world.step + 3)
             await ranks.order(0, Hold(step=step, epoch=1, expected=0))
             await asyncio.sleep(1.0)
-            known = await map_rollout.statuses(ranks)
-            assert known is not None
-            assert await map_rollout.release(ranks, known, 1.0) is None
+            assert await release_if_held(world, held_for_s=0.1) is None
             assert world.held == step
+            assert await release_if_held(world) is Rollout.IN_FORCE
+            # The order of the lost coordinator to arm a rank for that pass is void now.
+            late = Arm(version=MapVersion(5), step=step, epoch=1, expected=0)
+            assert await ranks.order(1, late) is Reply.REFUSED
+            await asyncio.sleep(1.0)
+
+    async def test_armed_in_part(self) -> None:
+        """Guards against ranks that stay armed for a map which others can't use any more."""
+        async with running(RankWorld()) as world:
+            ranks = world.reached()
+            order = Prepare(version=MapVersion(5), experts=FIRST, epoch=1, expected=0)
+            for rank in range(4):
+                await ranks.order(rank, order)
+            await asyncio.sleep(COPY_S)
+            step = PassNumber(world.step + 5)
+            await ranks.order(0, Hold(step=step, epoch=1, expected=0))
+            arm = Arm(version=MapVersion(5), step=step, epoch=1, expected=0)
+            await ranks.order(0, arm)
+            later = Prepare(version=MapVersion(9), experts=SECOND, epoch=1, expected=0)
+            assert await ranks.order(1, later) is Reply.TAKEN
+            await asyncio.sleep(1.0)
+            assert await release_if_held(world) is Rollout.IN_FORCE
+            await asyncio.sleep(1.0)
+            assert world.held is None
+
+    @pytest.mark.parametrize("seed", range(20))
+    async def test_suspended_coordinator(self, seed: int) -> None:
+        """Guards against a coordinator that wakes up and holds a group which another one leads."""
+        world = RankWorld(seed=seed)
+        async with running(world):
+            random = Random(seed)
+            gate = asyncio.Event()
+            gate.set()
+            reached = world.reached()
+
+            async def paused(rank: int, order: RankOrder) -> Reply:
+                await gate.wait()
+                return await reached.order(rank, order)
+
+            async def asked(rank: int) -> RankStatus | None:
+                await gate.wait()
+                return await reached.status(rank)
+
+            first = await reached.status(0)
+            assert first is not None
+            suspended = asyncio.create_task(
+                map_rollout.roll_out(
+                    Ranks(world.count, paused, asked),
+                    first,
+                    FIRST,
+                    MapVersion(5),
+                    COPY_S,
+                    PASS_S,
+                    lambda: gate.is_set() and world.step < 60,
+                )
+            )
+            await asyncio.sleep(random.uniform(0.0, 0.4))
+            gate.clear()
+            await asyncio.sleep(1.0)
+            await release_if_held(world)
+            await change(world, SECOND, 500)
+            await asyncio.sleep(1.0)
+            gate.set()
+            await asyncio.sleep(2.0)
+            await release_if_held(world)
+            before = world.step
+            await asyncio.sleep(1.0)
+            assert world.step > before, "the group is held for good"
+            suspended.cancel()
+            await asyncio.gather(suspended, return_exceptions=True)
 
 
 class TestStatuses:
