Lead again soon after all replicas were killed

Change: reads are confirmed by a majority, so registries keep no such promise and campaign within 0.5 s of their start; metrics are loaded afterwards.

--- a/src/lycheefall/_registry/service.py
+++ b/src/lycheefall/_registry/service.py
@@ -26,7 +26,6 @@
 from lycheefall._core.messages.relay import PeerNews, ToRelay
 from lycheefall._core.pipeline import Inbox, tick
 from lycheefall._core.process import new_incarnation, run_until
-from lycheefall._operate.exposition import run_exposition
 from lycheefall._registry.calls import Registry, control_calls, directory_calls, handler
 from lycheefall._registry.messages import Beat, FromEntry, ToRegistrar
 from lycheefall._registry.questions import Questions, take_answer
@@ -46,6 +45,7 @@
 
 INBOX_MESSAGES = 10_000
 TICK_PERIOD_S = 0.05
+METRICS_AFTER_S = 2.0
 _SEED_BITS = 64
 _FILE_BYTES = 33_554_432
 _FRONT_LIMITS = FrontLimits(body_bytes=_FILE_BYTES)
@@ -139,7 +139,15 @@
 
 def _metrics(settings: RegistrySettings) -> tuple[Coroutine[None, None, None], ...]:
     listen = settings.metrics_listen
-    return () if listen is None else (run_exposition(listen),)
+    return () if listen is None else (_run_metrics(listen),)
+
+
+async def _run_metrics(listen: Address) -> None:
+    """Serve the metrics once the replica takes part: their library takes long to load."""
+    await asyncio.sleep(METRICS_AFTER_S)
+    from lycheefall._operate.exposition import run_exposition
+
+    await run_exposition(listen)
 
 
 def _consensus(settings: RegistrySettings, loaded: Loaded, now_s: float) -> Consensus:
--- a/src/lycheefall/_registry/settings.py
+++ b/src/lycheefall/_registry/settings.py
@@ -16,6 +16,10 @@
     election_min_s=0.7,
     election_max_s=1.3,
     lease_s=0.6,
+    # Reads are confirmed by a majority.
+    uses_lease=False,
+    # After all replicas were killed, nothing is served until one of them leads.
+    first_election_s=0.5,
     hello_s=0.2,
     presence_s=1.0,
     replace_s=6.0,
--- a/src/lycheefall/_rules/consensus/state.py
+++ b/src/lycheefall/_rules/consensus/state.py
@@ -26,6 +26,10 @@
     election_max_s: float = 0.6
     # Shorter than the time for which voters refuse others, for clocks that run unequally.
     lease_s: float = 0.27
+    # Whether anything is answered under a lease; a voter that starts then keeps quiet for a while.
+    uses_lease: bool = True
+    # Longest wait of a voter that starts before it campaigns; 0 for that of any other election.
+    first_election_s: float = 0.0
     hello_s: float = 0.25
     # A replica that said hello longer ago is not considered present.
     presence_s: float = 1.0
--- a/src/lycheefall/_rules/consensus/step.py
+++ b/src/lycheefall/_rules/consensus/step.py
@@ -58,8 +58,13 @@
     state.commit = LogIndex(0) if snapshot is None else snapshot.index
     state.role = resting_role(state)
     # A vote right after a restart could break the promise given to a leader before it.
-    state.heard_s = now_s if term else float("-inf")
+    keeps_promise = bool(term) and timing.uses_lease
+    state.heard_s = now_s if keeps_promise else float("-inf")
     postpone_election(state, now_s)
+    if timing.first_election_s:
+        # A leader that lives keeps the pre-vote from succeeding, so haste does no harm.
+        wait_s = state.random.uniform(0.3, 1.0) * timing.first_election_s
+        state.election_due_s = now_s + wait_s
     return state
 
 
--- a/tests/consensus_model.py
+++ b/tests/consensus_model.py
@@ -93,6 +93,8 @@
     commands: int = 0
     wiped_before_commit: int = 0
     grow_to: int = 0
+    # Replicas that start campaign soon, and keep no promise to an earlier leader.
+    is_hasty: bool = False
     # Replicas that stand still, and by how much the clock of each is behind.
     suspended: set[str] = field(default_factory=set)
     behind_s: dict[str, float] = field(default_factory=dict)
@@ -117,7 +119,12 @@
             tuple(InstanceId(each) for each in self.voters),
             self.starts,
             self.clock_s(name),
-            structs.replace(TIMING, grow_to_voters=self.grow_to),
+            structs.replace(
+                TIMING,
+                grow_to_voters=self.grow_to,
+                uses_lease=not self.is_hasty,
+                first_election_s=0.2 if self.is_hasty else 0.0,
+            ),
             disk.term,
             disk.vote,
             disk.snapshot,
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -251,6 +251,24 @@
         assert membership.size == 5
 
 
+class TestRestartOfAll:
+    def test_hasty_replicas_lead_soon(self) -> None:
+        """Guards against seconds without a leader after all replicas were killed."""
+        for seed in range(20):
+            world = World("abc", "abc", is_hasty=True, starts=10 * seed)
+            world.heal()
+            world.run(2 * SECOND_TICKS)
+            before = max(world.committed)
+            for name in "abc":
+                world.crash(name)
+                world.start(name)
+            ticks = 0
+            while max(world.committed) == before:
+                world.run(1)
+                ticks += 1
+            assert ticks <= 0.6 * SECOND_TICKS
+
+
 class TestReads:
     def test_confirmed_by_a_majority(self) -> None:
         """Guards against a read that is never answered."""
@@ -291,10 +309,11 @@
         shape=st.sampled_from([("abc", "abc"), ("abcd", "abc"), ("abcde", "abcde")]),
         ticks=st.integers(0, 80),
         grow_to=st.sampled_from([0, 9]),
+        is_hasty=st.booleans(),
     )
-    def open(self, shape: tuple[str, str], ticks: int, grow_to: int) -> None:
+    def open(self, shape: tuple[str, str], ticks: int, grow_to: int, is_hasty: bool) -> None:
         """Start all replicas."""
-        self.world = World(*shape, grow_to=grow_to)
+        self.world = World(*shape, grow_to=grow_to, is_hasty=is_hasty)
         self.world.heal()
         self.world.run(ticks)
 
