Count a crash of an upstream only once it is gone

Requests with the same path, caller and body share a fingerprint; three broken connections at three upstreams that went on living were taken for crashes, and an entry never forgot a refused fingerprint. So a popular lookup could be refused for good.

Change: a broken connection is a suspicion; it counts once the upstream can't be reached or has started again, and is dropped when the upstream answers. Refused fingerprints expire.

--- a/src/lycheefall/_relay/dispatch.py
+++ b/src/lycheefall/_relay/dispatch.py
@@ -7,7 +7,7 @@
 
 from lycheefall._core.enums import MemberState
 from lycheefall._core.events import Event
-from lycheefall._core.ids import Fingerprint, UpstreamId
+from lycheefall._core.ids import Fingerprint, InstanceId, UpstreamId
 from lycheefall._core.log import log
 from lycheefall._core.messages.relay import Crash, News
 from lycheefall._core.pipeline import Inbox
@@ -52,6 +52,8 @@
     crashes: CrashCounts = field(default_factory=CrashCounts)
     fresh_crashes: list[tuple[float, Crash]] = field(default_factory=list)
     refused: frozenset[Fingerprint] = frozenset()
+    # What each replica told last.
+    told_refused: dict[InstanceId, tuple[Fingerprint, ...]] = field(default_factory=dict)
     heard_s: float = float("-inf")
 
 
@@ -90,6 +92,7 @@
             dispatching.withdraw(rules, message)
         case Ended():
             _log_suspension(message)
+            _note_life(state, message, now_s)
             return dispatching.ended(rules, message, now_s)
         case FirstByte():
             dispatching.first_byte(rules, message, now_s)
@@ -102,10 +105,7 @@
         case News():
             return _on_news(state, message, now_s)
         case CrashSeen(crash):
-            count = crash_counts.record(state.crashes, crash, now_s)
-            state.fresh_crashes.append((now_s, crash))
-            log(Event.CRASH_SUSPECTED, fingerprint=crash.fingerprint, upstreams=count)
-            _use_refused(state, (), now_s)
+            crash_counts.suspect(state.crashes, crash, now_s)
         case Beat():
             _measure(state)
             return dispatching.tick(rules, now_s)
@@ -140,9 +140,12 @@
             replica=news.replica,
             news=news.news,
         )
+    for record in changed:
+        _confirm(state, record.upstream, record.born_ms, now_s)
     others = {each.entry: Other(each.data_centre, each.in_flight, now_s) for each in news.entries}
     dispatching.use_others(state.rules, others, now_s)
-    _use_refused(state, news.refused, now_s)
+    state.told_refused[news.replica] = news.refused
+    _use_refused(state, now_s)
     if not changed:
         return []
     record_table.forget_left(state.table, now_s)
@@ -154,12 +157,30 @@
     ]
 
 
-def _use_refused(state: Dispatcher, told: tuple[Fingerprint, ...], now_s: float) -> None:
-    refused = frozenset(crash_counts.refused(state.crashes, now_s)) | frozenset(told)
+def _note_life(state: Dispatcher, message: Ended, now_s: float) -> None:
+    """Learn from an attempt whether an upstream that broke a connection is gone."""
+    if message.outcome is Outcome.NOT_CONNECTED:
+        _confirm(state, message.upstream, None, now_s)
+    elif message.outcome in (Outcome.ANSWERED, Outcome.FAILED, Outcome.NOT_RUN):
+        crash_counts.clear(state.crashes, message.upstream)
+
+
+def _confirm(state: Dispatcher, upstream: UpstreamId, started_ms: int | None, now_s: float) -> None:
+    confirmed = crash_counts.confirm(state.crashes, upstream, started_ms, now_s)
+    for crash in confirmed:
+        state.fresh_crashes.append((now_s, crash))
+        log(Event.CRASH_SUSPECTED, fingerprint=crash.fingerprint, upstream=crash.upstream)
+    if confirmed:
+        _use_refused(state, now_s)
+
+
+def _use_refused(state: Dispatcher, now_s: float) -> None:
+    refused = frozenset(crash_counts.refused(state.crashes, now_s)).union(
+        *state.told_refused.values()
+    )
     for fingerprint in refused - state.refused:
         log(Event.FINGERPRINT_REFUSED, fingerprint=fingerprint)
-    # A replica that started again knows of no crash, so a fingerprint stays until this one forgets.
-    state.refused = refused | state.refused
+    state.refused = refused
 
 
 def _emit(state: Dispatcher, outputs: list[Output]) -> None:
--- a/src/lycheefall/_rules/crash_counts.py
+++ b/src/lycheefall/_rules/crash_counts.py
@@ -1,4 +1,8 @@
-"""Requests that crash upstreams: how many upstreams each was running at when they crashed."""
+"""Requests that crash upstreams: how many upstreams each was running at when they crashed.
+
+A connection that breaks is no crash yet: an upstream can lose an answer and go on. It counts
+once the upstream can't be reached or has started again, and not if it answers anything before.
+"""
 
 from msgspec import Struct, field
 
@@ -10,6 +14,8 @@
 REFUSED_AFTER = 3
 # A fingerprint is forgotten after this time without a crash.
 KEPT_S = 60.0
+# An upstream that crashed can't be reached, or announces a new start, within this time.
+SUSPECTED_S = 8.0
 
 
 class _Count(Struct):
@@ -18,9 +24,38 @@
 
 
 class CrashCounts(Struct, eq=False):
-    """Crashes by fingerprint."""
+    """Crashes by fingerprint, and broken connections that may become crashes."""
 
     counts: dict[Fingerprint, _Count] = field(default_factory=dict)
+    suspected: dict[Crash, float] = field(default_factory=dict)
+
+
+def suspect(counts: CrashCounts, crash: Crash, now_s: float) -> None:
+    """Note a connection that broke under a request."""
+    counts.suspected[crash] = now_s
+
+
+def clear(counts: CrashCounts, upstream: UpstreamId) -> None:
+    """Take back what an upstream is suspected of that still answers."""
+    for crash in [each for each in counts.suspected if each.upstream == upstream]:
+        del counts.suspected[crash]
+
+
+def confirm(
+    counts: CrashCounts, upstream: UpstreamId, started_ms: int | None, now_s: float
+) -> list[Crash]:
+    """Count the crashes of an upstream that is gone, or has started again at this time."""
+    confirmed = [
+        crash
+        for crash, seen_s in counts.suspected.items()
+        if crash.upstream == upstream
+        and (started_ms is None or started_ms > crash.born_ms)
+        and now_s - seen_s < SUSPECTED_S
+    ]
+    clear(counts, upstream)
+    for crash in confirmed:
+        record(counts, crash, now_s)
+    return confirmed
 
 
 def record(counts: CrashCounts, crash: Crash, now_s: float) -> int:
--- a/tests/relay_world.py
+++ b/tests/relay_world.py
@@ -146,6 +146,7 @@
         else:
             while size := int(await reader.readuntil(b"\r\n"), 16):
                 body += (await reader.readexactly(size + 2))[:-2]
+            await reader.readexactly(2)
     except (asyncio.IncompleteReadError, ConnectionError):
         return Answered(status, headers, body, False)
     return Answered(status, headers, body, True)
--- a/tests/test_crash_counts.py
+++ b/tests/test_crash_counts.py
@@ -2,7 +2,16 @@
 
 from lycheefall._core.ids import Fingerprint, UpstreamId
 from lycheefall._core.messages.relay import Crash
-from lycheefall._rules.crash_counts import KEPT_S, CrashCounts, record, refused
+from lycheefall._rules.crash_counts import (
+    KEPT_S,
+    SUSPECTED_S,
+    CrashCounts,
+    clear,
+    confirm,
+    record,
+    refused,
+    suspect,
+)
 
 SUSPECT = Fingerprint("f")
 
@@ -36,3 +45,36 @@
         for name in "abc":
             record(counts, crash(name), 0.0)
         assert refused(counts, KEPT_S + 1.0) == ()
+
+
+class TestSuspected:
+    def test_lost_answers_are_no_crashes(self) -> None:
+        """Guards against a harmless request refused because three upstreams lost its answers."""
+        counts = CrashCounts()
+        for name in "abcdef":
+            suspect(counts, crash(name), 0.0)
+            clear(counts, UpstreamId(name))
+            assert confirm(counts, UpstreamId(name), None, 1.0) == []
+        assert refused(counts, 1.0) == ()
+
+    def test_upstream_that_is_gone(self) -> None:
+        """Guards against crashes that are never counted."""
+        counts = CrashCounts()
+        for name in "abc":
+            suspect(counts, crash(name), 0.0)
+            assert confirm(counts, UpstreamId(name), None, 1.0) == [crash(name)]
+        assert refused(counts, 1.0) == (SUSPECT,)
+
+    def test_upstream_that_started_again(self) -> None:
+        """Guards against another announcement of the same start taken for a new one."""
+        counts = CrashCounts()
+        suspect(counts, crash("a", born_ms=5), 0.0)
+        assert confirm(counts, UpstreamId("a"), 5, 1.0) == []
+        suspect(counts, crash("a", born_ms=5), 1.0)
+        assert confirm(counts, UpstreamId("a"), 9, 2.0) == [crash("a", born_ms=5)]
+
+    def test_long_ago(self) -> None:
+        """Guards against an old loss that is counted for a later end of the upstream."""
+        counts = CrashCounts()
+        suspect(counts, crash("a"), 0.0)
+        assert confirm(counts, UpstreamId("a"), None, SUSPECTED_S + 1.0) == []
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,6 +1,7 @@
 """Tests of requests on their way through an entry, before upstreams that misbehave."""
 
 import asyncio
+from contextlib import AsyncExitStack
 
 import pytest
 
@@ -442,3 +443,49 @@
             for each in calls:
                 each.cancel()
             await asyncio.gather(*calls, return_exceptions=True)
+
+
+class TestCrashes:
+    async def test_lost_answers_of_a_popular_lookup(self) -> None:
+        """Guards against a lookup refused for good after three upstreams lost an answer."""
+        losses = 6
+
+        async def lossy(exchange: Exchange) -> None:
+            nonlocal losses
+            if losses:
+                losses -= 1
+                exchange.reset()
+            else:
+                await good(exchange)
+
+        async with (
+            upstream(lossy) as one,
+            upstream(lossy) as two,
+            upstream(lossy) as three,
+            entry(LOOKUP) as made,
+        ):
+            await made.learn(
+                *(record(f"u{n}", address=d.address) for n, d in enumerate((one, two, three)))
+            )
+            found = [await call(made.port, request(attempt=str(n))) for n in range(10)]
+            assert [each.status for each in found[-5:]] == [200] * 5
+
+    async def test_request_that_crashes_upstreams(self) -> None:
+        """Guards against a request that goes on to crash one upstream after the other."""
+        async with AsyncExitStack() as stack, entry(LOOKUP) as made:
+            doubles: list[UpstreamDouble] = []
+
+            async def crash(exchange: Exchange) -> None:
+                exchange.reset()
+                exchange.double.close()
+
+            for _ in range(6):
+                doubles.append(await stack.enter_async_context(upstream(crash)))
+            records = [record(f"u{n}", address=each.address) for n, each in enumerate(doubles)]
+            await made.learn(*records)
+            found = [await call(made.port, request(attempt=str(n))) for n in range(12)]
+            assert found[-1].status in (502, 503)
+            assert made.dispatcher.refused, "the request is not refused"
+            before = sum(len(each.seen) for each in doubles)
+            assert (await call(made.port, request(attempt="last"))).status == 503
+            assert sum(len(each.seen) for each in doubles) == before
--- a/tests/upstream_double.py
+++ b/tests/upstream_double.py
@@ -27,6 +27,7 @@
     seen: Seen
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
+    double: "UpstreamDouble"
 
     async def send(self, data: bytes) -> None:
         """Send bytes now."""
@@ -53,6 +54,12 @@
     connections: int = 0
     # Requests whose connection ended before they were answered.
     dropped: int = 0
+    server: asyncio.Server | None = None
+
+    def close(self) -> None:
+        """Listen no more."""
+        if self.server is not None:
+            self.server.close()
 
     @property
     def address(self) -> str:
@@ -73,13 +80,14 @@
         try:
             while (seen := await read_request(reader, number)) is not None:
                 made.seen.append(seen)
-                await made.answer(Exchange(seen, reader, writer))
+                await made.answer(Exchange(seen, reader, writer, made))
         except (ConnectionError, asyncio.IncompleteReadError):
             made.dropped += 1
         finally:
             writer.close()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    made.server = server
     made.port = server.sockets[0].getsockname()[1]
     try:
         yield made
