Keep the number of voters odd and replace a silent one after 1 s

Change: newcomers become voters by twos; one of an even number of voters is made a standby; a voter that is silent for 1 s gives its place to a standby.

The new test of the rule fails before the change.

--- a/src/lycheefall/_registry/settings.py
+++ b/src/lycheefall/_registry/settings.py
@@ -22,7 +22,9 @@
     first_election_s=0.5,
     hello_s=0.2,
     presence_s=1.0,
-    replace_s=6.0,
+    # A standby takes the place of a silent voter well before the platform may take another disk
+    # (4 s after the successor of a lost machine has started).
+    replace_s=1.0,
     grow_to_voters=9,
 )
 # A snapshot is taken after this many entries: a few minutes of frequent changes.
--- a/src/lycheefall/_rules/consensus/voters.py
+++ b/src/lycheefall/_rules/consensus/voters.py
@@ -20,7 +20,14 @@
 
 
 def _next_membership(state: Consensus, now: Membership, now_s: float) -> Membership | None:
-    for decide in (_remove_replaced, _demote_silent, _promote, _admit_learner, _drop_learner):
+    for decide in (
+        _remove_replaced,
+        _demote_silent,
+        _promote,
+        _trim_even,
+        _admit_learner,
+        _drop_learner,
+    ):
         changed = decide(state, now, now_s)
         if changed is not None:
             return changed
@@ -46,10 +53,28 @@
     """Make a voter a learner after a standby joined; a silent one if there is one."""
     if len(now.voters) <= now.size:
         return None
+    return _demote(state, now, now.size, now_s)
+
+
+def _trim_even(state: Consensus, now: Membership, now_s: float) -> Membership | None:
+    """Make one of an even number of voters a standby.
+
+    It makes majorities larger without bearing one loss more, and where its instance is gone for
+    good, the next lost disk would take the majority. Two voters are left as they are.
+    """
+    count = len(now.voters)
+    may_trim = bool(state.timing.grow_to_voters) and count % 2 == 0 and count > 2
+    if not may_trim or count != now.size:
+        return None
+    return _demote(state, now, now.size - 1, now_s)
+
+
+def _demote(state: Consensus, now: Membership, size: int, now_s: float) -> Membership:
+    """Make a voter a learner, which keeps its disk; a silent one if there is one."""
     candidates = [each for each in now.voters if each.id != state.me.id]
     silent = [each for each in candidates if _is_silent(state, each, now_s)]
     chosen = silent[0] if silent else candidates[-1]
-    return Membership(now.size, _without(now.voters, chosen), (*now.learners, chosen))
+    return Membership(size, _without(now.voters, chosen), (*now.learners, chosen))
 
 
 def _promote(state: Consensus, now: Membership, now_s: float) -> Membership | None:
@@ -61,7 +86,7 @@
     standbys = _standbys(state, now, now_s)
     silent = any(_is_silent(state, each, now_s) for each in now.voters)
     is_needed = len(now.voters) < now.size or (silent and len(now.voters) == now.size)
-    grows = not silent and now.size == len(now.voters) < state.timing.grow_to_voters
+    grows = not silent and _may_grow(state, now, len(standbys))
     if not (is_needed or grows) or not standbys:
         return None
     chosen = standbys[0]
@@ -69,6 +94,13 @@
     return Membership(size, (*now.voters, chosen), _without(now.learners, chosen))
 
 
+def _may_grow(state: Consensus, now: Membership, standbys: int) -> bool:
+    """Tell whether the standbys suffice for the next odd number of voters."""
+    if not now.size == len(now.voters) < state.timing.grow_to_voters:
+        return False
+    return standbys > (1 if now.size % 2 else 0)
+
+
 def _standbys(state: Consensus, now: Membership, now_s: float) -> tuple[Replica, ...]:
     """Return the caught-up learners of instances without a voter."""
     return tuple(
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -251,6 +251,60 @@
         assert membership.size == 5
 
 
+    def test_replaced_replica_then_a_lost_disk(self) -> None:
+        """Guards against a voter that never comes back and counts beside its successor.
+
+        Its successor joined before it was taken for lost, which left four voters with one of
+        them gone: the next lost disk took the majority for good.
+        """
+        world = World("abc", "abc", grow_to=9)
+        world.heal()
+        world.run(2 * SECOND_TICKS)
+        gone = world.leading()[0]
+        world.crash(gone)
+        world.run(SECOND_TICKS)
+        world.names = world.names.replace(gone, "d")
+        world.start("d")
+        world.run(4 * SECOND_TICKS)
+        lost = next(name for name in "abc" if name not in (gone, *world.leading()))
+        world.wipe(lost)
+        world.run(2 * SECOND_TICKS)
+        before = max(world.committed)
+        world.start(lost)
+        world.run(3 * SECOND_TICKS)
+        world.propose(world.leading()[0])
+        world.run(SECOND_TICKS)
+        assert max(world.committed) > before
+
+    def test_even_number_of_replicas(self) -> None:
+        """Guards against a voter more that makes majorities larger and bears no loss more."""
+        world = World("abcd", "abc", grow_to=9)
+        world.heal()
+        world.run(4 * SECOND_TICKS)
+        membership = world.committed_membership()
+        assert membership is not None
+        assert len(membership.voters) == 3
+        assert len(membership.learners) == 1
+
+    def test_newcomer_lost_during_the_growth(self) -> None:
+        """Guards against a group that stays even when the second of two newcomers is lost."""
+        world = World("abcde", "abc", grow_to=9)
+        world.heal()
+        for _ in range(4 * SECOND_TICKS):
+            world.run(1)
+            membership = world.committed_membership()
+            if membership is not None and len(membership.voters) == 4:
+                break
+        else:
+            raise AssertionError("the first newcomer was not promoted")
+        voters = {each.id.instance for each in membership.voters}
+        world.wipe(next(name for name in "de" if name not in voters))
+        world.run(4 * SECOND_TICKS)
+        membership = world.committed_membership()
+        assert membership is not None
+        assert len(membership.voters) in (3, 5)
+
+
 class TestRestartOfAll:
     def test_hasty_replicas_lead_soon(self) -> None:
         """Guards against seconds without a leader after all replicas were killed."""
