Keep places for requests that can be in time, and plan switches around lost orders

Cause: with maps that follow, most answers were late for three other reasons. Late work, of callers that came back or had waited too long, took a third of the places under overload, so fresh requests became late as well. Pauses exceeded their target in the few passes after each shift, which makes every stream of a group late, and the batch limit had grown back by then. Where orders to ranks get lost, each switch held its group for up to 0.3 s.

Change: late work is placed only while a fifth of an engine's places stays free; who waits is refused as soon as too many stand before it; among teams of the same rank the route's rank decides. The batch limit grows only after 10 s without pauses near the target. Orders that got no answer during the preparation push the held pass further ahead, and count as lost after 0.06 s. The counts are read again while passes stay long.

--- a/src/lycheefall/_core/relay.py
+++ b/src/lycheefall/_core/relay.py
@@ -21,6 +21,17 @@
 LOWEST_RANK = 9
 
 
+class Urgency(Struct, frozen=True, order=True):
+    """How urgent a request is; smaller is more urgent.
+
+    The rank of a team replaces that of the route. Among requests of the same rank, the route's
+    own rank decides.
+    """
+
+    rank: int
+    route_rank: int
+
+
 class RequestKind(Enum):
     """What may be repeated of a request."""
 
--- a/src/lycheefall/_relay/map_coordinator.py
+++ b/src/lycheefall/_relay/map_coordinator.py
@@ -34,6 +34,10 @@
 LOOK_PERIOD_S = 0.4
 # Counts are read this often while nothing shows that the demand has shifted; each is paid for.
 SAMPLE_PERIOD_S = 2.5
+# Passes that last for this part of the longest pause in time are no longer the work of full
+# batches: the map does not fit, and the counts are read again this soon.
+BAD_PASS_RATIO = 0.7
+SAMPLE_AGAIN_S = 0.8
 # A sample after a shift lasts for about two passes, so that it holds nothing from before it.
 SHIFT_SAMPLE_S = 0.15
 # The next one, which tells more, ends this much later.
@@ -50,8 +54,9 @@
 # Passes that last for this part of the longest pause in time are too long as well: a few of them
 # take much longer than the others.
 LONG_PASS_RATIO = 0.6
-# What a rank reports is this old, so a rollout that began sooner would see the one before it.
-PAUSE_AFTER_CHANGE_S = 0.3
+# Reports are 0.2 s old and a switch is up to two passes ahead, so a rollout that began sooner
+# would see the one before it.
+PAUSE_AFTER_CHANGE_S = 0.45
 # A refused or lost change is not tried again at once.
 PAUSE_AFTER_FAILURE_S = 1.0
 
@@ -133,19 +138,30 @@
             await _note_hold(state, pool, group, status)
     if not groups or state.pressure_of(pool.name) < LEAST_PRESSURE:
         return
+    await _learn_demand(state, pool, groups, is_shifted)
+    if expert_demand.is_known(pool.demand):
+        for group in groups:
+            if may_change(group):
+                await _improve(state, pool, group)
+
+
+async def _learn_demand(
+    state: Coordinator, pool: Pool, groups: list[Group], is_shifted: bool
+) -> None:
     now_s = asyncio.get_running_loop().time()
-    if is_shifted or not expert_demand.is_known(pool.demand):
+    is_bad = now_s >= pool.sampled_s + SAMPLE_AGAIN_S and _has_long_passes(
+        state, pool, BAD_PASS_RATIO
+    )
+    if is_shifted or is_bad or not expert_demand.is_known(pool.demand):
+        pool.sampled_s = now_s
+        pool.next_sample_s = now_s + SECOND_SAMPLE_S
         expert_demand.begin(pool.demand, await _samples(pool, groups))
         await asyncio.sleep(SHIFT_SAMPLE_S)
         expert_demand.take(pool.demand, await _samples(pool, groups))
-        pool.next_sample_s = now_s + SECOND_SAMPLE_S
     elif now_s >= pool.next_sample_s:
-        expert_demand.take(pool.demand, await _samples(pool, groups))
+        pool.sampled_s = now_s
         pool.next_sample_s = now_s + SAMPLE_PERIOD_S
-    if expert_demand.is_known(pool.demand):
-        for group in groups:
-            if may_change(group):
-                await _improve(state, pool, group)
+        expert_demand.take(pool.demand, await _samples(pool, groups))
 
 
 async def _samples(pool: Pool, groups: list[Group]) -> list[Sample]:
@@ -196,11 +212,14 @@
     """Tell whether requests wait, or streams are late, because passes are long."""
     if state.pressure_of(pool.name) * ratio >= LEAST_URGENCY:
         return True
+    return _has_long_passes(state, pool, LONG_PASS_RATIO)
+
+
+def _has_long_passes(state: Coordinator, pool: Pool, ratio: float) -> bool:
+    """Tell whether the passes of a group last longer than a part of the longest pause in time."""
     target_s = state.pause_target_s.get(pool.name, 0.0)
-    longest_s = max(
-        (state.paces[each].usual_s for each in pool.groups if each in state.paces), default=0.0
-    )
-    return 0.0 < LONG_PASS_RATIO * target_s < longest_s
+    paces = [state.paces[each].usual_s for each in pool.groups if each in state.paces]
+    return 0.0 < ratio * target_s < max(paces, default=0.0)
 
 
 async def _roll_out(
--- a/src/lycheefall/_relay/map_groups.py
+++ b/src/lycheefall/_relay/map_groups.py
@@ -48,6 +48,7 @@
     groups: dict[GroupId, Group] = field(default_factory=dict)
     # When the counts are read again, unless passes become longer before.
     next_sample_s: float = float("-inf")
+    sampled_s: float = float("-inf")
 
 
 def find_groups(
--- a/src/lycheefall/_relay/rank_calls.py
+++ b/src/lycheefall/_relay/rank_calls.py
@@ -31,8 +31,9 @@
     send_request,
 )
 
-# A rank answers within a few milliseconds or, where orders get lost, not at all.
-CALL_TIMEOUT_S = 0.12
+# A rank answers within a few milliseconds or, where orders get lost, not at all. A group may have
+# to wait for an order that is sent again.
+CALL_TIMEOUT_S = 0.06
 
 T = TypeVar("T")
 
@@ -64,7 +65,7 @@
         counts = await counts_of(members[rank], sets)
         return None if counts is None else counts.step
 
-    return Ranks(len(members), order, status, step)
+    return Ranks(len(members), order, status, step, CALL_TIMEOUT_S)
 
 
 async def status_of(rank: Rank) -> RankStatus | None:
--- a/src/lycheefall/_rules/batch_limit.py
+++ b/src/lycheefall/_rules/batch_limit.py
@@ -12,22 +12,25 @@
 
 from msgspec import Struct
 
-# Weight of one stream's observation in the part of late ones.
-_WEIGHT = 0.05
-# Above this part of late pauses the batch becomes smaller, below the other it grows.
-_TOO_MANY_LATE = 0.15
-_FEW_LATE = 0.04
+# Weight of one stream's observation in the part of late ones; the streams of one long pass are
+# seen within half a second, some of them at each entry.
+_WEIGHT = 0.1
+# Above this part of late pauses the batch becomes smaller.
+_TOO_MANY_LATE = 0.08
+# Pauses above this part of the target leave no room for a larger batch.
+_NEAR_RATIO = 0.9
 # Pauses this far above the target have another cause, such as a slow rank: a smaller batch
 # would only serve fewer callers.
 HOPELESS_RATIO = 1.4
 _DECREASE = 0.8
 _INCREASE = 0.02
-# The limit grows only after this time without late pauses: demand shifts every few seconds.
-CALM_S = 4.0
 # A larger batch shows in the pauses after about two passes; a smaller one only when streams that
 # run now have ended, which takes about two seconds.
-CHANGE_PERIOD_S = 0.3
+INCREASE_PERIOD_S = 0.3
 DECREASE_PERIOD_S = 1.5
+# The limit grows only after this time without pauses near the target: demand shifts every few
+# seconds, and a larger batch costs all streams of the next shift.
+CALM_S = 10.0
 # With less than half of its slots an engine wastes more than it gains.
 LEAST_SHARE = 0.5
 
@@ -37,26 +40,26 @@
 
     share: float = 1.0
     late: float = 0.0
-    changed_s: float = float("-inf")
+    near: float = 0.0
     decreased_s: float = float("-inf")
+    increased_s: float = float("-inf")
     # Until when the share does not grow.
     calm_s: float = float("-inf")
 
 
 def observe(limit: BatchLimit, pause_ratio: float, now_s: float) -> None:
     """Take a stream's pause against its target, and change the limit when it is time."""
-    is_late = 1.0 < pause_ratio < HOPELESS_RATIO
-    limit.late += _WEIGHT * (float(is_late) - limit.late)
-    if now_s - limit.changed_s < CHANGE_PERIOD_S:
-        return
+    limit.late += _WEIGHT * (float(1.0 < pause_ratio < HOPELESS_RATIO) - limit.late)
+    limit.near += _WEIGHT * (float(_NEAR_RATIO < pause_ratio < HOPELESS_RATIO) - limit.near)
+    if limit.near > _TOO_MANY_LATE:
+        limit.calm_s = now_s + CALM_S
     if limit.late > _TOO_MANY_LATE:
         if now_s - limit.decreased_s >= DECREASE_PERIOD_S:
             limit.share = max(LEAST_SHARE, limit.share * _DECREASE)
-            limit.changed_s = limit.decreased_s = now_s
-        limit.calm_s = now_s + CALM_S
-    elif limit.late < _FEW_LATE and limit.share < 1.0 and now_s >= limit.calm_s:
+            limit.decreased_s = now_s
+    elif now_s >= limit.calm_s and now_s - limit.increased_s >= INCREASE_PERIOD_S:
         limit.share = min(1.0, limit.share + _INCREASE)
-        limit.changed_s = now_s
+        limit.increased_s = now_s
 
 
 def places(limit: BatchLimit, slots: int) -> int:
--- a/src/lycheefall/_rules/dispatching.py
+++ b/src/lycheefall/_rules/dispatching.py
@@ -13,7 +13,13 @@
 from msgspec import Struct, field, structs
 
 from lycheefall._core.ids import DataCentreId, GroupId, InstanceId, PoolId, TeamId, UpstreamId
-from lycheefall._core.relay import RelayConfiguration, RelayPool, RequestKind, UpstreamRecord
+from lycheefall._core.relay import (
+    RelayConfiguration,
+    RelayPool,
+    RequestKind,
+    UpstreamRecord,
+    Urgency,
+)
 from lycheefall._rules import batch_limit, fading, retry_share, seats
 from lycheefall._rules.batch_limit import BatchLimit
 from lycheefall._rules.fading import Fading
@@ -24,7 +30,7 @@
 
 # A rank may fall behind the one before it by this part of what it asks for: a more urgent rank
 # goes first, and a less urgent one is never left without places.
-RANK_STEP = 0.1
+RANK_STEP = 0.2
 # Time in which the counts of places and requests by rank lose most of their weight.
 _SHARE_S = 4.0
 # The same for the rate of places.
@@ -37,6 +43,10 @@
 # became free, and the requests wait for each other at the engine.
 _NEAR_MARGIN = 1
 _FAR_MARGIN = 2
+# Part of the places that stay free for requests that can be in time: late work that takes the
+# last one makes the next request late as well. Known as trunk reservation; see F. P. Kelly, "Loss
+# Networks", 1991.
+RESERVED_RATIO = 0.2
 # Longest wait of a request that will be late, and longest part of its time. Callers that are
 # refused soon can come back; one that waits in vain for long is lost.
 MAX_LATE_WAIT_S = 1.0
@@ -75,7 +85,7 @@
     number: int
     pool: PoolId
     kind: RequestKind
-    rank: int
+    urgency: Urgency
     team: TeamId | None
     arrived_s: float
     # Its answer earns the full worth until then.
@@ -171,10 +181,10 @@
     seats: Seats = field(default_factory=Seats)
     waiting: list[Ask] = field(default_factory=list)
     # Recent requests and places by rank.
-    asked: Fading = field(default_factory=lambda: Fading(_SHARE_S))
-    placed: Fading = field(default_factory=lambda: Fading(_SHARE_S))
+    asked: Fading[Urgency] = field(default_factory=lambda: Fading(_SHARE_S))
+    placed: Fading[Urgency] = field(default_factory=lambda: Fading(_SHARE_S))
     # Recent places of all ranks together.
-    rate: Fading = field(default_factory=lambda: Fading(_RATE_S))
+    rate: Fading[None] = field(default_factory=lambda: Fading(_RATE_S))
     in_service: dict[TeamId | None, int] = field(default_factory=dict)
     # Part of an engine's slots that are used, so that its streams don't pause too long.
     batch: BatchLimit = field(default_factory=BatchLimit)
@@ -248,12 +258,12 @@
             return [_refuse(state, message, RefusalReason.NO_RETRY_LEFT, now_s)]
     else:
         retry_share.earn(pool.retries, state.bounds, entries)
-        fading.add(pool.asked, message.rank, now_s)
+        fading.add(pool.asked, message.urgency, now_s)
     if not pool.seats.by_id:
         return [_refuse(state, message, RefusalReason.NO_UPSTREAM, now_s)]
     pool.waiting.append(message)
     outputs = serve(state, message.pool, now_s)
-    if message in pool.waiting and _waits_too_long(pool, message, now_s):
+    if message in pool.waiting and message in _hopeless(pool, now_s):
         pool.waiting.remove(message)
         outputs.append(_refuse(state, message, RefusalReason.QUEUE_FULL, now_s))
     return outputs
@@ -318,11 +328,10 @@
     """Refuse requests whose time is over, and serve those that wait."""
     outputs: list[Output] = []
     for name, pool in state.pools.items():
-        for message in list(pool.waiting):
-            if now_s >= _latest_start_s(pool, message, now_s):
-                pool.waiting.remove(message)
-                outputs.append(_refuse(state, message, RefusalReason.EXPIRED, now_s))
         outputs += serve(state, name, now_s)
+        for message in _hopeless(pool, now_s):
+            pool.waiting.remove(message)
+            outputs.append(_refuse(state, message, RefusalReason.EXPIRED, now_s))
     return outputs
 
 
@@ -351,9 +360,9 @@
 def pressure(state: Dispatching, name: PoolId) -> float:
     """Return the part of a pool's places that are in use, over 1 where requests wait."""
     pool = _pool(state, name)
-    places = sum(max(1, seat.record.slots) for seat in pool.seats.by_id.values())
+    slots = sum(max(1, seat.record.slots) for seat in pool.seats.by_id.values())
     used = sum(seats.load_of(seat) for seat in pool.seats.by_id.values()) + len(pool.waiting)
-    return used / max(1, places)
+    return used / max(1, slots)
 
 
 def places_of(state: Dispatching, seat: Seat) -> int:
@@ -371,6 +380,8 @@
 
 def _serve_one(state: Dispatching, name: PoolId, pool: PoolState, now_s: float) -> Place | None:
     for message in _ordered(pool, now_s):
+        if _is_late(pool, message, now_s) and not _has_room_for_late(state, name, pool):
+            return None
         seat = seats.choose(
             pool.seats.by_id.values(),
             lambda each: places_of(state, each),
@@ -387,8 +398,8 @@
         pool.waiting.remove(message)
         seat.own += 1
         seat.unanswered += 1
-        fading.add(pool.placed, message.rank, now_s)
-        fading.add(pool.rate, 0, now_s)
+        fading.add(pool.placed, message.urgency, now_s)
+        fading.add(pool.rate, None, now_s)
         pool.in_service[message.team] = pool.in_service.get(message.team, 0) + 1
         state.teams[message.number] = (name, message.team)
         load = seats.load_of(seat)
@@ -396,16 +407,34 @@
     return None
 
 
+def _has_room_for_late(state: Dispatching, name: PoolId, pool: PoolState) -> bool:
+    """Tell whether late work leaves places for requests that can be in time.
+
+    A plain service takes more than it runs at once, so it has no places to keep free.
+    """
+    engines = state.engines.get(name)
+    if engines is None or engines.engine is None:
+        return True
+    seated = list(pool.seats.by_id.values())
+    near = [seat for seat in seated if seat.distance == 0] or seated
+    places = [places_of(state, seat) for seat in near]
+    free = sum(
+        max(0, count - seats.load_of(seat)) for count, seat in zip(places, near, strict=True)
+    )
+    return free > RESERVED_RATIO * sum(places)
+
+
 def _ordered(pool: PoolState, now_s: float) -> list[Ask]:
     """Return who waits, the next one first."""
+    asked = sorted(fading.values(pool.asked, now_s).items())
     served = {
-        rank: fading.value(pool.placed, rank, now_s) / asked + RANK_STEP * rank
-        for rank, asked in fading.values(pool.asked, now_s).items()
+        urgency: fading.value(pool.placed, urgency, now_s) / count + RANK_STEP * step
+        for step, (urgency, count) in enumerate(asked)
     }
 
     def order(message: Ask) -> tuple[bool, float, int, float]:
         in_service = pool.in_service.get(message.team, 0)
-        share = served.get(message.rank, 0.0)
+        share = served.get(message.urgency, 0.0)
         return _is_late(pool, message, now_s), share, in_service, message.arrived_s
 
     return sorted(pool.waiting, key=order)
@@ -416,21 +445,27 @@
     return now_s + (pool.seats.delay_s or _FIRST_DELAY_S) > message.target_s
 
 
-def _wait_s(pool: PoolState, message: Ask, now_s: float) -> float:
-    """Estimate the time until a request gets a place, from the places given lately."""
-    ahead = _ordered(pool, now_s).index(message)
-    return (ahead + 1) / _places_per_s(pool, now_s)
+def _hopeless(pool: PoolState, now_s: float) -> list[Ask]:
+    """Return who gets no place soon enough, judged by the places given lately.
+
+    A request that has become late stands behind all that are not, so this is judged again and
+    again. Who leaves makes room for those behind.
+    """
+    period_s = 1.0 / _places_per_s(pool, now_s)
+    hopeless: list[Ask] = []
+    starts_s = now_s
+    for message in _ordered(pool, now_s):
+        if starts_s + period_s > _latest_start_s(pool, message, now_s):
+            hopeless.append(message)
+        else:
+            starts_s += period_s
+    return hopeless
 
 
 def _places_per_s(pool: PoolState, now_s: float) -> float:
     """Return how many places become free here: as measured, or as the slots let expect."""
     slots = sum(seat.record.slots for seat in pool.seats.by_id.values() if seat.distance == 0)
-    return max(1.0, slots / _USUAL_SERVICE_S, fading.value(pool.rate, 0, now_s) / _RATE_S)
-
-
-def _waits_too_long(pool: PoolState, message: Ask, now_s: float) -> bool:
-    starts_s = now_s + _wait_s(pool, message, now_s)
-    return starts_s > _latest_start_s(pool, message, now_s)
+    return max(1.0, slots / _USUAL_SERVICE_S, fading.value(pool.rate, None, now_s) / _RATE_S)
 
 
 def _latest_start_s(pool: PoolState, message: Ask, now_s: float) -> float:
--- a/src/lycheefall/_rules/identification.py
+++ b/src/lycheefall/_rules/identification.py
@@ -5,7 +5,13 @@
 from msgspec import Struct
 
 from lycheefall._core.ids import PoolId, TeamId
-from lycheefall._core.relay import LOWEST_RANK, RelayConfiguration, RelayRoute, RelayTeam
+from lycheefall._core.relay import (
+    LOWEST_RANK,
+    RelayConfiguration,
+    RelayRoute,
+    RelayTeam,
+    Urgency,
+)
 
 
 class Unidentified(Enum):
@@ -21,7 +27,7 @@
     route: RelayRoute
     pool: PoolId
     team: TeamId | None
-    rank: int
+    urgency: Urgency
 
 
 class Index(Struct, frozen=True):
@@ -50,12 +56,16 @@
         return Unidentified.NO_ROUTE
     pool = _pool_of(route, draw)
     if route.anonymous or not index.configuration.teams:
-        return Identified(route, pool, None, min(route.rank, LOWEST_RANK))
+        return Identified(route, pool, None, _urgency(route.rank, route))
     team = index.teams.get(key or "")
     if team is None:
         return Unidentified.UNKNOWN_KEY
     rank = route.rank if team.rank is None else team.rank
-    return Identified(route, pool, team.name, min(rank, LOWEST_RANK))
+    return Identified(route, pool, team.name, _urgency(rank, route))
+
+
+def _urgency(rank: int, route: RelayRoute) -> Urgency:
+    return Urgency(min(rank, LOWEST_RANK), min(route.rank, LOWEST_RANK))
 
 
 def _route_of(index: Index, host: str, path: str) -> RelayRoute | None:
--- a/src/lycheefall/_rules/map_rollout.py
+++ b/src/lycheefall/_rules/map_rollout.py
@@ -16,6 +16,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Sequence
 from enum import Enum
+from math import ceil, log
 from random import Random
 
 from msgspec import Struct, structs
@@ -40,10 +41,17 @@
 PREPARE_TIMEOUT_S = 3.0
 # The copy is taken to last a little longer than its bytes need on an idle link.
 COPY_MARGIN_S = 0.05
+# Shortest time that one pass is taken to last.
+_MIN_PASS_S = 0.012
 # Passes between the one under way and the one that is held: the next one may begin before the
 # order arrives. Each refused attempt looks further ahead.
 HOLD_LEAD_PASSES = 2
 HOLD_ATTEMPTS = 4
+# Where orders get lost, the held pass is so far ahead that all ranks are probably armed before it
+# begins: a group that stands still makes all its streams late. This is the part of the switches
+# that may take longer, and the most rounds of orders that are planned for.
+_STALL_RATIO = 0.1
+_MAX_ROUNDS = 8
 # A rank that refuses to be armed may need a moment longer for its copy; the group stands still
 # meanwhile, so it is asked again soon.
 ARM_AGAIN_S = 0.02
@@ -73,6 +81,8 @@
     status: Callable[[int], Awaitable[RankStatus | None]]
     # The pass under way now; a report is older.
     step: Callable[[int], Awaitable[PassNumber | None]]
+    # An order without an answer counts as lost after this time.
+    timeout_s: float
 
 
 class Rollout(Enum):
@@ -120,18 +130,18 @@
         return Rollout.UNFIT
     epoch = _epoch(first)
     prepare = Prepare(version=version, experts=experts, epoch=epoch, expected=first.sequence)
-    prepared = await asyncio.gather(
-        *(_prepare(ranks, rank, prepare) for rank in range(ranks.count))
-    )
-    if not all(prepared):
+    lost = await _prepare_all(ranks, prepare)
+    if lost is None:
         return Rollout.NOT_PREPARED
     loop = asyncio.get_running_loop()
+    lead_s = _rounds(ranks.count, lost) * ranks.timeout_s
     copied_s = loop.time() + copy_s + COPY_MARGIN_S
     # The held pass begins about when the copies are there.
-    await asyncio.sleep(max(0.0, copied_s - pass_s - loop.time()))
+    await asyncio.sleep(max(0.0, copied_s - pass_s - lead_s - loop.time()))
     if not may_go_on():
         return Rollout.NOT_HELD
-    held = await _hold(ranks, epoch, first.sequence)
+    lead = HOLD_LEAD_PASSES + ceil(lead_s / max(pass_s, _MIN_PASS_S))
+    held = await _hold(ranks, epoch, first.sequence, lead)
     if held is None:
         return Rollout.NOT_HELD
     await asyncio.sleep(max(0.0, copied_s - loop.time()))
@@ -181,10 +191,7 @@
         if await ranks.order(rank, order) is not Reply.TAKEN:
             return None
     prepare = Prepare(version=version, experts=in_force, epoch=epoch, expected=expected[0])
-    prepared = await asyncio.gather(
-        *(_prepare(ranks, rank, prepare) for rank in range(ranks.count))
-    )
-    if not all(prepared):
+    if await _prepare_all(ranks, prepare) is None:
         return None
     await asyncio.sleep(COPY_MARGIN_S)
     return await complete(ranks, epoch, version, step, expected)
@@ -194,35 +201,50 @@
     return 0 if status.membership is None else status.membership.epoch
 
 
-async def _prepare(ranks: Ranks, rank: int, order: Prepare) -> bool:
-    """Order one rank to copy a map, however often the order is lost."""
+def _rounds(count: int, lost: int) -> int:
+    """Return how many rounds of orders reach all ranks, and then the first one once more."""
+    if not lost:
+        return 0
+    ratio = lost / (count + lost)
+    return min(_MAX_ROUNDS, 1 + ceil(log(_STALL_RATIO / count) / log(ratio)))
+
+
+async def _prepare_all(ranks: Ranks, order: Prepare) -> int | None:
+    """Order all ranks to copy a map; return how many orders got no answer, or None."""
+    found = await asyncio.gather(*(_prepare(ranks, rank, order) for rank in range(ranks.count)))
+    lost = [each for each in found if each is not None]
+    return sum(lost) if len(lost) == ranks.count else None
+
+
+async def _prepare(ranks: Ranks, rank: int, order: Prepare) -> int | None:
+    """Order one rank to copy a map, and return how many orders got no answer before."""
     until_s = asyncio.get_running_loop().time() + PREPARE_TIMEOUT_S
-    is_lost = False
+    lost = 0
     while asyncio.get_running_loop().time() < until_s:
         reply = await ranks.order(rank, order)
         if reply is Reply.TAKEN:
-            return True
-        if reply is Reply.REFUSED and not is_lost:
-            return False
+            return lost
+        if reply is Reply.REFUSED and not lost:
+            return None
         if reply is Reply.REFUSED:
             # The first order may have been taken although no answer came.
             await asyncio.sleep(STATUS_LAG_S)
             status = await ranks.status(rank)
             if status is None or _epoch(status) != order.epoch:
-                return False
+                return None
             if status.prepared == order.version:
-                return True
-        is_lost = True
-    return False
+                return lost
+        lost += 1
+    return None
 
 
-async def _hold(ranks: Ranks, epoch: int, expected: int) -> PassNumber | None:
+async def _hold(ranks: Ranks, epoch: int, expected: int, lead: int) -> PassNumber | None:
     """Hold the group before a pass that is far enough ahead; return that pass."""
     for attempt in range(HOLD_ATTEMPTS):
         under_way = await ranks.step(0)
         if under_way is None:
             return None
-        step = PassNumber(under_way + HOLD_LEAD_PASSES * (attempt + 1))
+        step = PassNumber(under_way + lead + HOLD_LEAD_PASSES * attempt)
         reply = await ranks.order(0, Hold(step=step, epoch=epoch, expected=expected))
         if reply is Reply.TAKEN:
             return step
--- a/tests/rank_world.py
+++ b/tests/rank_world.py
@@ -22,7 +22,7 @@
 
 PASS_S = 0.05
 COPY_S = 0.1
-ORDER_TIMEOUT_S = 0.12
+ORDER_TIMEOUT_S = 0.06
 # What a rank reports is this old.
 REPORT_LAG_S = 0.2
 
@@ -76,7 +76,7 @@
 
     def reached(self) -> Ranks:
         """Return how a coordinator reaches the ranks."""
-        return Ranks(self.count, self.order, self.status, self.under_way)
+        return Ranks(self.count, self.order, self.status, self.under_way, ORDER_TIMEOUT_S)
 
     async def under_way(self, rank: int) -> PassNumber | None:
         """Return the pass under way."""
--- a/tests/test_batch_limit.py
+++ b/tests/test_batch_limit.py
@@ -6,7 +6,7 @@
 def played(ratio: float, seconds: float, limit: BatchLimit | None = None) -> BatchLimit:
     """Return the limit after streams had this pause, against the target, for a while."""
     held = limit or BatchLimit()
-    begin_s = max(0.0, held.changed_s)
+    begin_s = max(0.0, held.decreased_s, held.increased_s)
     for step in range(int(seconds * 50)):
         observe(held, ratio, begin_s + step * 0.02)
     return held
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -9,7 +9,7 @@
 import pytest
 
 from lycheefall._core.ids import DataCentreId, GroupId, InstanceId, TeamId, UpstreamId
-from lycheefall._core.relay import RequestKind, UpstreamRecord
+from lycheefall._core.relay import RequestKind, UpstreamRecord, Urgency
 from lycheefall._rules import dispatching, record_table
 from lycheefall._rules.dispatching import (
     Ask,
@@ -58,7 +58,7 @@
     values: dict[str, object] = {
         "pool": POOL,
         "kind": RequestKind.STREAMING,
-        "rank": 0,
+        "urgency": Urgency(0, 0),
         "team": TeamId("t1"),
         "arrived_s": now_s,
         "target_s": now_s + TARGET_S,
@@ -308,7 +308,7 @@
             number = next(numbers)
             waiting[number] = (now_s, value)
             played.asked[(value.rank, value.team)] += 1
-            asked = ask(number, now_s, rank=value.rank, team=TeamId(value.team))
+            asked = ask(number, now_s, urgency=Urgency(0, value.rank), team=TeamId(value.team))
             outputs = dispatching.ask(state, asked, now_s)
         elif what == "tick":
             outputs = dispatching.tick(state, now_s)
@@ -395,6 +395,37 @@
         assert [each.number for each in outputs] == [2]
 
 
+class TestReservedPlaces:
+    def test_late_work_leaves_room(self) -> None:
+        """Guards against late work that takes the last places and makes the next request late."""
+        state = dispatcher(*(record(f"u{n}", slots=4) for n in range(2)))
+        for number in range(7):
+            dispatching.ask(state, ask(number), 0.0)
+        late = dispatching.ask(state, ask(8, target_s=0.0), 0.0)
+        in_time = dispatching.ask(state, ask(7), 0.0)
+        assert not any(isinstance(each, Place) for each in late)
+        assert [each.number for each in in_time if isinstance(each, Place)] == [7]
+
+    def test_late_work_is_served_while_there_is_room(self) -> None:
+        """Guards against callers that come back and are refused by an idle pool."""
+        state = dispatcher(*(record(f"u{n}", slots=4) for n in range(2)))
+        dispatching.ask(state, ask(0), 0.0)
+        outputs = dispatching.ask(state, ask(1, target_s=0.0), 0.0)
+        assert isinstance(outputs[0], Place)
+
+    def test_refused_once_it_stands_behind_the_others(self) -> None:
+        """Guards against a request that waits in vain behind all that can still be in time."""
+        state = dispatcher(record("u1", slots=4))
+        for number in range(10):
+            dispatching.ask(state, ask(number), 0.0)
+        waiting = [each.number for each in state.pools[POOL].waiting]
+        assert waiting
+        for number in range(10, 14):
+            dispatching.ask(state, ask(number, 0.3), 0.3)
+        refused = {each.number for each in dispatching.tick(state, 0.45)}
+        assert set(waiting) <= refused | {waiting[0]}
+
+
 class TestServices:
     def test_depth_of_a_plain_service(self) -> None:
         """Guards against lookups that wait for one whole answer at a time."""
--- a/tests/test_identification.py
+++ b/tests/test_identification.py
@@ -41,11 +41,12 @@
         """Guards against a team's own rank being ignored."""
         index = index_of(configuration(route(rank=1)))
         ranks = [identify(index, "h", "/a/x", key, 0.0) for key in ("k1", "k2")]
-        assert [each.rank for each in ranks if isinstance(each, Identified)] == [1, 2]
+        assert [each.urgency.rank for each in ranks if isinstance(each, Identified)] == [1, 2]
+        assert all(each.urgency.route_rank == 1 for each in ranks if isinstance(each, Identified))
         huge = index_of(configuration(route(rank=1000)))
         found = identify(huge, "h", "/a/x", "k1", 0.0)
         assert isinstance(found, Identified)
-        assert found.rank == LOWEST_RANK
+        assert found.urgency.rank == LOWEST_RANK
 
     def test_anonymous_route_needs_no_key(self) -> None:
         """Guards against a key that is asked for where the operator asks for none."""
--- a/tests/test_map_rollout.py
+++ b/tests/test_map_rollout.py
@@ -84,6 +84,17 @@
             await asyncio.sleep(1.0)
             assert world.step > before, "the group is held for good"
 
+    @pytest.mark.parametrize("late_ratio", [0.1, 0.35])
+    async def test_lost_orders_seldom_hold_the_group_up(self, late_ratio: float) -> None:
+        """Guards against a pause of all streams of a group at each switch while orders get lost."""
+        held_s = []
+        for seed in range(20):
+            world = RankWorld(count=16, late_ratio=late_ratio, seed=seed)
+            async with running(world):
+                assert await change(world, FIRST, 5) is Rollout.IN_FORCE
+                held_s.append(world.held_s)
+        assert sum(1 for each in held_s if each > PASS_S) <= 5
+
     async def test_idle_group(self) -> None:
         """Guards against a switch that waits for passes which an idle group never makes."""
         async with running(RankWorld(busy=False)) as world:
@@ -229,7 +240,7 @@
             assert first is not None
             suspended = asyncio.create_task(
                 map_rollout.roll_out(
-                    Ranks(world.count, paused, asked, reached.step),
+                    Ranks(world.count, paused, asked, reached.step, reached.timeout_s),
                     first,
                     FIRST,
                     MapVersion(5),
@@ -264,7 +275,7 @@
         async def refuse(rank: int, order: object) -> Reply:
             return Reply.REFUSED
 
-        assert await map_rollout.statuses(Ranks(2, refuse, silent, silent)) is None
+        assert await map_rollout.statuses(Ranks(2, refuse, silent, silent, 0.06)) is None
 
     def test_versions_of_two_coordinators(self) -> None:
         """Guards against two maps under one version."""
