Serve sooner after all machines lost power, and read counts under pressure only

Cause: after a loss of power entries were up 0.5 to 1 s before control. Their first packets to dark machines got lost and were sent again after 1 s, and callers who came in between were refused and had no try left.

Counts are read only where places are scarce or passes are long. The module of the exchange is split by idea.

--- a/src/lycheefall/_relay/map_coordinator.py
+++ b/src/lycheefall/_relay/map_coordinator.py
@@ -47,9 +47,11 @@
 SAMPLED_RANKS = 2
 # A new map has to make passes this much shorter: each change costs orders and copies.
 LEAST_GAIN = 1.12
-# Part of the places in use below which passes are short enough with any map, and the same
-# multiplied by how much longer passes take than with an even load.
-LEAST_PRESSURE = 0.4
+# Below this part of the places in use a better map would serve no request more, unless passes
+# are long: counts are then not read, and no map is planned.
+LEAST_PRESSURE = 0.7
+# Part of the places in use, multiplied by how much longer passes take than with an even load,
+# from which a better map is worth its costs.
 LEAST_URGENCY = 1.5
 # Passes that last for this part of the longest pause in time are too long as well: a few of them
 # take much longer than the others.
@@ -136,7 +138,7 @@
     for group, status in zip(groups, statuses, strict=True):
         if status is not None:
             await _note_hold(state, pool, group, status)
-    if not groups or state.pressure_of(pool.name) < LEAST_PRESSURE:
+    if not groups or not _is_pressed(state, pool):
         return
     await _learn_demand(state, pool, groups, is_shifted)
     if expert_demand.is_known(pool.demand):
@@ -208,6 +210,12 @@
     task.add_done_callback(state.rollouts.discard)
 
 
+def _is_pressed(state: Coordinator, pool: Pool) -> bool:
+    """Tell whether a better map could serve requests that are refused or late now."""
+    is_full = state.pressure_of(pool.name) >= LEAST_PRESSURE
+    return is_full or _has_long_passes(state, pool, LONG_PASS_RATIO)
+
+
 def _is_urgent(state: Coordinator, pool: Pool, ratio: float) -> bool:
     """Tell whether requests wait, or streams are late, because passes are long."""
     if state.pressure_of(pool.name) * ratio >= LEAST_URGENCY:
--- a/src/lycheefall/_relay/service.py
+++ b/src/lycheefall/_relay/service.py
@@ -6,15 +6,13 @@
 from itertools import count
 from random import Random, SystemRandom
 
-from msgspec import Struct
-
 from lycheefall._core.enums import MemberState
 from lycheefall._core.events import Event
 from lycheefall._core.ids import PoolId
 from lycheefall._core.log import log
-from lycheefall._core.pipeline import Inbox, tick
+from lycheefall._core.pipeline import Inbox, Latest, tick
 from lycheefall._core.process import new_incarnation, run_until
-from lycheefall._core.relay import ExpertLayout, RelayConfiguration, UpstreamRecord
+from lycheefall._core.relay import ExpertLayout, UpstreamRecord
 from lycheefall._operate.exposition import run_exposition
 from lycheefall._relay import connections
 from lycheefall._relay.connections import Connections
@@ -25,7 +23,8 @@
     send_status,
 )
 from lycheefall._relay.dispatch import BEAT_PERIOD_S, Dispatcher, known, run_dispatch
-from lycheefall._relay.exchange import Relay, relaying
+from lycheefall._relay.exchange import relaying
+from lycheefall._relay.exchange_state import Relay
 from lycheefall._relay.map_coordinator import LOOK_PERIOD_S, Coordinator, run_coordinator
 from lycheefall._relay.messages import Beat, Look, PassSeen, ToCoordinator, ToDispatch
 from lycheefall._relay.settings import RelaySettings
@@ -53,19 +52,13 @@
 _SEED_BITS = 64
 
 
-class _Current(Struct, eq=False):
-    """The configuration in force; its owner is the control link."""
-
-    index: Index | None = None
-
-
 async def run_relay(settings: RelaySettings, stop: asyncio.Event) -> None:
     """Serve until the event is set, then finish what is in progress."""
     now = asyncio.get_running_loop().time
     inbox: Inbox[ToDispatch] = Inbox(INBOX_MESSAGES)
     passes: Inbox[ToCoordinator] = Inbox(INBOX_MESSAGES)
     random = Random(SystemRandom().getrandbits(_SEED_BITS))
-    current = _Current()
+    current: Latest[Index | None] = Latest(None)
     dispatcher = Dispatcher(
         rules=Dispatching(
             instance=settings.instance,
@@ -77,7 +70,7 @@
     held = Connections()
     relay = Relay(
         dialect=settings.dialect,
-        index=lambda: current.index,
+        index=current,
         known=lambda: known(dispatcher, now()),
         dispatch=inbox,
         connections=held,
@@ -97,7 +90,7 @@
         known=relay.known,
         dispatch=inbox,
         now=now,
-        use=partial(_use, current),
+        use=lambda configuration: current.publish(index_of(configuration)),
     )
     front = Front(handle=relaying(relay), limits=partial(_limits, current))
     done = asyncio.Event()
@@ -131,10 +124,6 @@
         log(Event.PROCESS_STOPPED, role="entry")
 
 
-def _use(current: _Current, configuration: RelayConfiguration) -> None:
-    current.index = index_of(configuration)
-
-
 def _note_pass(
     link: ControlLink,
     passes: Inbox[ToCoordinator],
@@ -156,19 +145,19 @@
     )
 
 
-def _layout_of(current: _Current, pool: PoolId) -> ExpertLayout | None:
-    if current.index is None:
+def _layout_of(current: Latest[Index | None], pool: PoolId) -> ExpertLayout | None:
+    if current.value is None:
         return None
-    for each in current.index.configuration.pools:
+    for each in current.value.configuration.pools:
         if each.name == pool:
             return None if each.engine is None else each.engine.layout
     return None
 
 
-def _limits(current: _Current) -> FrontLimits:
-    if current.index is None:
+def _limits(current: Latest[Index | None]) -> FrontLimits:
+    if current.value is None:
         return FrontLimits()
-    limits = current.index.configuration.limits
+    limits = current.value.configuration.limits
     return FrontLimits(
         header_bytes=limits.header_bytes,
         body_bytes=limits.body_bytes,
--- a/src/lycheefall/_wire/zmq_ends.py
+++ b/src/lycheefall/_wire/zmq_ends.py
@@ -17,6 +17,11 @@
 # A drain hands over to the event loop after this many messages, so that timers still run.
 DRAIN_BATCH_MESSAGES = 256
 
+# A connection that is not there after this time is tried anew. The first packet to a machine that
+# is still dark gets lost, and the system sends it again only after a second.
+CONNECT_MS = 250
+RECONNECT_MS = 50
+RECONNECT_MAX_MS = 250
 # Heartbeats of ZeroMQ and the silence after which it replaces a connection.
 HEARTBEAT_MS = 250
 SILENCE_MS = 1_000
@@ -28,8 +33,9 @@
     socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
     socket.setsockopt(zmq.IMMEDIATE, 1)
     socket.setsockopt(zmq.TCP_KEEPALIVE, 1)
-    socket.setsockopt(zmq.RECONNECT_IVL, 50)
-    socket.setsockopt(zmq.RECONNECT_IVL_MAX, 500)
+    socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_MS)
+    socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+    socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
     return socket
 
 
--- a/tests/relay_world.py
+++ b/tests/relay_world.py
@@ -11,11 +11,12 @@
 from lycheefall._core.dialect import Dialect
 from lycheefall._core.ids import Address, DataCentreId, InstanceId
 from lycheefall._core.messages.relay import News
-from lycheefall._core.pipeline import Inbox, tick
+from lycheefall._core.pipeline import Inbox, Latest, tick
 from lycheefall._core.relay import RelayConfiguration, UpstreamRecord
 from lycheefall._relay.connections import Connections, close_all
 from lycheefall._relay.dispatch import BEAT_PERIOD_S, Dispatcher, known, run_dispatch
-from lycheefall._relay.exchange import Relay, relaying
+from lycheefall._relay.exchange import relaying
+from lycheefall._relay.exchange_state import Relay
 from lycheefall._relay.messages import Beat, InForce, ToDispatch
 from lycheefall._rules.dispatching import Dispatching
 from lycheefall._rules.identification import Index, index_of
@@ -35,6 +36,7 @@
     dispatcher: Dispatcher
     dispatch: Inbox[ToDispatch]
     dialect: Dialect
+    index: Latest[Index | None]
 
     async def learn(self, *records: UpstreamRecord) -> None:
         """Let the entry hear of upstreams."""
@@ -42,6 +44,11 @@
         await self.dispatch.put(news)
         await asyncio.sleep(0.01)
 
+    async def configure(self, configuration: RelayConfiguration) -> None:
+        """Put a configuration in force."""
+        await self.dispatch.put(InForce(configuration))
+        self.index.publish(index_of(configuration))
+
 
 @dataclass
 class Answered:
@@ -68,11 +75,13 @@
             random=Random(1),
         )
     )
-    index: Index | None = None if configuration is None else index_of(configuration)
+    index: Latest[Index | None] = Latest(None)
+    if configuration is not None:
+        index.publish(index_of(configuration))
     held = Connections()
     relay = Relay(
         dialect=platform_dialect(),
-        index=lambda: index,
+        index=index,
         known=lambda: known(dispatcher, loop.time()),
         dispatch=inbox,
         connections=held,
@@ -93,7 +102,7 @@
     if configuration is not None:
         await inbox.put(InForce(configuration))
     try:
-        yield Entry(front, port, dispatcher, inbox, relay.dialect)
+        yield Entry(front, port, dispatcher, inbox, relay.dialect, index)
     finally:
         await close_front(front)
         close_all(held)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -162,6 +162,23 @@
         assert answered.status == 503
         assert float(answered.headers["retry-after"]) > 0
 
+    async def test_configuration_that_comes_soon(self) -> None:
+        """Guards against callers that use up their tries while all processes start again."""
+        async with upstream(good) as only, entry(None) as made:
+            await learn(made, only)
+            answering = asyncio.create_task(call(made.port, request()))
+            await asyncio.sleep(0.1)
+            await made.configure(LOOKUP)
+            assert (await answering).status == 200
+
+    async def test_no_configuration_in_a_booking_s_time(self) -> None:
+        """Guards against a caller with little time that waits for a configuration in vain."""
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        answered, _ = await ask(None, request(deadline_ms=800), good)
+        assert answered.status == 503
+        assert loop.time() - began_s < 0.5
+
     async def test_too_large(self) -> None:
         """Guards against a body above the limit, declared or in chunks."""
         async with entry(LOOKUP, FrontLimits(body_bytes=100)) as made:
