Start batches from the declared figures of an engine

Cause: at the start of each flood batches were full until the first shift of the demand for experts had made all streams of a group late.

Change: until pauses were observed, a batch is as large as the engine's figures allow for a pass right after a shift, and it grows only after 10 s without pauses near the target.

--- a/src/lycheefall/_rules/batch_limit.py
+++ b/src/lycheefall/_rules/batch_limit.py
@@ -12,6 +12,8 @@
 
 from msgspec import Struct
 
+from lycheefall._rules.engine_pace import LEAST_SHARE
+
 # Weight of one stream's observation in the part of late ones; the streams of one long pass are
 # seen within half a second, some of them at each entry.
 _WEIGHT = 0.1
@@ -31,8 +33,6 @@
 # The limit grows only after this time without pauses near the target: demand shifts every few
 # seconds, and a larger batch costs all streams of the next shift.
 CALM_S = 10.0
-# With less than half of its slots an engine wastes more than it gains.
-LEAST_SHARE = 0.5
 
 
 class BatchLimit(Struct, eq=False):
@@ -43,15 +43,15 @@
     near: float = 0.0
     decreased_s: float = float("-inf")
     increased_s: float = float("-inf")
-    # Until when the share does not grow.
-    calm_s: float = float("-inf")
+    # Until when the share does not grow; None before the first observation.
+    calm_s: float | None = None
 
 
 def observe(limit: BatchLimit, pause_ratio: float, now_s: float) -> None:
     """Take a stream's pause against its target, and change the limit when it is time."""
     limit.late += _WEIGHT * (float(1.0 < pause_ratio < HOPELESS_RATIO) - limit.late)
     limit.near += _WEIGHT * (float(_NEAR_RATIO < pause_ratio < HOPELESS_RATIO) - limit.near)
-    if limit.near > _TOO_MANY_LATE:
+    if limit.near > _TOO_MANY_LATE or limit.calm_s is None:
         limit.calm_s = now_s + CALM_S
     if limit.late > _TOO_MANY_LATE:
         if now_s - limit.decreased_s >= DECREASE_PERIOD_S:
--- a/src/lycheefall/_rules/dispatching.py
+++ b/src/lycheefall/_rules/dispatching.py
@@ -26,6 +26,7 @@
     Refuse,
     Withdraw,
 )
+from lycheefall._rules.engine_pace import usable_share
 from lycheefall._rules.pool_state import PoolState, pace_of
 from lycheefall._rules.preferred import EntryPlace, UpstreamPlace, preferred
 from lycheefall._rules.record_table import RecordTable, is_usable
@@ -71,6 +72,10 @@
 def use_configuration(state: Dispatching, configuration: RelayConfiguration) -> None:
     """Take what a configuration tells of the pools."""
     state.engines = {pool.name: pool for pool in configuration.pools}
+    for pool in configuration.pools:
+        if pool.engine is not None:
+            target_s = _pause_target_s(configuration, pool.name)
+            _pool(state, pool.name).usable_share = usable_share(pool.engine, target_s)
 
 
 def use_records(state: Dispatching, table: RecordTable) -> None:
@@ -285,6 +290,16 @@
         seats.suspend_group(pool.seats, group, now_s + GROUP_PAUSE_S)
 
 
+def _pause_target_s(configuration: RelayConfiguration, name: PoolId) -> float:
+    """Return the shortest pause that a route to a pool declares, or 0."""
+    targets = [
+        route.pause_target_s
+        for route in configuration.routes
+        if route.pause_target_s and any(part.pool == name for part in route.split)
+    ]
+    return min(targets, default=0.0)
+
+
 def _pool(state: Dispatching, name: PoolId) -> PoolState:
     pool = state.pools.get(name)
     if pool is None:
--- a/src/lycheefall/_rules/pool_state.py
+++ b/src/lycheefall/_rules/pool_state.py
@@ -4,6 +4,7 @@
 
 from lycheefall._core.ids import GroupId, TeamId
 from lycheefall._core.relay import Urgency
+from lycheefall._rules.batch_limit import BatchLimit
 from lycheefall._rules.dispatch_messages import Ask
 from lycheefall._rules.fading import Fading
 from lycheefall._rules.group_pace import GroupPace
@@ -29,6 +30,8 @@
     in_service: dict[TeamId | None, int] = field(default_factory=dict)
     # How the streams of each group keep their pace; None for upstreams outside of groups.
     paces: dict[GroupId | None, GroupPace] = field(default_factory=dict)
+    # Part of an engine's slots that is used until pauses were observed.
+    usable_share: float = 1.0
     retries: RetryShare = field(default_factory=RetryShare)
 
 
@@ -37,5 +40,5 @@
     group = None if seat.record.group is None else seat.record.group.group
     pace = pool.paces.get(group)
     if pace is None:
-        pace = pool.paces[group] = GroupPace()
+        pace = pool.paces[group] = GroupPace(BatchLimit(share=pool.usable_share))
     return pace
--- a/tests/test_batch_limit.py
+++ b/tests/test_batch_limit.py
@@ -1,6 +1,7 @@
 """Tests of the size of an engine's batches."""
 
-from lycheefall._rules.batch_limit import LEAST_SHARE, BatchLimit, observe, places
+from lycheefall._rules.batch_limit import BatchLimit, observe, places
+from lycheefall._rules.engine_pace import LEAST_SHARE
 
 
 def played(ratio: float, seconds: float, limit: BatchLimit | None = None) -> BatchLimit:
--- /dev/null
+++ b/tests/test_engine_pace.py
@@ -0,0 +1,56 @@
+"""Tests of the time of passes from the declared figures of an engine."""
+
+from msgspec import structs
+
+from lycheefall._core.relay import EngineModel, ExpertLayout
+from lycheefall._rules.engine_pace import longest_pass_s, usable_share
+
+LAYOUT = ExpertLayout(
+    sets=12,
+    experts=128,
+    places=5,
+    spare=2,
+    expert_bytes=150e6,
+    link_bytes_per_s=11.5e9,
+    work_share=0.85,
+)
+ENGINE = EngineModel(
+    slots=5,
+    memory_tokens=155_000,
+    step_s=0.00585,
+    step_per_request_s=0.000852,
+    step_per_context_token_s=8.6e-8,
+    prefill_tokens_per_s=61_200.0,
+    prefill_per_pair_s=3.25e-10,
+    chunk_tokens=512,
+    steps_per_pass=6,
+    usual_prompt_tokens=835.0,
+    usual_answer_tokens=139.0,
+    layout=LAYOUT,
+)
+
+
+class TestLongestPass:
+    def test_grows_with_the_batch(self) -> None:
+        """Guards against full batches whose streams are all late after a shift."""
+        assert longest_pass_s(ENGINE, 4) < 0.108 < longest_pass_s(ENGINE, 5) < 0.13
+
+    def test_without_experts(self) -> None:
+        """Guards against smaller batches of engines whose ranks don't wait for each other."""
+        dense = structs.replace(ENGINE, layout=None)
+        assert longest_pass_s(dense, 5) < 0.07
+
+
+class TestUsableShare:
+    def test_one_request_less(self) -> None:
+        """Guards against a first shift in a flood that makes all streams late."""
+        assert usable_share(ENGINE, 0.12) == 0.8
+
+    def test_all_slots(self) -> None:
+        """Guards against places left empty where pauses are short in any case."""
+        assert usable_share(ENGINE, 0.3) == 1.0
+        assert usable_share(ENGINE, 0.0) == 1.0
+
+    def test_never_below_half(self) -> None:
+        """Guards against engines left idle for a target that no batch meets."""
+        assert usable_share(ENGINE, 0.01) == 0.5
