Test standbys and voters beyond the seeds by the odd rule

It is replaced by two tests with the same bound: five replicas become five voters, and the fourth of four takes the place of a killed voter.

--- a/tests/processes/test_platform_processes.py
+++ b/tests/processes/test_platform_processes.py
@@ -155,15 +155,30 @@
             assert found is not None
             assert found.status != 200 or json.loads(found.body)["Version"] == made.number
 
-    async def test_fourth_replica_joins(self, tmp_path: Path) -> None:
-        """Guards against a replica beyond the seeds that never becomes a voter."""
+    async def test_replicas_beyond_the_seeds_join(self, tmp_path: Path) -> None:
+        """Guards against replicas beyond the seeds that never become voters."""
+        async with platform(tmp_path, controls=5) as made:
+            await until(lambda: follows(made, "control3"), 15.0)
+            await until(lambda: follows(made, "control4"), 15.0)
+
+    async def test_fourth_replica_replaces_a_lost_one(self, tmp_path: Path) -> None:
+        """Guards against a standby that never takes the place of a voter that is gone.
+
+        Four voters bear no more losses than three, so the fourth replica waits as a standby.
+        """
         async with platform(tmp_path, controls=4) as made:
+            await made.change()
+            read = await until(lambda: made.read(made.machines["control3"]), 10.0)
+            assert read["Version"] == made.number
+            assert await follows(made, "control3") is None
+            await made.kill("control1")
+            await until(lambda: follows(made, "control3"), 15.0)
 
-            async def joined() -> bool | None:
-                changes = [e for e in made.events("control3") if e["event"] == "role_changed"]
-                return True if changes and changes[-1]["role"] == "follower" else None
 
-            await until(joined, 15.0)
+async def follows(made: Platform, name: str) -> bool | None:
+    """Tell whether the replica's last role is that of a voter."""
+    changes = [e for e in made.events(name) if e["event"] == "role_changed"]
+    return True if changes and changes[-1]["role"] in ("follower", "leader") else None
 
 
 async def leader_of(made: Platform) -> str:
