Tell loads as one sum and keep configurations compressed

Each periodic message listed each other entry with its loads and the announcements without a change, and each configuration went to every process as plain text.

Change: News has the other entries only when they changed, the sum of their loads, and no unchanged announcements; files are packed by zlib in the log and on the wire, and damaged ones are dropped with a log line.

--- a/src/lycheefall/_core/messages/control.py
+++ b/src/lycheefall/_core/messages/control.py
@@ -122,7 +122,8 @@
     """Keep a whole file under its number; a higher number replaces the file that is held."""
 
     number: Revision
-    body: bytes
+    # Compressed; what the bytes mean is not known to the state machine.
+    packed: bytes
 
 
 Command = (
--- a/src/lycheefall/_core/messages/relay.py
+++ b/src/lycheefall/_core/messages/relay.py
@@ -48,20 +48,18 @@
 
 
 class FileBody(Struct, frozen=True, array_like=True, tag=83):
-    """The bytes of a file."""
+    """The compressed bytes of a file."""
 
     number: Revision
-    body: bytes
+    packed: bytes
 
 
 class EntrySeen(Struct, frozen=True, array_like=True):
-    """An entry and its load, as a replica heard of them."""
+    """An entry, as a replica heard of it."""
 
     entry: InstanceId
     data_centre: DataCentreId
     state: MemberState
-    # None where this replica is not told of it.
-    in_flight: dict[UpstreamId, int] | None
 
 
 class News(Struct, frozen=True, array_like=True, tag=84):
@@ -72,11 +70,12 @@
     replica: InstanceId
     number: Revision
     records: tuple[UpstreamRecord, ...]
-    # Upstreams that announced themselves again without a change.
-    seen: tuple[UpstreamId, ...]
     # Control addresses of all replicas; empty where they did not change.
     replicas: tuple[InstanceId, ...]
-    entries: tuple[EntrySeen, ...]
+    # The other entries; None where they did not change.
+    entries: tuple[EntrySeen, ...] | None
+    # Attempts in flight of all other entries together; None where this replica is not told.
+    in_flight: dict[UpstreamId, int] | None
     # Requests that crashed too many upstreams.
     refused: tuple[Fingerprint, ...]
     # The entry that places experts; only the leader names one.
--- a/src/lycheefall/_registry/calls.py
+++ b/src/lycheefall/_registry/calls.py
@@ -23,6 +23,7 @@
 )
 from lycheefall._registry.questions import NotLeading, Questions, read_file, store_file
 from lycheefall._wire.http_front import Caller, Handle, Headers, IncomingRequest, answer
+from lycheefall._wire.packed_file import pack, unpack
 
 # Callers keep the addresses for this long. A shorter time costs calls, a longer one sends
 # callers to an entry that is gone.
@@ -115,7 +116,7 @@
         return Reply(200)
     try:
         async with asyncio.timeout(STORE_TIMEOUT_S):
-            result = await store_file(registry.questions, StoreFile(number, request.body))
+            result = await store_file(registry.questions, StoreFile(number, pack(request.body)))
     except TimeoutError:
         log(Event.FILE_STORED, revision=number, outcome="unknown", waited_s=STORE_TIMEOUT_S)
         return _error(registry, 503, "the file was not committed in time")
@@ -138,7 +139,7 @@
     if not held.number:
         return _error(registry, 503, "no file was stored yet")
     log(Event.FILE_READ, outcome="confirmed", revision=held.number)
-    return Reply(200, held.body)
+    return Reply(200, unpack(held.packed))
 
 
 def _elsewhere(registry: Registry, request: IncomingRequest, leader: Address | None) -> Reply:
--- a/src/lycheefall/_registry/registrar.py
+++ b/src/lycheefall/_registry/registrar.py
@@ -1,6 +1,7 @@
 """Filter that owns what a registry knows of upstreams and entries."""
 
 from asyncio import Future
+from collections import Counter
 from collections.abc import Callable
 
 from msgspec import Struct, field
@@ -64,8 +65,8 @@
     news: int = 0
     sent_s: float = float("-inf")
     records: dict[UpstreamId, UpstreamRecord] = field(default_factory=dict)
-    seen: set[UpstreamId] = field(default_factory=set)
     replicas: tuple[InstanceId, ...] = ()
+    entries: tuple[EntrySeen, ...] | None = None
     number: int = -1
 
 
@@ -120,8 +121,6 @@
                 to_peers(PeerNews((record,)))
                 _tell_change(state, record, known, to_entry, now_s)
             else:
-                record_table.touch(state.table, record.upstream, now_s)
-                _note_seen(state, record.upstream)
                 _resolve(known)
         case Departed(upstream, born_ms, known):
             left = record_table.leave(state.table, upstream, born_ms, now_s)
@@ -139,7 +138,7 @@
         case FromEntry(peer, EntryStatus() as status):
             _on_status(state, peer, status, to_entry, now_s)
         case FromEntry(peer, FetchFile()):
-            to_entry(peer, FileBody(state.file.number, state.file.body))
+            to_entry(peer, FileBody(state.file.number, state.file.packed))
         case AskDirectory(addresses):
             if not addresses.done():
                 addresses.set_result(_ready_addresses(state, now_s))
@@ -234,11 +233,6 @@
         link.records[record.upstream] = record
 
 
-def _note_seen(state: Registrar, upstream: UpstreamId) -> None:
-    for link in state.entries.values():
-        link.seen.add(upstream)
-
-
 def _tell_all(state: Registrar, to_entry: SendToEntry, now_s: float) -> None:
     for link in state.entries.values():
         if link.records or link.number != state.file.number:
@@ -251,6 +245,9 @@
     link.number = state.file.number
     is_known = link.replicas == state.replicas
     link.replicas = state.replicas
+    others = _others(state, link.status.entry)
+    are_known = link.entries == others
+    link.entries = others
     to_entry(
         link.peer,
         News(
@@ -258,27 +255,39 @@
             state.instance,
             state.file.number,
             tuple(link.records.values()),
-            tuple(link.seen),
             () if is_known else state.replicas,
-            _others(state, link.status.entry),
+            None if are_known else others,
+            _others_in_flight(state, link.status.entry),
             _refused(state, now_s),
             _coordinator(state, now_s),
         ),
     )
     link.records = {}
-    link.seen = set()
 
 
 def _others(state: Registrar, entry: InstanceId) -> tuple[EntrySeen, ...]:
     return tuple(
-        EntrySeen(
-            link.status.entry, link.status.data_centre, link.status.state, link.status.in_flight
-        )
+        EntrySeen(link.status.entry, link.status.data_centre, link.status.state)
         for link in state.entries.values()
         if link.status.entry != entry
     )
 
 
+def _others_in_flight(state: Registrar, entry: InstanceId) -> dict[UpstreamId, int] | None:
+    """Return what all other entries have in flight together, if any of them told."""
+    told = [
+        link.status.in_flight
+        for link in state.entries.values()
+        if link.status.entry != entry and link.status.in_flight is not None
+    ]
+    if not told:
+        return None
+    totals: Counter[UpstreamId] = Counter()
+    for each in told:
+        totals.update(each)
+    return dict(totals)
+
+
 def _refused(state: Registrar, now_s: float) -> tuple[Fingerprint, ...]:
     return crash_counts.refused(state.crashes, now_s)
 
--- a/src/lycheefall/_relay/control_link.py
+++ b/src/lycheefall/_relay/control_link.py
@@ -17,6 +17,7 @@
 from lycheefall._relay.dispatch import Known
 from lycheefall._relay.messages import InForce, ToDispatch
 from lycheefall._wire.codec import DecodeError, encode
+from lycheefall._wire.packed_file import unpack
 from lycheefall._wire.relay_codec import decode_to_relay
 from lycheefall._wire.zmq_ends import DealerEnd
 
@@ -191,7 +192,10 @@
     if message.number <= state.number:
         return
     try:
-        configuration = state.decode_file(message.body)
+        configuration = state.decode_file(unpack(message.packed))
+    except DecodeError as error:
+        log(Event.MESSAGE_DROPPED, source=replica, detail=str(error))
+        return
     except LycheefallError as error:
         log(Event.FILE_REFUSED, code=int(error.code), detail=error.detail)
         return
--- a/src/lycheefall/_relay/dispatch.py
+++ b/src/lycheefall/_relay/dispatch.py
@@ -9,7 +9,7 @@
 from lycheefall._core.events import Event
 from lycheefall._core.ids import Fingerprint, InstanceId, UpstreamId
 from lycheefall._core.log import log
-from lycheefall._core.messages.relay import Crash, News
+from lycheefall._core.messages.relay import Crash, EntrySeen, News
 from lycheefall._core.pipeline import Inbox
 from lycheefall._operate.exposition import IN_FLIGHT, WAITING
 from lycheefall._relay.messages import Beat, CrashSeen, InForce, Seek, TeamDone, ToDispatch
@@ -25,7 +25,7 @@
     Refuse,
     Withdraw,
 )
-from lycheefall._rules.dispatching import Dispatching, Other
+from lycheefall._rules.dispatching import Dispatching, Loads, Other
 from lycheefall._rules.record_table import RecordTable
 
 BEAT_PERIOD_S = 0.025
@@ -52,6 +52,7 @@
     fresh_crashes: list[tuple[float, Crash]] = field(default_factory=list)
     refused: frozenset[Fingerprint] = frozenset()
     # What each replica told last.
+    told_entries: dict[InstanceId, tuple[EntrySeen, ...]] = field(default_factory=dict)
     told_refused: dict[InstanceId, tuple[Fingerprint, ...]] = field(default_factory=dict)
     heard_s: float = float("-inf")
 
@@ -125,8 +126,6 @@
 def _on_news(state: Dispatcher, news: News, now_s: float) -> list[Output]:
     state.heard_s = now_s
     changed = [each for each in news.records if record_table.take(state.table, each, now_s)]
-    for upstream in news.seen:
-        record_table.touch(state.table, upstream, now_s)
     for record in changed:
         log(
             Event.UPSTREAM_SEEN if record.state is MemberState.READY else Event.UPSTREAM_LEFT,
@@ -141,8 +140,12 @@
         )
     for record in changed:
         _confirm(state, record.upstream, record.born_ms, now_s)
-    others = {each.entry: Other(each.data_centre, each.in_flight, now_s) for each in news.entries}
-    dispatching.use_others(state.rules, others, now_s)
+    if news.entries is not None:
+        state.told_entries[news.replica] = news.entries
+    told = state.told_entries.get(news.replica, ())
+    others = {each.entry: Other(each.data_centre, now_s) for each in told}
+    loads = None if news.in_flight is None else Loads(news.in_flight, now_s)
+    dispatching.use_others(state.rules, others, news.replica, loads, now_s)
     state.told_refused[news.replica] = news.refused
     _use_refused(state, now_s)
     if not changed:
--- a/src/lycheefall/_rules/consensus/log.py
+++ b/src/lycheefall/_rules/consensus/log.py
@@ -116,6 +116,6 @@
     match getattr(entry.payload, "command", None):
         case ApplyFile(text=text):
             return len(text)
-        case StoreFile(body=body):
-            return len(body) + _SMALL_ENTRY_BYTES
+        case StoreFile(packed=packed):
+            return len(packed) + _SMALL_ENTRY_BYTES
     return _SMALL_ENTRY_BYTES
--- a/src/lycheefall/_rules/dispatching.py
+++ b/src/lycheefall/_rules/dispatching.py
@@ -9,7 +9,7 @@
 
 from random import Random
 
-from msgspec import Struct, field, structs
+from msgspec import Struct, field
 
 from lycheefall._core.ids import DataCentreId, GroupId, InstanceId, PoolId, TeamId, UpstreamId
 from lycheefall._core.relay import RelayConfiguration, RelayPool
@@ -51,8 +51,13 @@
     """Another entry as it was last heard of."""
 
     data_centre: DataCentreId
-    # None where the word came over a replica that does not know it.
-    in_flight: dict[UpstreamId, int] | None
+    heard_s: float
+
+
+class Loads(Struct, frozen=True):
+    """Attempts in flight of other entries together, as a replica last told."""
+
+    in_flight: dict[UpstreamId, int]
     heard_s: float
 
 
@@ -66,6 +71,8 @@
     pools: dict[PoolId, PoolState] = field(default_factory=dict)
     engines: dict[PoolId, RelayPool] = field(default_factory=dict)
     others: dict[InstanceId, Other] = field(default_factory=dict)
+    # By the replica that told them; each knows the entries that report their loads to it.
+    loads: dict[InstanceId, Loads] = field(default_factory=dict)
     teams: dict[int, tuple[PoolId, TeamId | None]] = field(default_factory=dict)
 
 
@@ -99,19 +106,26 @@
     _count_others(state)
 
 
-def use_others(state: Dispatching, others: dict[InstanceId, Other], now_s: float) -> None:
-    """Take what other entries have in flight."""
+def use_others(
+    state: Dispatching,
+    others: dict[InstanceId, Other],
+    replica: InstanceId,
+    loads: Loads | None,
+    now_s: float,
+) -> None:
+    """Take which other entries there are and, where a replica knows, what they have in flight."""
     known = set(state.others)
-    for entry, heard in others.items():
-        held = state.others.get(entry)
-        if heard.in_flight is None and held is not None:
-            heard = structs.replace(heard, in_flight=held.in_flight)
-        state.others[entry] = heard
+    state.others.update(others)
     for entry, other in list(state.others.items()):
         if now_s - other.heard_s > _OTHERS_FORGOTTEN_S:
             del state.others[entry]
     if known != set(state.others):
         _prefer(state)
+    if loads is not None:
+        state.loads[replica] = loads
+    for source, each in list(state.loads.items()):
+        if now_s - each.heard_s > _OTHERS_FORGOTTEN_S:
+            del state.loads[source]
     _count_others(state)
 
 
@@ -327,6 +341,4 @@
 def _count_others(state: Dispatching) -> None:
     for pool in state.pools.values():
         for upstream, seat in pool.seats.by_id.items():
-            seat.others = sum(
-                (other.in_flight or {}).get(upstream, 0) for other in state.others.values()
-            )
+            seat.others = sum(each.in_flight.get(upstream, 0) for each in state.loads.values())
--- a/src/lycheefall/_rules/record_table.py
+++ b/src/lycheefall/_rules/record_table.py
@@ -21,7 +21,6 @@
     """A record, and when something of its upstream arrived last."""
 
     record: UpstreamRecord
-    seen_s: float
     changed_s: float
 
 
@@ -34,10 +33,10 @@
 
 
 def take(table: RecordTable, record: UpstreamRecord, now_s: float) -> bool:
-    """Take a record; return whether it changes more than the time at which it was seen."""
+    """Take a record; return whether it tells more than that the upstream is still there."""
     held = table.held.get(record.upstream)
     if held is None:
-        table.held[record.upstream] = Held(record, now_s, now_s)
+        table.held[record.upstream] = Held(record, now_s)
         _own(table, record)
         return True
     if record.state is MemberState.FAILED and record.born_ms == 0:
@@ -48,7 +47,6 @@
         held.record, sequence=0, cold_s=0.0
     )
     held.record = record
-    held.seen_s = now_s
     if is_change:
         held.changed_s = now_s
         _own(table, record)
@@ -78,13 +76,6 @@
                 del table.owners[held.record.address]
 
 
-def touch(table: RecordTable, upstream: UpstreamId, now_s: float) -> None:
-    """Note that an upstream announced itself without a change."""
-    held = table.held.get(upstream)
-    if held is not None:
-        held.seen_s = now_s
-
-
 def records(table: RecordTable) -> tuple[UpstreamRecord, ...]:
     """Return all records."""
     return tuple(held.record for held in table.held.values())
--- a/src/lycheefall/_rules/replicated/newest_file.py
+++ b/src/lycheefall/_rules/replicated/newest_file.py
@@ -11,7 +11,7 @@
     """The bytes that were stored under the highest number so far."""
 
     number: Revision = NO_REVISION
-    body: bytes = b""
+    packed: bytes = b""
 
 
 def apply(held: NewestFile, command: StoreFile) -> tuple[NewestFile, StoreResult]:
@@ -20,5 +20,5 @@
     A command that is sent again, or overtaken by another operator's, must not be refused.
     """
     if command.number > held.number:
-        held = NewestFile(command.number, command.body)
+        held = NewestFile(command.number, command.packed)
     return held, StoreResult(ResultCode.OK, held.number)
