--- a/src/lycheefall/_relay/exchange_log.py
+++ b/src/lycheefall/_relay/exchange_log.py
@@ -75,6 +75,8 @@
         sent=exchange.sent,
         upstreams=relay.known().upstreams,
         retry_after_s=retry_after_s,
+        came_back=exchange.came_back,
+        left_s=round(exchange.caller_deadline_s - relay.now(), 3),
         held_s=round(relay.now() - exchange.request.received_s, 4),
     )
 
