--- /dev/null
+++ b/tests/played_day.py
@@ -0,0 +1,403 @@
+"""Plays a scaled day on the dispatching rules of several entries, in virtual time.
+
+Engines of a group begin each pass together, and a pass lasts longer the more requests its
+fullest engine runs. Entries hear of each other's loads late. Callers that are refused come back
+once. What callers get is counted by kind of request, team and data centre.
+"""
+
+import heapq
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from itertools import count
+from random import Random
+
+from lycheefall._core.ids import DataCentreId, GroupId, InstanceId, PoolId, TeamId, UpstreamId
+from lycheefall._core.relay import RequestKind, UpstreamRecord, Urgency
+from lycheefall._rules import dispatching, record_table
+from lycheefall._rules.dispatch_messages import (
+    Ask,
+    Ended,
+    FirstByte,
+    Outcome,
+    Output,
+    PauseSeen,
+    Place,
+    Refuse,
+)
+from lycheefall._rules.dispatching import Dispatching, Loads, Other
+from lycheefall._rules.record_table import RecordTable
+from lycheefall._rules.retry_share import RetryBounds
+from relay_values import DESK, POOL, configuration, record
+
+TICK_S = 0.025
+LOADS_PERIOD_S = 0.1
+# From an entry to another over control.
+LOADS_DELAY_S = 0.1
+PAUSE_TARGET_S = 0.12
+READ_S = 0.08
+PASS_S = 0.05
+# For each request of the fullest engine of the group.
+PASS_PER_REQUEST_S = 0.006
+SLOTS = 8
+RANKS = 4
+SERVICE_S = 0.06
+# A crashed upstream is back after this time.
+DOWN_S = 3.0
+DRAIN_S = 4.0
+
+
+@dataclass(frozen=True)
+class Kind:
+    """A kind of request, and what its answers are worth."""
+
+    name: str
+    pool: PoolId
+    rank: int
+    target_s: float
+    per_s: float
+    worth: float
+    late_worth: float
+    # Events of a stream; 0 for requests with one answer.
+    events: int = 0
+
+
+@dataclass(frozen=True)
+class Flood:
+    """More requests of one kind for a while."""
+
+    kind: str
+    from_s: float
+    to_s: float
+    factor: float
+
+
+@dataclass(frozen=True)
+class Fault:
+    """A crash of an upstream, or its announced end."""
+
+    at_s: float
+    upstream: str
+    is_drain: bool = False
+
+
+@dataclass(frozen=True)
+class Day:
+    """What happens on a day."""
+
+    kinds: tuple[Kind, ...]
+    floods: tuple[Flood, ...] = ()
+    faults: tuple[Fault, ...] = ()
+    length_s: float = 30.0
+    groups: int = 4
+    entries: int = 6
+    services: int = 3
+
+
+@dataclass
+class Account:
+    """What was asked for and what it earned."""
+
+    asked: Counter[str] = field(default_factory=Counter)
+    in_aim: Counter[str] = field(default_factory=Counter)
+    late: Counter[str] = field(default_factory=Counter)
+    refused: Counter[str] = field(default_factory=Counter)
+    lost: Counter[str] = field(default_factory=Counter)
+    owed: defaultdict[str, float] = field(default_factory=lambda: defaultdict(float))
+    earned: defaultdict[str, float] = field(default_factory=lambda: defaultdict(float))
+
+    def worth(self, name: str = "all") -> float:
+        """Return the part of what is owed that was earned."""
+        return self.earned[name] / self.owed[name]
+
+    def lines(self) -> Iterator[str]:
+        """Yield a table."""
+        yield f"{'':24}{'asked':>7}{'in aim':>8}{'late':>6}{'refused':>9}{'lost':>6}{'worth':>8}"
+        for name in self.asked:
+            yield (
+                f"{name:24}{self.asked[name]:7}{self.in_aim[name]:8}{self.late[name]:6}"
+                f"{self.refused[name]:9}{self.lost[name]:6}{self.worth(name):8.3f}"
+            )
+
+
+@dataclass(eq=False)
+class Call:
+    """A caller's request over all its tries."""
+
+    number: int
+    kind: Kind
+    team: str
+    entry: int
+    first_s: float
+    has_come_back: bool = False
+    is_late: bool = False
+    events_left: int = 0
+    upstream: str = ""
+
+
+@dataclass(eq=False)
+class Group:
+    """Engines whose passes begin together."""
+
+    running: list[Call] = field(default_factory=list)
+    # Placed while the engine was full.
+    queued: list[Call] = field(default_factory=list)
+    pass_ends_s: float | None = None
+    # A pass that was cut off by a crash must not end.
+    crashes: int = 0
+
+
+class _World:
+    def __init__(self, day: Day, seed: int) -> None:
+        self.day = day
+        self.random = Random(seed)
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.order = count()
+        self.numbers = count()
+        self.now_s = 0.0
+        self.account = Account()
+        self.calls: dict[int, Call] = {}
+        self.groups = {f"g{number}": Group() for number in range(day.groups)}
+        self.records = {each.upstream: each for each in _records(day)}
+        self.entries = [self._entry(number) for number in range(day.entries)]
+        # Most requests that an engine ran or queued at once.
+        self.fullest = 0
+
+    def _entry(self, number: int) -> Dispatching:
+        state = Dispatching(
+            instance=InstanceId(f"e{number}"),
+            data_centre=_data_centre(number),
+            bounds=RetryBounds(ratio=0.2, window_s=10.0, allowance=88.0),
+            random=Random(number),
+        )
+        dispatching.use_configuration(state, configuration())
+        return state
+
+    def at(self, at_s: float, what: Callable[[], None]) -> None:
+        heapq.heappush(self.events, (at_s, next(self.order), what))
+
+    def run(self) -> None:
+        self._learn()
+        self.at(0.0, self._tell_loads)
+        for fault in self.day.faults:
+            self.at(fault.at_s, lambda fault=fault: self._fail(fault))
+        for kind in self.day.kinds:
+            self._next_arrival(kind)
+        for step in range(int((self.day.length_s + 10.0) / TICK_S)):
+            self.at(step * TICK_S, self._tick)
+        while self.events:
+            self.now_s, _, what = heapq.heappop(self.events)
+            what()
+
+    def _next_arrival(self, kind: Kind) -> None:
+        factor = 1.0
+        for flood in self.day.floods:
+            if flood.kind == kind.name and flood.from_s <= self.now_s < flood.to_s:
+                factor = flood.factor
+        at_s = self.now_s + self.random.expovariate(kind.per_s * factor)
+        if at_s < self.day.length_s:
+            self.at(at_s, lambda: self._arrive(kind))
+
+    def _arrive(self, kind: Kind) -> None:
+        self._next_arrival(kind)
+        # One team asks for most.
+        team = "large" if self.random.random() < 0.8 else "small"
+        entry = self.random.randrange(self.day.entries)
+        call = Call(next(self.numbers), kind, team, entry, self.now_s)
+        for name in self._names(call):
+            self.account.asked[name] += 1
+            self.account.owed[name] += kind.worth
+        self._ask(call)
+
+    def _ask(self, call: Call) -> None:
+        call.number = next(self.numbers)
+        self.calls[call.number] = call
+        target_s = self.now_s + (0.0 if call.has_come_back else call.kind.target_s)
+        message = Ask(
+            number=call.number,
+            pool=call.kind.pool,
+            kind=RequestKind.STREAMING if call.kind.events else RequestKind.IDEMPOTENT,
+            urgency=Urgency(0, call.kind.rank),
+            team=TeamId(call.team),
+            arrived_s=self.now_s,
+            target_s=target_s,
+            deadline_s=call.first_s + 8.0,
+        )
+        self._act(dispatching.ask(self.entries[call.entry], message, self.now_s))
+
+    def _act(self, outputs: list[Output]) -> None:
+        for output in outputs:
+            call = self.calls[output.number]
+            match output:
+                case Refuse():
+                    self._refused(call, output.retry_after_s)
+                case Place(record=found):
+                    call.upstream = found.upstream
+                    self._start(call)
+
+    def _refused(self, call: Call, retry_after_s: float) -> None:
+        if call.has_come_back:
+            self._count(self.account.refused, call, 0.0)
+            return
+        call.has_come_back = True
+        self.at(self.now_s + retry_after_s, lambda: self._ask(call))
+
+    def _start(self, call: Call) -> None:
+        if not call.kind.events:
+            duration_s = SERVICE_S * self.random.uniform(0.6, 1.6)
+            self.at(self.now_s + duration_s, lambda: self._answered(call))
+            return
+        call.events_left = call.kind.events
+        group = self._group(call)
+        group.queued.append(call)
+        at_engine = [
+            each for each in group.running + group.queued if each.upstream == call.upstream
+        ]
+        self.fullest = max(self.fullest, len(at_engine))
+        if group.pass_ends_s is None:
+            self._begin_pass(group)
+
+    def _begin_pass(self, group: Group) -> None:
+        loads = Counter(each.upstream for each in group.running)
+        for call in list(group.queued):
+            if loads[call.upstream] < SLOTS:
+                loads[call.upstream] += 1
+                group.queued.remove(call)
+                group.running.append(call)
+        if not group.running:
+            group.pass_ends_s = None
+            return
+        length_s = PASS_S + PASS_PER_REQUEST_S * max(loads.values())
+        group.pass_ends_s = self.now_s + length_s
+        crashes = group.crashes
+        self.at(group.pass_ends_s, lambda: self._end_pass(group, length_s, crashes))
+
+    def _end_pass(self, group: Group, length_s: float, crashes: int) -> None:
+        if crashes != group.crashes:
+            return
+        for call in list(group.running):
+            state = self.entries[call.entry]
+            upstream = UpstreamId(call.upstream)
+            if call.events_left == call.kind.events:
+                delay_s = READ_S + length_s
+                first = FirstByte(POOL, upstream, delay_s)
+                dispatching.first_byte(state, first, self.now_s)
+                call.is_late |= self.now_s + READ_S > call.first_s + call.kind.target_s
+            else:
+                pause = PauseSeen(POOL, upstream, length_s, PAUSE_TARGET_S)
+                dispatching.pause_seen(state, pause, self.now_s)
+                call.is_late |= length_s > PAUSE_TARGET_S
+            call.events_left -= 1
+            if not call.events_left:
+                group.running.remove(call)
+                self._answered(call)
+        self._begin_pass(group)
+
+    def _answered(self, call: Call) -> None:
+        if not call.kind.events:
+            call.is_late = self.now_s > call.first_s + call.kind.target_s
+            first = FirstByte(DESK, UpstreamId(call.upstream), SERVICE_S)
+            dispatching.first_byte(self.entries[call.entry], first, self.now_s)
+        if call.is_late:
+            self._count(self.account.late, call, call.kind.late_worth)
+        else:
+            self._count(self.account.in_aim, call, call.kind.worth)
+        self._end(call, Outcome.ANSWERED, False)
+
+    def _end(self, call: Call, outcome: Outcome, stalled: bool) -> None:
+        state = self.entries[call.entry]
+        dispatching.team_done(state, call.number)
+        ended = Ended(
+            call.kind.pool,
+            UpstreamId(call.upstream),
+            outcome,
+            had_answered=outcome is Outcome.ANSWERED,
+            group_stalled=stalled,
+        )
+        self._act(dispatching.ended(state, ended, self.now_s))
+
+    def _fail(self, fault: Fault) -> None:
+        failed = self.records.pop(UpstreamId(fault.upstream))
+        self._learn()
+        back_s = self.now_s + (DRAIN_S if fault.is_drain else DOWN_S)
+        self.at(back_s, lambda: self._return(failed))
+        if fault.is_drain or failed.group is None:
+            return
+        group = self.groups[failed.group.group]
+        # Every rank of a group is needed for each layer, so all its streams are lost.
+        lost = group.running + group.queued
+        group.running, group.queued, group.pass_ends_s = [], [], None
+        group.crashes += 1
+        for call in lost:
+            self._count(self.account.lost, call, 0.0)
+            self._end(call, Outcome.LOST, True)
+
+    def _return(self, upstream: UpstreamRecord) -> None:
+        self.records[upstream.upstream] = upstream
+        self._learn()
+
+    def _learn(self) -> None:
+        for state in self.entries:
+            table = RecordTable()
+            for each in self.records.values():
+                record_table.take(table, each, self.now_s)
+            dispatching.use_records(state, table)
+
+    def _tell_loads(self) -> None:
+        told = [dispatching.in_flight(each) for each in self.entries]
+        self.at(self.now_s + LOADS_DELAY_S, lambda: self._hear_loads(told))
+        if self.now_s < self.day.length_s + 10.0:
+            self.at(self.now_s + LOADS_PERIOD_S, self._tell_loads)
+
+    def _hear_loads(self, told: list[dict[UpstreamId, int]]) -> None:
+        for number, state in enumerate(self.entries):
+            others = {
+                each.instance: Other(each.data_centre, self.now_s)
+                for each in self.entries
+                if each is not state
+            }
+            totals: Counter[UpstreamId] = Counter()
+            for other, counts in enumerate(told):
+                if other != number:
+                    totals.update(counts)
+            loads = Loads(dict(totals), self.now_s)
+            dispatching.use_others(state, others, InstanceId("c"), loads, self.now_s)
+
+    def _tick(self) -> None:
+        for state in self.entries:
+            self._act(dispatching.tick(state, self.now_s))
+
+    def _group(self, call: Call) -> Group:
+        return self.groups[call.upstream.partition("-")[0]]
+
+    def _count(self, counter: Counter[str], call: Call, earned: float) -> None:
+        for name in self._names(call):
+            counter[name] += 1
+            self.account.earned[name] += earned
+
+    def _names(self, call: Call) -> tuple[str, ...]:
+        centre = _data_centre(call.entry)
+        return ("all", f"kind {call.kind.name}", f"team {call.team}", f"data centre {centre}")
+
+
+def _data_centre(number: int) -> DataCentreId:
+    return DataCentreId(f"dc{number % 3}")
+
+
+def _records(day: Day) -> Iterator[UpstreamRecord]:
+    for number in range(day.groups):
+        for rank in range(RANKS):
+            name = f"g{number}-{rank}"
+            centre = _data_centre(number)
+            yield record(
+                name, slots=SLOTS, data_centre=centre, rank=rank, group=GroupId(f"g{number}")
+            )
+    for number in range(day.services):
+        yield record(f"s{number}", pool=DESK, slots=4, data_centre=_data_centre(number))
+
+
+def play_day(day: Day, seed: int) -> tuple[Account, int]:
+    """Play a day; return what callers got, and the most requests at one engine at once."""
+    world = _World(day, seed)
+    world.run()
+    return world.account, world.fullest
