--- a/src/lycheefall/_core/dialect.py
+++ b/src/lycheefall/_core/dialect.py
@@ -25,13 +25,7 @@
     # Proves that an answer is an upstream's own.
     seal: HeaderName
     not_run: HeaderName
-    # The upstream at which a request failed.
-    failed_at: HeaderName
-    load: HeaderName
     rank: HeaderName
-    token_count: HeaderName
-    prefix: HeaderName
-    length_hint: HeaderName
     last_event_id: HeaderName
     retry_after: HeaderName
 
