Log the orders that all ranks get only where one was not taken

Change: orders to prepare a map and to be armed have a line only where one was refused or not answered; experts_placed tells how many ranks the group has.

--- a/src/lycheefall/_relay/map_coordinator.py
+++ b/src/lycheefall/_relay/map_coordinator.py
@@ -271,6 +271,7 @@
             epoch=group.epoch,
             version=version,
             outcome=result.value,
+            ranks=len(group.members),
             ratio_before=round(ratios[0], 3),
             ratio_after=round(ratios[1], 3),
             copies=copied,
--- a/src/lycheefall/_relay/rank_calls.py
+++ b/src/lycheefall/_relay/rank_calls.py
@@ -10,9 +10,11 @@
 from lycheefall._core.events import Event
 from lycheefall._core.exceptions import LycheefallError
 from lycheefall._core.expert_maps import (
+    Arm,
     ExpertCounts,
     HeldExperts,
     PassNumber,
+    Prepare,
     RankOrder,
     RankStatus,
 )
@@ -37,6 +39,8 @@
 
 # Where links lose packets, one of many ranks would nearly always be without an answer.
 READ_ATTEMPTS = 4
+# A change gives these to each rank, dozens at a time: EXPERTS_PLACED tells that all took them.
+_TO_ALL_RANKS = (Prepare, Arm)
 
 T = TypeVar("T")
 
@@ -97,6 +101,12 @@
         reply = Reply.UNANSWERED
     else:
         reply = Reply.TAKEN if answer.status in (200, 202) else Reply.REFUSED
+    if reply is not Reply.TAKEN or not isinstance(order, _TO_ALL_RANKS):
+        _log_order(rank, order, reply, answer)
+    return reply
+
+
+def _log_order(rank: Rank, order: RankOrder, reply: Reply, answer: _Answer | None) -> None:
     log(
         Event.RANK_ORDERED,
         upstream=rank.record.upstream,
@@ -108,7 +118,6 @@
         reply=reply.value,
         status=None if answer is None else answer.status,
     )
-    return reply
 
 
 async def _call(rank: Rank, method: bytes, target: str, body: bytes) -> _Answer | None:
--- a/tests/test_rank_calls.py
+++ b/tests/test_rank_calls.py
@@ -5,9 +5,18 @@
 from contextlib import asynccontextmanager
 
 import msgspec
+from structlog.testing import capture_logs
 
+from lycheefall._core.expert_maps import Arm, Go, MapVersion, PassNumber
 from lycheefall._relay.connections import Connections, close_all
-from lycheefall._relay.rank_calls import CALL_TIMEOUT_S, READ_ATTEMPTS, Rank, counts_of, status_of
+from lycheefall._relay.rank_calls import (
+    CALL_TIMEOUT_S,
+    READ_ATTEMPTS,
+    Rank,
+    counts_of,
+    give_order,
+    status_of,
+)
 from relay_values import record
 from run_role import platform_dialect
 
@@ -66,3 +75,23 @@
         """Guards against counts that can't be understood and end the coordinator."""
         async with rank_that(lambda number: b"{}") as rank:
             assert await counts_of(rank, 6) is None
+
+
+class TestLogLines:
+    async def test_one_line_for_the_group_not_for_each_rank(self) -> None:
+        """Guards against a change of map that fills the log: 64 lines and more each time."""
+        arm = Arm(version=MapVersion(2), step=PassNumber(9), epoch=1, expected=0)
+        async with rank_that(lambda number: b"{}") as rank:
+            with capture_logs() as lines:
+                await give_order(rank, arm)
+                assert lines == []
+                await give_order(rank, Go(step=PassNumber(9), epoch=1))
+                assert [line["order"] for line in lines] == ["go"]
+
+    async def test_silent_rank_has_a_line(self) -> None:
+        """Guards against an order without an answer that leaves no trace."""
+        arm = Arm(version=MapVersion(2), step=PassNumber(9), epoch=1, expected=0)
+        async with rank_that(lambda number: None) as rank:
+            with capture_logs() as lines:
+                await give_order(rank, arm)
+        assert [line["reply"] for line in lines] == ["unanswered"]
