Follow a changed layout of experts, and forget groups that are gone

The coordinator of expert maps kept the layout that a pool had when it was first seen, so maps after a change of the configuration were planned for the old one. It also went on asking all ranks of a group that was taken away at each look, which waits for their time-outs.

--- a/src/lycheefall/_relay/map_coordinator.py
+++ b/src/lycheefall/_relay/map_coordinator.py
@@ -127,7 +127,8 @@
         if layout is None:
             continue
         pool = state.pools.get(name)
-        if pool is None:
+        if pool is None or pool.layout != layout:
+            # What was learnt of the demand does not fit another layout.
             pool = state.pools[name] = Pool(name, layout)
         find_groups(pool, records, state.dialect, state.connections)
 
--- a/src/lycheefall/_relay/map_groups.py
+++ b/src/lycheefall/_relay/map_groups.py
@@ -63,6 +63,9 @@
         known = ranks.get(record.group.rank)
         if known is None or record.born_ms > known.born_ms:
             ranks[record.group.rank] = record
+    for name, group in pool.groups.items():
+        if name not in latest:
+            group.members = []
     for name, ranks in latest.items():
         group = pool.groups.setdefault(name, Group(name))
         is_whole = sorted(ranks) == list(range(len(ranks)))
