Check bodies from outside once against stated ranges

Cause: a deeply nested body raised RecursionError, a port of a superscript digit and an empty list of counts raised ValueError, and integers beyond 64 bits passed the announcement decoder and raised OverflowError in the task of the registrar when the record was encoded for the other replicas, which ends the process. An address with a space or a line break passed too. A settings file that was changed to invalid UTF-8 ended the process that read it.

Change: platform/body_decoding holds the ranges of counters, sizes, times, durations and names, and the one place that turns msgspec and recursion errors into the refusal. Announcements, departures, configurations, reports, counts and maps use it. An announcement with an invalid group is now refused (a heartbeat with a field of another type names no server to use); the test that asked for the opposite is replaced. A changed settings file is checked as a whole and refused with its field; the refusal is logged.

--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -220,11 +220,24 @@
             announcement_body.decode(UpstreamId("i-1"), body)
         assert announcement_body.decode_departure(body) == 0
 
-    def test_invalid_group(self) -> None:
-        """Guards against an announcement that is refused for an invalid optional group."""
-        body = json.dumps(ANNOUNCEMENT | {"group": {"rank": "x"}}).encode()
+    def test_without_group(self) -> None:
+        """Guards against an announcement that is refused because it has no group."""
+        body = json.dumps(ANNOUNCEMENT | {"group": None}).encode()
         assert announcement_body.decode(UpstreamId("i-1"), body).group is None
 
+    @pytest.mark.parametrize(
+        "group",
+        [{"rank": "x"}, 4, [], ANNOUNCEMENT["group"] | {"rank": -1}],
+    )
+    def test_invalid_group(self, group: Any) -> None:
+        """Guards against a rank of a group that is used as an upstream without a group.
+
+        A heartbeat with a field of another type names no server to use.
+        """
+        body = json.dumps(ANNOUNCEMENT | {"group": group}).encode()
+        with pytest.raises(LycheefallError):
+            announcement_body.decode(UpstreamId("i-1"), body)
+
     def test_departure(self) -> None:
         """Guards against a departure that removes a later start of the upstream."""
         assert announcement_body.decode_departure(b'{"born": 12}') == 12
