Bound responses without end, and check the maps that ranks report

Cause: a body without end, chunked or not, and informational responses without end were read until the deadline of the request, in memory; so was the late response to another request. A stream counted as alive while single bytes arrived, so it was not resumed elsewhere. Counts or a map of another layout raised IndexError or ValueError in the task of the map coordinator, which ends the entry.

Change: limits on the head, the informational responses and the body of a response, and on one event; each closes the connection. The stall of a stream is measured from whole events. Counts and maps that do not match the layout of the pool are refused and logged.

--- a/src/lycheefall/_relay/map_coordinator.py
+++ b/src/lycheefall/_relay/map_coordinator.py
@@ -192,7 +192,7 @@
         for rank in _sampled_ranks(len(group.members))
     ]
     counters = await asyncio.gather(
-        *(fetch_counts(member, pool.layout.sets) for _, _, member in targets)
+        *(fetch_counts(member, pool.layout) for _, _, member in targets)
     )
     return [
         ((name, rank, member.record.start_time_ms), counts)
@@ -276,7 +276,7 @@
     result = RolloutResult.GROUP_LOST
     began_s = asyncio.get_running_loop().time()
     try:
-        ranks = rank_client(group.members, pool.layout.sets)
+        ranks = rank_client(group.members, pool.layout)
         result = await map_rollout.roll_out(
             ranks, status, after, version, copy_s, group.pass_s, state.may_coordinate
         )
@@ -317,7 +317,7 @@
     if group.hold_since_s is None:
         group.hold_since_s = now_s
     held_for_s = now_s - group.hold_since_s
-    ranks = rank_client(group.members, pool.layout.sets)
+    ranks = rank_client(group.members, pool.layout)
     statuses = await map_rollout.statuses(ranks)
     if statuses is None or group.active_map is None or not state.may_coordinate():
         return
--- a/src/lycheefall/_relay/map_groups.py
+++ b/src/lycheefall/_relay/map_groups.py
@@ -122,7 +122,7 @@
 async def _fetch_map(group: Group, layout: ExpertLayout, status: RankStatus) -> None:
     """Fetch the active map from the ranks, after a new epoch or as a new coordinator.
 
-    The map stays unknown if a rank does not report it.
+    The map stays unknown if a rank does not report it, or reports one of another layout.
     """
     group.epoch = -1 if status.membership is None else status.membership.epoch
     group.version = status.map_version
@@ -133,7 +133,10 @@
         return
     reports = await asyncio.gather(*(fetch_loaded_experts(each) for each in group.members))
     loaded = [each for each in reports if each is not None and each.version == status.map_version]
-    if len(loaded) == len(group.members):
-        group.active_map = tuple(
+    if len(loaded) == len(group.members) and all(
+        len(each.experts) == layout.sets for each in loaded
+    ):
+        found = tuple(
             tuple(each.experts[number] for each in loaded) for number in range(layout.sets)
         )
+        group.active_map = found if expert_maps.is_complete(found, layout) else None
--- a/src/lycheefall/_relay/rank_calls.py
+++ b/src/lycheefall/_relay/rank_calls.py
@@ -6,9 +6,10 @@
 
 from msgspec import Struct
 
+from lycheefall._core.codes import ResultCode
 from lycheefall._core.dialect import Dialect
 from lycheefall._core.events import Event
-from lycheefall._core.exceptions import LycheefallError
+from lycheefall._core.exceptions import LycheefallError, RequestRefused
 from lycheefall._core.expert_maps import (
     Arm,
     ExpertCounts,
@@ -19,7 +20,7 @@
     RankStatus,
 )
 from lycheefall._core.log import log
-from lycheefall._core.relay import UpstreamRecord
+from lycheefall._core.relay import ExpertLayout, UpstreamRecord
 from lycheefall._relay import connection_pool
 from lycheefall._relay.connection_pool import ConnectionPool
 from lycheefall._rules.map_rollout import RankClient, Reply
@@ -61,8 +62,8 @@
     body: bytes
 
 
-def rank_client(members: list[Rank], sets: int) -> RankClient:
-    """Return the client through which a rollout calls the ranks; `sets` counts the layer sets."""
+def rank_client(members: list[Rank], layout: ExpertLayout) -> RankClient:
+    """Return the client through which a rollout calls the ranks."""
 
     async def order(rank: int, message: RankOrder) -> Reply:
         return await send_order(members[rank], message)
@@ -72,7 +73,7 @@
 
     async def step(rank: int) -> PassNumber | None:
         # The counters are current; a status report is some hundred milliseconds old.
-        counts = await fetch_counts(members[rank], sets)
+        counts = await fetch_counts(members[rank], layout)
         return None if counts is None else counts.step
 
     return RankClient(len(members), order, status, step, CALL_TIMEOUT_S)
@@ -84,10 +85,17 @@
     return await _fetch(rank, endpoints.status, endpoints.decode_status)
 
 
-async def fetch_counts(rank: Rank, sets: int) -> ExpertCounts | None:
+async def fetch_counts(rank: Rank, layout: ExpertLayout) -> ExpertCounts | None:
     """Return how often requests at a rank selected each expert, or None if it does not respond."""
     endpoints = rank.dialect.ranks
-    return await _fetch(rank, endpoints.counts, lambda body: endpoints.decode_counts(body, sets))
+
+    def decode(body: bytes) -> ExpertCounts:
+        counts = endpoints.decode_counts(body, layout.sets)
+        if any(len(each) != layout.experts for each in counts.counts):
+            raise RequestRefused(ResultCode.BAD_FIELD, f"no counts of {layout.experts} experts")
+        return counts
+
+    return await _fetch(rank, endpoints.counts, decode)
 
 
 async def fetch_loaded_experts(rank: Rank) -> LoadedExperts | None:
--- a/src/lycheefall/_relay/streams.py
+++ b/src/lycheefall/_relay/streams.py
@@ -24,6 +24,8 @@
 # A stream without an event for this long is resumed at another upstream if one is available.
 # Callers give up after 2 s, and a new run needs a few hundred milliseconds to its first event.
 STREAM_STALL_S = 0.8
+# A larger event is not passed on; the usual ones hold a few tokens.
+MAX_EVENT_BYTES = 1024 * 1024
 # Maximum time that a stalled stream is queued for another upstream.
 RESUME_WAIT_S = 0.4
 
@@ -42,18 +44,20 @@
 ) -> NextStep | Place:
     """Forward complete events; return another placement if the stream must be resumed.
 
-    Raises ExchangeError if the connection ends within an event.
+    Raises ExchangeError if the connection ends within an event, or an event is too large.
     """
     event_stream.discard_partial(exchange.events)
     may_resume = True
+    # Only whole events count as progress: a faulty upstream may send a byte now and then.
+    stalled_at_s = relay.now() + STREAM_STALL_S
     while True:
         try:
-            async with asyncio.timeout(STREAM_STALL_S):
+            async with asyncio.timeout_at(stalled_at_s if may_resume else None):
                 data = await read_data(connection)
         except TimeoutError:
-            if not may_resume or not exchange.may_repeat:
-                continue
-            place = await _request_other_upstream(relay, exchange, request_placement)
+            place = None
+            if exchange.may_repeat:
+                place = await _request_other_upstream(relay, exchange, request_placement)
             if place is None:
                 may_resume = False
                 continue
@@ -63,8 +67,11 @@
         if data is None:
             break
         events = event_stream.feed(exchange.events, data)
+        if len(exchange.events.partial) > MAX_EVENT_BYTES:
+            raise ExchangeError(FailureCause.BROKEN, f"an event exceeds {MAX_EVENT_BYTES} bytes")
         if events:
             await _send_events(relay, exchange, head, events)
+            stalled_at_s = relay.now() + STREAM_STALL_S
     if exchange.events.partial:
         raise ExchangeError(FailureCause.BROKEN, "the stream ended within an event")
     connection_pool.put_back(relay.connections, record, connection, relay.now())
--- a/src/lycheefall/_rules/expert_maps.py
+++ b/src/lycheefall/_rules/expert_maps.py
@@ -51,6 +51,12 @@
     return (one_set,) * layout.sets
 
 
+def is_complete(experts: ExpertMap, layout: ExpertLayout) -> bool:
+    """Return whether each set places exactly the experts of the layout."""
+    all_experts = set(range(layout.experts))
+    return all({each for rank in of_set for each in rank} == all_experts for of_set in experts)
+
+
 def improved_set(
     before: Sequence[Sequence[int]], load: Sequence[float], layout: ExpertLayout
 ) -> tuple[tuple[int, ...], ...]:
--- a/src/lycheefall/_wire/http_upstream.py
+++ b/src/lycheefall/_wire/http_upstream.py
@@ -14,6 +14,13 @@
 DEFAULT_IDLE_TIMEOUT_S = 4.0
 # Upstreams state their idle timeout in whole seconds; connections are abandoned this much earlier.
 IDLE_MARGIN_S = 0.5
+# Limits on the head and the body of a response, after which the connection is closed. A faulty
+# upstream may send bytes without end. The head limit is the default of the limit on requests, and
+# the body limit four times that of request bodies.
+MAX_HEAD_BYTES = 16_384
+MAX_BODY_BYTES = 16 * 1024 * 1024
+# Informational (1xx) responses before the final one.
+MAX_INFORMATIONAL_RESPONSES = 8
 # Responses to other requests that are skipped; an upstream may respond twice to the previous one.
 MAX_STRAY_RESPONSES = 2
 
@@ -101,7 +108,7 @@
         raise ExchangeError(FailureCause.NOT_CONNECTED, f"{address}: {error!r}") from error
     enable_dead_peer_detection(transport)
     writer = asyncio.StreamWriter(transport, protocol, reader, loop)
-    return UpstreamConnection(reader, writer, protocol, h11.Connection(h11.CLIENT))
+    return UpstreamConnection(reader, writer, protocol, _new_http())
 
 
 def is_reusable(connection: UpstreamConnection, now_s: float) -> bool:
@@ -138,9 +145,15 @@
 
 
 async def read_body(connection: UpstreamConnection) -> bytes:
-    """Return the remaining body; raise ExchangeError if it is truncated."""
+    """Return the remaining body; raise ExchangeError if it is truncated or too large."""
     parts: list[bytes] = []
+    size = 0
     while (data := await read_data(connection)) is not None:
+        size += len(data)
+        if size > MAX_BODY_BYTES:
+            raise ExchangeError(
+                FailureCause.BROKEN, f"the body of the response exceeds {MAX_BODY_BYTES} bytes"
+            )
         parts.append(data)
     return b"".join(parts)
 
@@ -166,6 +179,10 @@
     connection.writer.transport.abort()
 
 
+def _new_http() -> h11.Connection:
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+
+
 def _encode_request(http: h11.Connection, request: OutgoingRequest) -> bytes:
     head = h11.Request(method=request.method, target=request.target, headers=[*request.headers])
     parts = [http.send(head)]
@@ -176,7 +193,7 @@
 
 
 async def _next_head(connection: UpstreamConnection) -> ResponseHead:
-    while True:
+    for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
         event = await _next_event(connection)
         if isinstance(event, h11.InformationalResponse):
             continue
@@ -185,6 +202,7 @@
         headers = tuple((bytes(name), bytes(value)) for name, value in event.headers.raw_items())
         _record_idle_timeout(connection, event)
         return ResponseHead(event.status_code, bytes(event.reason), headers)
+    raise ExchangeError(FailureCause.BROKEN, "too many informational responses")
 
 
 async def _next_event(connection: UpstreamConnection) -> object:
@@ -216,7 +234,7 @@
         )
     # h11 expects one response per request. A new parser is given the request, which isn't sent
     # again, and the bytes received after the skipped response.
-    connection.http = h11.Connection(h11.CLIENT)
+    connection.http = _new_http()
     _encode_request(connection.http, connection.request)
     if received:
         connection.http.receive_data(received)
--- a/tests/processes/test_platform_processes.py
+++ b/tests/processes/test_platform_processes.py
@@ -117,6 +117,46 @@
             assert len(draining.double.received) == before
 
 
+class TestOddEntries:
+    async def test_every_process_goes_on(self, tmp_path: Path) -> None:
+        """Guards against replicas that end, or no longer follow the list, after one odd entry."""
+        entry = {
+            "Service": "desk",
+            "Address": "127.0.0.1:9",
+            "Zone": "dc1",
+            "Slots": 6,
+            "State": "ready",
+            "Sequence": 1,
+            "born": 1,
+        }
+        nested = "[" * 100_000 + "]" * 100_000
+        odd_bodies = [
+            json.dumps(entry | {"group": "@"}).replace('"@"', nested),
+            json.dumps(entry | {"Other": "@"}).replace('"@"', nested),
+            *(json.dumps(entry | {name: 2**64}) for name in ("Slots", "Sequence", "born")),
+            *(json.dumps(entry | {"Address": f"127.0.0.1:{port}"}) for port in ("²", 70_000)),
+        ]
+        async with (
+            start_platform(tmp_path) as cluster,
+            announced_upstream(cluster, "s1", "desk", respond_ok),
+        ):
+            await cluster.wait_until_ready()
+            for machine in cluster.with_role("control"):
+                for number, body in enumerate(odd_bodies):
+                    path = f"/-/instances/odd{number}"
+                    response = await http(machine.control, "PUT", path, body.encode())
+                    assert response is not None
+                    assert response.status == 400
+            # An upstream that is announced afterwards is followed.
+            async with announced_upstream(cluster, "e1", "engines", stream_events(1, 2)):
+                for name in ("entry0", "entry1"):
+                    await send_until_served(cluster, name, "/s/x")
+                    await send_until_served(cluster, name, "/l/x")
+            for machine in cluster.machines.values():
+                assert machine.process is not None
+                assert machine.process.returncode is None
+
+
 class TestReplicas:
     async def test_any_one_killed(self, tmp_path: Path) -> None:
         """Guards against an outage when one control replica is killed."""
--- a/tests/test_map_groups.py
+++ b/tests/test_map_groups.py
@@ -3,6 +3,8 @@
 import asyncio
 from random import Random
 
+import msgspec
+import pytest
 from msgspec import structs
 
 from lycheefall._core.expert_maps import MapVersion
@@ -11,13 +13,15 @@
 from lycheefall._core.relay import UpstreamRecord
 from lycheefall._relay.connection_pool import ConnectionPool
 from lycheefall._relay.map_coordinator import Coordinator, run_coordinator
-from lycheefall._relay.map_groups import Pool, update_groups
+from lycheefall._relay.map_groups import Group, Pool, check_group, update_groups
 from lycheefall._relay.messages import CheckGroups
 from lycheefall._relay.rank_calls import Rank
 from relay_values import LAYOUT, POOL, record
 from run_role import platform_dialect
+from upstream_double import Exchange, complete_response, upstream
 
 ADDRESS = "127.0.0.1:1"
+GROUP_REPORT = {"Name": "g", "epoch": 1, "rank": 0, "State": "open"}
 
 
 def ranks(count: int, group: str = "g") -> list:
@@ -90,3 +94,28 @@
     finally:
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
+
+
+@pytest.mark.parametrize(
+    "odd_sets",
+    [[[0, 2, 4]], [[0, 99], [1]], [[], []], [[0, 2, 4, 6, 8, 10, 12], [0, 2]], []],
+    ids=["one set", "unknown expert", "no experts", "missing expert", "no sets"],
+)
+async def test_reported_map_of_another_layout(odd_sets: list[list[int]]) -> None:
+    """Guards against a map report that ends the coordinator while it plans."""
+    status = {"Sequence": 0, "size": 2, "Map": 5, "group": GROUP_REPORT}
+    rank_map = {"epoch": 1, "Map": {"Version": 5, "Experts": odd_sets}}
+
+    async def respond(exchange: Exchange) -> None:
+        is_map = "Lists" in exchange.received.request_line
+        body = msgspec.json.encode(rank_map if is_map else status)
+        await exchange.send(complete_response(exchange.received, body))
+
+    group = Group(GroupId("g"))
+    async with upstream(respond) as double:
+        group.members = [
+            new_rank(record(f"g{rank}", rank=rank, address=double.address)) for rank in range(2)
+        ]
+        await check_group(group, LAYOUT)
+    assert group.status is not None
+    assert group.active_map is None
--- a/tests/test_rank_calls.py
+++ b/tests/test_rank_calls.py
@@ -5,6 +5,7 @@
 from contextlib import asynccontextmanager
 
 import msgspec
+import pytest
 from structlog.testing import capture_logs
 
 from lycheefall._core.expert_maps import Arm, Go, MapVersion, PassNumber
@@ -17,7 +18,7 @@
     fetch_status,
     send_order,
 )
-from relay_values import record
+from relay_values import LAYOUT, record
 from run_role import platform_dialect
 
 REPORT = {"Sequence": 0, "step": 7, "size": 8, "pace": 1.0}
@@ -79,7 +80,15 @@
     async def test_invalid_response(self) -> None:
         """Guards against an invalid response that stops the coordinator."""
         async with running_rank(lambda number: b"{}") as rank:
-            assert await fetch_counts(rank, 6) is None
+            assert await fetch_counts(rank, LAYOUT) is None
+
+    @pytest.mark.parametrize("experts", [0, LAYOUT.experts - 1, LAYOUT.experts])
+    async def test_counts_of_another_layout(self, experts: int) -> None:
+        """Guards against counts of another layout, with which no map can be planned."""
+        counts = {"step": 7, "epoch": 1, "Counts": [1] * (LAYOUT.sets * experts)}
+        async with running_rank(lambda number: msgspec.json.encode(counts)) as rank:
+            found = await fetch_counts(rank, LAYOUT)
+        assert (found is None) == (experts != LAYOUT.experts)
 
 
 class TestLogLines:
--- a/tests/upstream_double.py
+++ b/tests/upstream_double.py
@@ -54,6 +54,8 @@
     connections: int = 0
     # Connections that broke before the response to a request.
     dropped: int = 0
+    # Bytes that a handler sent without end.
+    sent_bytes: int = 0
     server: asyncio.Server | None = None
 
     def close(self) -> None:
