Estimate the placement rate of an entry from its usable slots

Cause: a group whose pauses are near their target uses part of its slots, but the rate by which waits are predicted counted all. Requests queued until they were late and were refused then, which leaves the caller less time to return.

Change: the estimate counts the usable slots of the owned upstreams.

--- a/src/lycheefall/_rules/wait_queue.py
+++ b/src/lycheefall/_rules/wait_queue.py
@@ -1,8 +1,8 @@
 """Order the queued requests of a pool, and find those that can't be served in time."""
 
-from lycheefall._rules import decaying_counts
+from lycheefall._rules import batch_limit, decaying_counts
 from lycheefall._rules.dispatch_messages import DispatchRequest
-from lycheefall._rules.pool_state import RATE_TIME_CONSTANT_S, PoolState, opens_s
+from lycheefall._rules.pool_state import RATE_TIME_CONSTANT_S, PoolState, opens_s, pauses_of
 
 # Accepted difference between the served fractions of two successive urgency ranks: urgent ranks go
 # first, but a less urgent rank goes first once its served fraction is lower by more than this.
@@ -62,12 +62,14 @@
 
 
 def placements_per_s(pool: PoolState, now_s: float) -> float:
-    """Return the placement rate of this entry: the measured rate or the estimate from its slots.
+    """Return the placement rate of this entry: the measured rate or that of its usable slots.
 
     The higher of the two is used, so that a start or an idle period causes no refusals.
     """
     slots = sum(
-        stats.record.slots for stats in pool.upstreams.by_id.values() if stats.owner_distance == 0
+        batch_limit.usable_slots(pauses_of(pool, stats).batch, stats.record.slots)
+        for stats in pool.upstreams.by_id.values()
+        if stats.owner_distance == 0
     )
     return max(
         1.0,
