Skip late copies on connections to ranks, and start from the file of a majority

Calls to ranks carry no id, so any response on a shared connection counted as theirs: a late second copy of a caller's response could make an order count as accepted, after which ranks may run different maps. An entry that starts used the file of the first replica that answered, also of one that is cut off and holds a file in which a key was not yet withdrawn.

Change: a response with an id is skipped if the request had none. The first configuration waits for a majority of the voters, or one second.

--- a/src/lycheefall/_relay/control_link.py
+++ b/src/lycheefall/_relay/control_link.py
@@ -31,6 +31,9 @@
 REPLICA_TIMEOUT_S = 1.0
 # An entry stops being the map coordinator if the leader does not confirm it for this long.
 COORDINATOR_LEASE_S = 1.0
+# Time for which an entry without a configuration waits for a majority of the voters: one replica
+# that is cut off may hold a file in which a key was not yet withdrawn.
+MAJORITY_WAIT_S = 1.0
 # Time without a response after which the configuration file is requested again.
 FETCH_RETRY_S = 0.3
 
@@ -70,6 +73,8 @@
     # The highest revision that any replica announced, and the time of the last request for it.
     newest_revision: Revision = Revision(0)
     fetched_s: float = float("-inf")
+    # When the first update arrived; None before.
+    first_update_s: float | None = None
     # Replicas that have sent a message and have not timed out since.
     reachable: set[InstanceId] = field(default_factory=set)
     # End of this entry's lease as the map coordinator, by a clock that includes time in suspend.
@@ -152,13 +157,14 @@
             log(Event.MESSAGE_DROPPED, source=replica, detail=str(error))
             return
         if state.links.get(replica) is link:
-            _on_message(state, replica, link, message)
+            on_message(state, replica, link, message)
 
     link = Link(DealerSocket(state.entry_address(replica), receive), state.now())
     state.links[replica] = link
 
 
-def _on_message(state: ControlLink, replica: InstanceId, link: Link, message: ToRelay) -> None:
+def on_message(state: ControlLink, replica: InstanceId, link: Link, message: ToRelay) -> None:
+    """Process a message of a replica."""
     link.received_s = state.now()
     if replica not in state.reachable:
         state.reachable.add(replica)
@@ -183,14 +189,31 @@
         )
     if update.replicas:
         state.voters_by_replica[replica] = update.replicas
+    if state.first_update_s is None:
+        state.first_update_s = state.now()
     state.newest_revision = max(state.newest_revision, update.revision)
-    if update.revision == state.newest_revision:
+    if update.revision == state.newest_revision and _may_use_newest(state):
         _fetch_file(state, link)
     if update.records:
         # The replica waits for this acknowledgement before it replies to the upstream.
         _send_status_to(state, replica)
 
 
+def _may_use_newest(state: ControlLink) -> bool:
+    """Return whether the newest announced file may be used.
+
+    The first one is used once a majority of the voters has announced its file, or after a while.
+    """
+    if state.revision or state.first_update_s is None:
+        return True
+    if state.now() - state.first_update_s >= MAJORITY_WAIT_S:
+        return True
+    return all(
+        2 * len(state.reachable.intersection(voters)) > len(voters)
+        for voters in state.voters_by_replica.values()
+    )
+
+
 def _fetch_file(state: ControlLink, link: Link) -> None:
     """Request the newest file, unless it is applied or was requested recently."""
     now_s = state.now()
--- a/src/lycheefall/_relay/rank_calls.py
+++ b/src/lycheefall/_relay/rank_calls.py
@@ -184,7 +184,7 @@
             (b"Content-Type", b"application/json"),
             (b"Content-Length", str(len(body)).encode()),
         )
-    request = OutgoingRequest(method, target.encode(), headers, body)
+    request = OutgoingRequest(method, target.encode(), headers, body, (names.attempt, b""))
     now = asyncio.get_running_loop().time
     try:
         async with asyncio.timeout(timeout_s):
--- a/src/lycheefall/_wire/http_upstream.py
+++ b/src/lycheefall/_wire/http_upstream.py
@@ -56,8 +56,9 @@
     target: bytes
     headers: Headers
     body: bytes
-    # Header that the upstream echoes to identify the request, and its value.
-    echo: tuple[bytes, bytes] | None = None
+    # Header that the upstream echoes to identify the request, and its value; an empty value means
+    # that the request has no id, so that a response with one belongs to another request.
+    echo: tuple[bytes, bytes]
 
 
 class _Protocol(asyncio.StreamReaderProtocol):
@@ -218,11 +219,9 @@
     """Return whether a response belongs to the request; an error may lack the echo header."""
     if connection.request is None:
         return False
-    if connection.request.echo is None:
-        return True
     name, expected = connection.request.echo
-    echoed = get_header(head.headers, name)
-    return echoed == expected or (echoed is None and head.status >= 300)
+    echoed = get_header(head.headers, name) or b""
+    return echoed == expected or (not echoed and head.status >= 300)
 
 
 def _skip_response(connection: UpstreamConnection) -> None:
--- /dev/null
+++ b/tests/test_control_link.py
@@ -0,0 +1,93 @@
+"""Tests of what an entry accepts from the control replicas after its start."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from lycheefall._core.ids import (
+    Address,
+    DataCentreId,
+    Incarnation,
+    InstanceId,
+    Revision,
+)
+from lycheefall._core.messages.relay import FetchFile, FileBody, ReplicaUpdate
+from lycheefall._core.pipeline import Inbox
+from lycheefall._core.relay import RelayConfiguration
+from lycheefall._relay.control_link import MAJORITY_WAIT_S, ControlLink, Link, on_message
+from lycheefall._relay.dispatch import DispatchSnapshot
+from lycheefall._wire.codec import encode
+from lycheefall._wire.file_compression import compress_file
+
+VOTERS = tuple(InstanceId(f"10.0.0.{number}:1") for number in (1, 2, 3))
+
+
+@dataclass
+class SentMessages:
+    """Records what is sent over a connection to a replica."""
+
+    messages: list[bytes] = field(default_factory=list)
+
+    def send(self, message: bytes) -> None:
+        """Record a message."""
+        self.messages.append(message)
+
+
+class Entry:
+    """An entry, its clock and its connections to the replicas."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+        self.configurations: list[Revision] = []
+        inbox: Inbox[Any] = Inbox(100)
+        self.link = ControlLink(
+            entry=InstanceId("e"),
+            incarnation=Incarnation("i"),
+            address=Address("e:1"),
+            data_centre=DataCentreId("dc1"),
+            seeds=lambda: VOTERS,
+            entry_address=lambda instance: Address(instance),
+            decode_file=lambda body: RelayConfiguration(revision=Revision(int(body))),
+            dispatch_snapshot=lambda: DispatchSnapshot({}, (), frozenset(), 0),
+            dispatch=inbox,
+            now=lambda: self.now_s,
+            publish_configuration=lambda each: self.configurations.append(each.revision),
+        )
+        self.sent = {replica: SentMessages() for replica in VOTERS}
+        for replica in VOTERS:
+            self.link.links[replica] = Link(self.sent[replica], 0.0)  # type: ignore[arg-type]
+
+    def update(self, replica: InstanceId, revision: int) -> None:
+        """Receive an update, and the file if the entry requests it."""
+        link = self.link.links[replica]
+        message = ReplicaUpdate(1, replica, Revision(revision), (), VOTERS, None, None, (), None)
+        on_message(self.link, replica, link, message)
+        if encode(FetchFile(Revision(revision))) in self.sent[replica].messages:
+            packed = compress_file(str(revision).encode())
+            on_message(self.link, replica, link, FileBody(Revision(revision), packed))
+
+
+class TestFirstConfiguration:
+    def test_replica_that_is_behind(self) -> None:
+        """Guards against a withdrawn key that is accepted again after a restart of an entry."""
+        entry = Entry()
+        entry.update(VOTERS[0], 7)
+        assert entry.configurations == []
+        entry.update(VOTERS[1], 9)
+        assert entry.configurations == [9]
+        entry.update(VOTERS[0], 7)
+        assert entry.configurations == [9]
+
+    def test_majority_with_the_same_file(self) -> None:
+        """Guards against a wait for more replicas than necessary."""
+        entry = Entry()
+        entry.update(VOTERS[2], 9)
+        entry.update(VOTERS[0], 9)
+        assert entry.configurations == [9]
+
+    def test_only_one_replica_is_reachable(self) -> None:
+        """Guards against an entry that serves nothing while a majority is down."""
+        entry = Entry()
+        entry.update(VOTERS[0], 7)
+        entry.now_s = MAJORITY_WAIT_S
+        entry.update(VOTERS[0], 7)
+        assert entry.configurations == [7]
--- a/tests/test_rank_calls.py
+++ b/tests/test_rank_calls.py
@@ -10,6 +10,7 @@
 from structlog.testing import capture_logs
 
 from lycheefall._core.expert_maps import Arm, Go, MapVersion, PassNumber, Prepare, RankOrder
+from lycheefall._core.relay import UpstreamRecord
 from lycheefall._relay.connection_pool import ConnectionPool, close_all
 from lycheefall._relay.rank_calls import (
     CALL_TIMEOUT_S,
@@ -24,10 +25,26 @@
 from lycheefall._rules.map_rollout import Reply
 from relay_values import LAYOUT, record
 from run_role import platform_dialect
+from upstream_double import Exchange, upstream
 
 REPORT = {"Sequence": 0, "step": 7, "size": 8, "pace": 1.0}
 
 
+def new_rank(
+    upstream: UpstreamRecord,
+    connections: ConnectionPool | None = None,
+    link_bytes_per_s: float = DEFAULT_LINK_BYTES_PER_S,
+) -> Rank:
+    """Return the client of a rank."""
+    return Rank(
+        upstream,
+        platform_dialect(),
+        ConnectionPool() if connections is None else connections,
+        link_bytes_per_s,
+        lambda record, head: None,
+    )
+
+
 @asynccontextmanager
 async def running_rank(respond: Callable[[int], bytes | None]) -> AsyncIterator[Rank]:
     """Run a rank; `respond` maps a connection number to a body, or to None for no response."""
@@ -49,13 +66,7 @@
     port = server.sockets[0].getsockname()[1]
     connections = ConnectionPool()
     try:
-        yield Rank(
-            record("u1", address=f"127.0.0.1:{port}"),
-            platform_dialect(),
-            connections,
-            DEFAULT_LINK_BYTES_PER_S,
-            lambda upstream, head: None,
-        )
+        yield new_rank(record("u1", address=f"127.0.0.1:{port}"), connections)
     finally:
         close_all(connections)
         server.close()
@@ -80,6 +91,23 @@
         assert status is not None
         assert status.step == 7
 
+    async def test_late_response_to_a_caller(self) -> None:
+        """Guards against the second copy of a caller's response that is read as that of a rank.
+
+        Callers and the coordinator share connections; an order must not count as accepted.
+        """
+        late = b"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 2\r\n\r\n{}"
+        refusal = b"HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\n\r\n{}"
+
+        async def respond(exchange: Exchange) -> None:
+            await exchange.send(late + refusal)
+
+        async with upstream(respond) as double:
+            rank = new_rank(record("u1", address=double.address))
+            go = Go(step=PassNumber(9), epoch=1)
+            assert await send(rank, go) is Reply.REFUSED
+            close_all(rank.connections)
+
     async def test_silent_rank(self) -> None:
         """Guards against a coordinator that is blocked by an unreachable rank."""
         loop = asyncio.get_running_loop()
@@ -148,13 +176,7 @@
         address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         connections = ConnectionPool()
         members = [
-            Rank(
-                record(f"u{number}", address=address),
-                platform_dialect(),
-                connections,
-                link_bytes_per_s,
-                lambda upstream, head: None,
-            )
+            new_rank(record(f"u{number}", address=address), connections, link_bytes_per_s)
             for number in range(24)
         ]
         experts = tuple(tuple((expert,) * 20 for expert in range(24)) for _ in range(16))
