Wait for crashed services to exit in the test of crashing bookings

Cause: the test counted a crash only once the process had exited, but agents see the connection end before that. On a busy machine all callers can be answered in between: "assert 1 <= 0" with 4 bookings told 4001 and 44 told 3007.

Change: the test waits until as many services have exited as marked bookings were executed, and compares the two numbers, so that a third crash at the end is no longer missed either.

--- a/tests/processes/test_crashing_bookings.py
+++ b/tests/processes/test_crashing_bookings.py
@@ -19,6 +19,8 @@
 TRIES = 2
 UNRELATED_CALLERS = 8
 LIMIT_S = 90.0
+# Time in which a service that crashes has exited.
+EXIT_S = 10.0
 
 # Code and run state of each answer, by key.
 AnswersByKey = dict[str, list[tuple[str, str]]]
@@ -60,11 +62,16 @@
                         for n in range(UNRELATED_CALLERS)
                     ),
                 )
-            restarts.cancel()
             ran = Counter(json.loads(line)["key"] for line in fleet.executions())
+            crashes = sum(ran[key] for key in crashing)
+            # Agents see the connection end before the process has exited.
+            async with asyncio.timeout(EXIT_S):
+                while len(crashed) < crashes:
+                    await asyncio.sleep(0.02)
+            restarts.cancel()
         print(f"crashed {crashed}, answers {Counter(tuple(each) for each in crashing.values())}")
         print(f"unrelated bookings {Counter(tuple(each) for each in unrelated.values())}")
-        assert 1 <= len(crashed) <= 2
+        assert 1 <= len(crashed) == crashes <= 2
         assert max(ran.values()) == 1
         answers = [
             (key, run) for each in (crashing, unrelated) for key in each for _, run in each[key]
