Ignore records of unknown pools when an address has several owners

Cause: the latest start at an address owned it, whatever pool it named. An entry that another writer left with an unknown service and the address of an upstream took that upstream out of use.

Change: among the records of an address only those of configured pools count; the owner is derived when upstreams are updated, also after a configuration, and no longer kept in an index.

--- a/src/lycheefall/_relay/dispatch.py
+++ b/src/lycheefall/_relay/dispatch.py
@@ -127,6 +127,7 @@
             dispatching.release_team(dispatch_state, number)
         case ApplyConfiguration(configuration):
             dispatching.apply_configuration(dispatch_state, configuration)
+            dispatching.update_upstreams(dispatch_state, state.table)
         case ReplicaUpdate():
             return _on_replica_update(state, message, now_s)
         case SuspectedCrash(crash):
--- a/src/lycheefall/_rules/dispatching.py
+++ b/src/lycheefall/_rules/dispatching.py
@@ -17,6 +17,7 @@
     concurrency_limits,
     decaying_counts,
     group_pauses,
+    record_table,
     retry_budget,
     upstream_notices,
     upstream_selection,
@@ -38,7 +39,7 @@
 )
 from lycheefall._rules.pass_duration import usable_share
 from lycheefall._rules.pool_state import PoolState, opens_s, pauses_of
-from lycheefall._rules.record_table import RecordTable, is_usable
+from lycheefall._rules.record_table import RecordTable
 from lycheefall._rules.retry_budget import RetryBounds
 from lycheefall._rules.upstream_ownership import EntryLocation, UpstreamLocation, assign_owners
 from lycheefall._rules.upstream_selection import UpstreamStats
@@ -100,10 +101,12 @@
 
 def update_upstreams(state: DispatchState, table: RecordTable) -> None:
     """Replace the known upstreams by the usable ones of a record table."""
+    # Without a configuration all pools count.
+    pools = state.pool_settings.keys() or None
     usable = {
-        entry.record.upstream: entry.record
-        for entry in table.entries.values()
-        if is_usable(table, entry.record) and not _is_leaving(state, entry.record)
+        record.upstream: record
+        for record in record_table.usable(table, pools)
+        if not _is_leaving(state, record)
     }
     known = {upstream_notices.start_of(entry.record) for entry in table.entries.values()}
     for pool in state.pools.values():
--- a/src/lycheefall/_rules/record_table.py
+++ b/src/lycheefall/_rules/record_table.py
@@ -5,6 +5,8 @@
 announcements hold the same records, whatever the order.
 """
 
+from collections.abc import Collection
+
 from msgspec import Struct, field
 from msgspec.structs import replace
 
@@ -27,8 +29,6 @@
     """All records, including those of departed upstreams."""
 
     entries: dict[UpstreamId, TableEntry] = field(default_factory=dict)
-    # The upstream with the latest start at each address.
-    upstream_by_address: dict[Address, UpstreamId] = field(default_factory=dict)
 
 
 def merge(table: RecordTable, record: UpstreamRecord, now_s: float) -> bool:
@@ -36,7 +36,6 @@
     entry = table.entries.get(record.upstream)
     if entry is None:
         table.entries[record.upstream] = TableEntry(record, now_s)
-        _assign_address(table, record)
         return True
     if record.state is MemberState.FAILED and record.start_time_ms == 0:
         # A departure without a start time applies to the latest known start.
@@ -49,7 +48,6 @@
     entry.record = record
     if is_change:
         entry.changed_s = now_s
-        _assign_address(table, record)
     return is_change
 
 
@@ -75,8 +73,6 @@
             and now_s - entry.changed_s > DEPARTED_RETENTION_S
         ):
             del table.entries[upstream]
-            if table.upstream_by_address.get(entry.record.address) == upstream:
-                del table.upstream_by_address[entry.record.address]
 
 
 def records(table: RecordTable) -> tuple[UpstreamRecord, ...]:
@@ -84,10 +80,23 @@
     return tuple(entry.record for entry in table.entries.values())
 
 
-def is_usable(table: RecordTable, record: UpstreamRecord) -> bool:
-    """Return whether an upstream is ready and has the latest start at its address."""
-    latest = table.upstream_by_address.get(record.address)
-    return record.state is MemberState.READY and latest == record.upstream
+def usable(
+    table: RecordTable, pools: Collection[PoolId] | None = None
+) -> tuple[UpstreamRecord, ...]:
+    """Return the upstreams that are ready and have the latest start at their address.
+
+    Only records of these pools count, if any are given: another writer's record of an unknown pool
+    must not take over the address of an upstream.
+    """
+    latest: dict[Address, UpstreamRecord] = {}
+    for entry in table.entries.values():
+        record = entry.record
+        if pools is not None and record.pool not in pools:
+            continue
+        other = latest.get(record.address)
+        if other is None or _start_key(other) < _start_key(record):
+            latest[record.address] = record
+    return tuple(each for each in latest.values() if each.state is MemberState.READY)
 
 
 def _departed_record(upstream: UpstreamId, start_time_ms: int) -> UpstreamRecord:
@@ -103,8 +112,6 @@
     return record.start_time_ms, record.state is MemberState.FAILED, record.sequence
 
 
-def _assign_address(table: RecordTable, record: UpstreamRecord) -> None:
-    """Assign the address to the upstream with the latest start."""
-    latest = table.entries.get(table.upstream_by_address.get(record.address, UpstreamId("")))
-    if latest is None or latest.record.start_time_ms <= record.start_time_ms:
-        table.upstream_by_address[record.address] = record.upstream
+def _start_key(record: UpstreamRecord) -> tuple[int, UpstreamId]:
+    """Return the sort key of starts at one address; the id makes ties the same in all tables."""
+    return record.start_time_ms, record.upstream
--- a/tests/test_record_table.py
+++ b/tests/test_record_table.py
@@ -3,22 +3,22 @@
 from itertools import permutations
 
 from lycheefall._core.enums import MemberState
-from lycheefall._core.ids import UpstreamId
+from lycheefall._core.ids import PoolId, UpstreamId
+from lycheefall._rules import record_table
 from lycheefall._rules.record_table import (
     DEPARTED_RETENTION_S,
     RecordTable,
     drop_departed,
-    is_usable,
     mark_departed,
     merge,
     records,
 )
-from relay_values import record
+from relay_values import POOL, record
 
 
 def usable(table: RecordTable) -> set[str]:
     """Return the upstreams that accept new requests."""
-    return {each.upstream for each in records(table) if is_usable(table, each)}
+    return {each.upstream for each in record_table.usable(table)}
 
 
 class TestMerge:
@@ -52,6 +52,14 @@
         assert not merge(table, record(sequence=51), 2.0)
         assert usable(table) == {"u1"}
 
+    def test_record_of_an_unknown_pool(self) -> None:
+        """Guards against another writer's record that takes over the address of an upstream."""
+        odd = record("odd", pool=PoolId("unknown"), start_time_ms=9_000, address="u1:1")
+        table = RecordTable()
+        for each in (record(), odd):
+            merge(table, each, 0.0)
+        assert [each.upstream for each in record_table.usable(table, {POOL})] == ["u1"]
+
     def test_address_belongs_to_the_latest_start(self) -> None:
         """Guards against a late announcement of a crashed upstream that lost its address."""
         for order in permutations(
