Shorten the search for a map, and yield more often

Change: only as many target ranks are looked up as are tried, hot experts are filtered before they are sorted, and the plan yields after each set.

--- a/src/lycheefall/_rules/map_planning.py
+++ b/src/lycheefall/_rules/map_planning.py
@@ -69,10 +69,14 @@
     ratio_before = relative_pass_time(before, loads, layout)
     best = Plan(before, 0, ratio_before, times.pass_s(ratio_before))
     copies_left = [0] * len(before[0])
-    searches = [
-        placement_search.start_search(each, load, layout.expert_slots, layout.spare, copies_left)
-        for each, load in zip(before, loads, strict=True)
-    ]
+    searches = []
+    for experts, load in zip(before, loads, strict=True):
+        searches.append(
+            placement_search.start_search(
+                experts, load, layout.expert_slots, layout.spare, copies_left
+            )
+        )
+        yield
     copies = 0
     while copies < layout.sets * layout.spare:
         added = _next_copies(copies, times) - copies
@@ -82,7 +86,7 @@
         for rank in range(len(copies_left)):
             copies_left[rank] += added
         yield from _improve_jointly(searches)
-        found = _plan_of(before, searches, loads, layout)
+        found = yield from _plan_of(before, searches, loads)
         ratio = relative_pass_time(found, loads, layout)
         mean_pass_s = _mean_pass_s(copies, ratio_before, ratio, times)
         if mean_pass_s < best.mean_pass_s:
@@ -135,8 +139,7 @@
 def _hottest_load(search: SetSearch) -> float:
     """Return the highest load of a replica, relative to the mean load of a rank."""
     mean = sum(search.rank_load) / len(search.rank_load)
-    experts = range(len(search.load))
-    highest = max(placement_search.replica_load(search, each) for each in experts)
+    highest = max(load / len(held) for load, held in zip(search.load, search.holders, strict=True))
     return highest / mean if mean > 0 else 0.0
 
 
@@ -146,17 +149,13 @@
     Otherwise the search spends the copies that a rank may make on less loaded experts.
     """
     mean = sum(search.rank_load) / len(search.rank_load)
-    ranks = range(len(search.rank_load))
-    experts = sorted(
-        range(len(search.load)), key=lambda each: -placement_search.replica_load(search, each)
-    )
-    for expert in experts:
-        if placement_search.replica_load(search, expert) <= mean:
-            return False
+    loads = [load / len(held) for load, held in zip(search.load, search.holders, strict=True)]
+    hot = [expert for expert, load in enumerate(loads) if load > mean]
+    for expert in sorted(hot, key=loads.__getitem__, reverse=True):
+        ranks = range(len(search.rank_load))
         targets = [each for each in ranks if placement_search.can_add(search, expert, each)]
         if targets:
-            target = min(targets, key=lambda each: (search.rank_load[each], each))
-            placement_search.add(search, expert, target)
+            placement_search.add(search, expert, min(targets, key=search.rank_load.__getitem__))
             return True
     return False
 
@@ -165,11 +164,11 @@
     before: ExpertMap,
     searches: list[SetSearch],
     loads: Sequence[Sequence[float]],
-    layout: ExpertLayout,
-) -> ExpertMap:
+) -> Generator[None, None, ExpertMap]:
     """Return the map of the searches; a set that did not improve stays as it was."""
     found = []
     for old, search, load in zip(before, searches, loads, strict=True):
         new = placement_search.with_old_replicas(search)
         found.append(new if skew_of_set(new, load) < skew_of_set(old, load) else old)
+        yield
     return tuple(found)
--- a/src/lycheefall/_rules/placement_search.py
+++ b/src/lycheefall/_rules/placement_search.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Sequence
+from itertools import islice
 
 from msgspec import Struct
 
@@ -105,16 +106,16 @@
     """Reduce the load of the most loaded rank; return whether that was possible."""
     ranks = range(len(search.rank_load))
     mean = sum(search.rank_load) / len(search.rank_load)
-    worst = max(ranks, key=lambda each: search.rank_load[each])
+    worst = max(ranks, key=search.rank_load.__getitem__)
     peak = search.rank_load[worst]
     if peak <= mean * _TARGET_SKEW:
         return False
     experts = sorted(search.experts_by_rank[worst], key=lambda each: -replica_load(search, each))
-    targets = sorted(ranks, key=lambda each: search.rank_load[each])
+    targets = sorted(ranks, key=search.rank_load.__getitem__)
     best: tuple[float, int, int, bool] | None = None
     for expert in experts[:_CANDIDATE_EXPERTS]:
-        open_ranks = [each for each in targets if can_add(search, expert, each)]
-        for target in open_ranks[:_CANDIDATE_RANKS]:
+        open_ranks = (each for each in targets if can_add(search, expert, each))
+        for target in islice(open_ranks, _CANDIDATE_RANKS):
             for is_move in (False, True):
                 reached = _peak_after(search, expert, worst, target, is_move)
                 if best is None or reached < best[0]:
