Check the lease of the map coordinator before every attempt to hold a group

Cause: an entry that was frozen within a hold order made a further attempt when it woke, although another coordinator had taken over and prepared a later map.

Change: may_continue is asked before each attempt, not only before the first.

Measured: TestRollOut::test_suspended_while_the_group_is_held fails without the change and passes with it.

--- a/src/lycheefall/_rules/map_rollout.py
+++ b/src/lycheefall/_rules/map_rollout.py
@@ -146,10 +146,8 @@
     copied_s = loop.time() + copy_s + COPY_MARGIN_S
     # Time the hold so that the held pass begins about when the copies are complete.
     await asyncio.sleep(max(0.0, copied_s - pass_s - lead_s - loop.time()))
-    if not may_continue():
-        return RolloutResult.NOT_HELD
     lead = HOLD_LEAD_PASSES + ceil(lead_s / max(pass_s, _MIN_PASS_S))
-    held_pass = await _hold(ranks, epoch, first.sequence, lead)
+    held_pass = await _hold(ranks, epoch, first.sequence, lead, may_continue)
     if held_pass is None:
         return RolloutResult.NOT_HELD
     await asyncio.sleep(max(0.0, copied_s - loop.time()))
@@ -256,11 +254,21 @@
     return None
 
 
-async def _hold(ranks: RankClient, epoch: int, expected: int, lead: int) -> PassNumber | None:
-    """Hold the group before a pass `lead` passes ahead; return that pass, or None on failure."""
+async def _hold(
+    ranks: RankClient,
+    epoch: int,
+    expected: int,
+    lead: int,
+    may_continue: Callable[[], bool],
+) -> PassNumber | None:
+    """Hold the group before a pass `lead` passes ahead; return that pass, or None on failure.
+
+    No attempt is made once another coordinator may have taken over: it may have prepared a later
+    map, so the group would stay held until that coordinator releases it.
+    """
     for attempt in range(HOLD_ATTEMPTS):
         current_pass = await ranks.current_pass(0)
-        if current_pass is None:
+        if current_pass is None or not may_continue():
             return None
         step = PassNumber(current_pass + lead + HOLD_LEAD_PASSES * attempt)
         reply = await ranks.order(0, Hold(step=step, epoch=epoch, expected=expected))
--- a/tests/test_map_rollout.py
+++ b/tests/test_map_rollout.py
@@ -118,6 +118,36 @@
             assert await switch_map(simulation, FIRST, 5) is RolloutResult.NOT_PREPARED
             assert simulation.paused_before_step is None
 
+    async def test_suspended_while_the_group_is_held(self) -> None:
+        """Guards against a second hold by a coordinator that was suspended in its first one.
+
+        The group stood still for 0.7 s, until its successor, which had prepared a later map,
+        released it.
+        """
+        async with running(RankSimulation()) as simulation:
+            ranks = simulation.client()
+            holds = 0
+            is_suspended = False
+
+            async def order(rank: int, message: RankOrder) -> Reply:
+                nonlocal holds, is_suspended
+                if not isinstance(message, Hold):
+                    return await ranks.order(rank, message)
+                holds += 1
+                is_suspended = True
+                return Reply.UNANSWERED
+
+            first = await ranks.status(0)
+            assert first is not None
+            client = RankClient(
+                ranks.count, order, ranks.status, ranks.current_pass, ranks.timeout_s
+            )
+            result = await map_rollout.roll_out(
+                client, first, FIRST, MapVersion(1), COPY_S, PASS_S, lambda: not is_suspended
+            )
+            assert result is RolloutResult.NOT_HELD
+            assert holds == 1
+
     async def test_another_switch_under_way(self) -> None:
         """Guards against two coordinators that change the map at the same time."""
         async with running(RankSimulation()) as simulation:
