Keep requests and experts from slow ranks

Cause: all ranks of a group wait for the slowest one.

Change: while passes are long the map coordinator reads the pace of each rank, plans with loads weighted by it, and reports the slow ranks with its status; replicas pass them on, and entries give such a rank fewer slots, or none, relative to the fastest rank of its group.

--- a/src/lycheefall/_core/expert_maps.py
+++ b/src/lycheefall/_core/expert_maps.py
@@ -37,7 +37,7 @@
     paused_before: PassNumber | None
     running: int
     waiting: int
-    # Reported by the rank; no decision depends on it.
+    # Factor by which the rank is slower than usual.
     pace: float
 
 
--- a/src/lycheefall/_core/messages/relay.py
+++ b/src/lycheefall/_core/messages/relay.py
@@ -23,6 +23,14 @@
     start_time_ms: int
 
 
+class SlowRank(Struct, frozen=True, array_like=True):
+    """A rank of a group that is slower than usual by a factor, its pace."""
+
+    upstream: UpstreamId
+    start_time_ms: int
+    pace: float
+
+
 class EntryStatus(Struct, frozen=True, array_like=True, tag=81):
     """Report the status of an entry to a replica, at short intervals."""
 
@@ -39,6 +47,8 @@
     in_flight: dict[UpstreamId, int] | None
     # Crashes detected in the last few seconds.
     crashes: tuple[Crash, ...] = ()
+    # Reported by the map coordinator.
+    slow_ranks: tuple[SlowRank, ...] = ()
 
 
 class FetchFile(Struct, frozen=True, array_like=True, tag=82):
@@ -80,6 +90,8 @@
     refused: tuple[Fingerprint, ...]
     # Entry that coordinates expert placement; set only by the leader.
     coordinator: InstanceId | None = None
+    # As reported by the map coordinator to this replica.
+    slow_ranks: tuple[SlowRank, ...] = ()
 
 
 class PeerUpdate(Struct, frozen=True, array_like=True, tag=85):
--- a/src/lycheefall/_registry/registrar.py
+++ b/src/lycheefall/_registry/registrar.py
@@ -280,6 +280,7 @@
             _others_in_flight(state, link.status.entry),
             _refused(state, now_s),
             _select_coordinator(state, now_s),
+            tuple(rank for each in state.entries.values() for rank in each.status.slow_ranks),
         ),
     )
     link.pending_records = {}
--- a/src/lycheefall/_relay/control_link.py
+++ b/src/lycheefall/_relay/control_link.py
@@ -13,7 +13,14 @@
 from lycheefall._core.exceptions import LycheefallError
 from lycheefall._core.ids import Address, DataCentreId, Incarnation, InstanceId, Revision
 from lycheefall._core.log import log
-from lycheefall._core.messages.relay import EntryStatus, FetchFile, FileBody, ReplicaUpdate, ToRelay
+from lycheefall._core.messages.relay import (
+    EntryStatus,
+    FetchFile,
+    FileBody,
+    ReplicaUpdate,
+    SlowRank,
+    ToRelay,
+)
 from lycheefall._core.pipeline import Inbox
 from lycheefall._core.process import boot_time_s
 from lycheefall._core.relay import RelayConfiguration
@@ -66,6 +73,8 @@
     publish_configuration: Callable[[RelayConfiguration], None]
     links: dict[InstanceId, Link] = field(default_factory=dict)
     voters_by_replica: dict[InstanceId, tuple[InstanceId, ...]] = field(default_factory=dict)
+    # Returns the slow ranks that this entry knows as the map coordinator.
+    slow_ranks: Callable[[], tuple[SlowRank, ...]] = tuple
     # State of this entry.
     member_state: MemberState = MemberState.STARTING
     # Revision of the active configuration.
@@ -123,6 +132,7 @@
         link.acknowledged_sequence,
         snapshot.in_flight if is_distributor else None,
         snapshot.crashes,
+        state.slow_ranks(),
     )
     link.socket.send(encode(status))
 
--- a/src/lycheefall/_relay/dispatch.py
+++ b/src/lycheefall/_relay/dispatch.py
@@ -173,6 +173,7 @@
     peers = {each.entry: PeerEntry(each.data_centre, now_s) for each in entries}
     loads = None if update.in_flight is None else PeerLoads(update.in_flight, now_s)
     dispatching.update_peers(state.dispatch_state, peers, update.replica, loads, now_s)
+    dispatching.update_slow_ranks(state.dispatch_state, update.replica, update.slow_ranks, now_s)
     state.refused_by_replica[update.replica] = update.refused
     _update_refused(state, now_s)
     if not changed:
--- a/src/lycheefall/_relay/map_coordinator.py
+++ b/src/lycheefall/_relay/map_coordinator.py
@@ -17,15 +17,19 @@
 from lycheefall._core.expert_maps import ExpertMap, RankStatus
 from lycheefall._core.ids import GroupId, PoolId
 from lycheefall._core.log import log
+from lycheefall._core.messages.relay import SlowRank
 from lycheefall._core.pipeline import Inbox
 from lycheefall._core.relay import EngineModel, ExpertLayout, UpstreamRecord
 from lycheefall._relay.map_groups import (
+    MIN_SLOW_PACE,
     STATUS_PERIOD_S,
     Group,
     Pool,
     check_group,
     may_change,
+    slow_ranks,
     update_groups,
+    update_paces,
     update_status,
 )
 from lycheefall._relay.messages import CheckGroups, PassObserved, ToCoordinator
@@ -89,6 +93,10 @@
 FAILURE_BACKOFF_S = 1.0
 
 
+# Plans by the map in force and the paces of the ranks.
+Plans = dict[tuple[ExpertMap, tuple[float, ...]], Plan]
+
+
 class Coordinator(Struct, eq=False, kw_only=True):
     """Dependencies and state of the filter."""
 
@@ -103,6 +111,8 @@
     may_coordinate: Callable[[], bool]
     random: Random
     pools: dict[PoolId, Pool] = field(default_factory=dict)
+    # Reported to all entries, which keep work from them.
+    slow_ranks: tuple[SlowRank, ...] = ()
     pass_durations: dict[GroupId, PassDurations] = field(default_factory=dict)
     # Pause target of the streams of a pool.
     pause_target_s: dict[PoolId, float] = field(default_factory=dict)
@@ -122,6 +132,7 @@
             if not state.may_coordinate():
                 state.pools.clear()
                 state.pass_durations.clear()
+                state.slow_ranks = ()
                 continue
             _update_pools(state)
             for pool in state.pools.values():
@@ -183,7 +194,10 @@
         return
     await _update_demand(state, pool, groups, is_shifted)
     if expert_demand.is_known(pool.demand):
-        plans: dict[ExpertMap, Plan] = {}
+        plans: Plans = {}
+        are_long = _has_long_passes(state, pool, LONG_PASS_RATIO)
+        await asyncio.gather(*(update_paces(each, are_long) for each in groups))
+        state.slow_ranks = slow_ranks(state.pools.values())
         for group in groups:
             if may_change(group):
                 await _improve_map(state, pool, group, plans)
@@ -236,18 +250,16 @@
     return [number * ranks // count for number in range(count)]
 
 
-async def _improve_map(
-    state: Coordinator, pool: Pool, group: Group, plans: dict[ExpertMap, Plan]
-) -> None:
+async def _improve_map(state: Coordinator, pool: Pool, group: Group, plans: Plans) -> None:
     """Plan a better map, and start to roll it out if that is worth the cost.
 
-    `plans` are the plans made in this check, by the map in force.
+    `plans` are the plans made in this check.
     """
     before = group.active_map
     if before is None or group.status is None:
         return
     loads = pool.demand.loads
-    ratio_before = expert_maps.relative_pass_time(before, loads, pool.layout)
+    ratio_before = expert_maps.relative_pass_time(before, loads, pool.layout, group.paces)
     if not _is_urgent(state, pool, ratio_before):
         return
     times = PlanTimes(
@@ -256,9 +268,10 @@
         orders_s=pool.orders_s,
         remaining_s=shift_times.remaining_s(pool.shifts, asyncio.get_running_loop().time()),
     )
-    found = plans.get(before)
+    key = before, group.paces
+    found = plans.get(key)
     if found is None:
-        found = plans[before] = await _plan(before, loads, pool.layout, times)
+        found = plans[key] = await _plan(before, loads, group.paces, pool.layout, times)
     is_better = times.pass_s(ratio_before) >= MIN_GAIN * found.mean_pass_s
     if not is_better or not state.may_coordinate():
         return
@@ -269,10 +282,14 @@
 
 
 async def _plan(
-    before: ExpertMap, loads: list[list[float]], layout: ExpertLayout, times: PlanTimes
+    before: ExpertMap,
+    loads: list[list[float]],
+    paces: tuple[float, ...],
+    layout: ExpertLayout,
+    times: PlanTimes,
 ) -> Plan:
     """Plan a map, and yield to requests between the parts of the search."""
-    steps = map_planning.plan(before, loads, layout, times)
+    steps = map_planning.plan(before, loads, paces, layout, times)
     while True:
         try:
             next(steps)
@@ -393,6 +410,7 @@
             ratio_before=round(ratio_before, 3),
             ratio_after=round(plan.pass_ratio, 3),
             copies=copied,
+            slow_ranks=sum(each > MIN_SLOW_PACE for each in group.paces),
             pass_s=round(group.pass_s, 4),
             took_s=round(now_s - began_s, 3),
         )
--- a/src/lycheefall/_relay/map_groups.py
+++ b/src/lycheefall/_relay/map_groups.py
@@ -7,6 +7,7 @@
 
 from lycheefall._core.expert_maps import ExpertMap, MapVersion, RankStatus
 from lycheefall._core.ids import GroupId, PoolId
+from lycheefall._core.messages.relay import SlowRank
 from lycheefall._core.relay import EngineModel, ExpertLayout, GroupHealth, UpstreamRecord
 from lycheefall._relay.rank_calls import Rank, fetch_loaded_experts, fetch_status
 from lycheefall._rules import expert_maps
@@ -15,6 +16,12 @@
 
 # Period between two status requests to the first rank of a group.
 STATUS_PERIOD_S = 1.2
+# Period between two requests for the paces of the ranks.
+PACES_PERIOD_S = 1.5
+# A rank with a lower pace does not count as slow, and a higher pace counts as this one: the rank
+# holds nearly no load then.
+MIN_SLOW_PACE = 1.25
+MAX_PACE = 10.0
 # Assumed duration of the orders of a map change until one was made.
 _INITIAL_ORDERS_S = 0.2
 # Assumed duration of a pass until two status reports give the actual one.
@@ -36,6 +43,9 @@
     status_received_s: float = float("-inf")
     # Time of the next status request.
     next_status_s: float = float("-inf")
+    # Pace of each rank, and the time of the next request for them.
+    paces: tuple[float, ...] = ()
+    next_paces_s: float = float("-inf")
     # Duration of a pass.
     pass_s: float = _INITIAL_PASS_S
     # Time at which the group was first seen paused by a previous rollout; None if it is not paused.
@@ -88,6 +98,8 @@
     for name, ranks in latest.items():
         group = pool.groups.setdefault(name, Group(name))
         is_complete = sorted(ranks) == list(range(len(ranks)))
+        if len(group.paces) != len(ranks):
+            group.paces = expert_maps.even_paces(len(ranks))
         group.members = [new_rank(ranks[rank]) for rank in range(len(ranks) if is_complete else 0)]
 
 
@@ -128,6 +140,32 @@
     return group.active_map is not None and not group.is_changing and now_s >= group.next_change_s
 
 
+async def update_paces(group: Group, are_passes_long: bool) -> None:
+    """Fetch the paces of the ranks if passes are long, or if a rank was slow before."""
+    now_s = asyncio.get_running_loop().time()
+    has_slow_rank = max(group.paces, default=1.0) > MIN_SLOW_PACE
+    if now_s < group.next_paces_s or not (are_passes_long or has_slow_rank):
+        return
+    group.next_paces_s = now_s + PACES_PERIOD_S
+    found = await asyncio.gather(*(fetch_status(each) for each in group.members))
+    group.paces = tuple(
+        1.0 if status is None or status.pace <= MIN_SLOW_PACE else min(MAX_PACE, status.pace)
+        for status in found
+    )
+
+
+def slow_ranks(pools: Iterable[Pool]) -> tuple[SlowRank, ...]:
+    """Return the slow ranks of all groups."""
+    return tuple(
+        SlowRank(member.record.upstream, member.record.start_time_ms, pace)
+        for pool in pools
+        for group in pool.groups.values()
+        if group.members
+        for member, pace in zip(group.members, group.paces, strict=True)
+        if pace > MIN_SLOW_PACE
+    )
+
+
 async def _fetch_map(group: Group, layout: ExpertLayout, status: RankStatus) -> None:
     """Fetch the active map from the ranks, after a new epoch or as a new coordinator.
 
--- a/src/lycheefall/_relay/service.py
+++ b/src/lycheefall/_relay/service.py
@@ -103,10 +103,26 @@
         dispatch_snapshot=relay.dispatch_snapshot,
         dispatch=inbox,
         now=now,
+        slow_ranks=lambda: coordinator.slow_ranks,
         publish_configuration=lambda configuration: index.publish(build_index(configuration)),
     )
     server = HttpServer(handle=request_handler(relay), limits=partial(_http_limits, index))
     observe_head = partial(notices.report, settings.dialect.headers, inbox)
+    coordinator = Coordinator(
+        inbox=coordinator_inbox,
+        new_rank=lambda record: Rank(
+            record,
+            settings.dialect,
+            pooled_connections,
+            settings.link_bytes_per_s,
+            observe_head,
+        ),
+        records=lambda: _live_records(dispatcher),
+        engine_of=partial(_engine_of, index),
+        utilization_of=lambda pool: dispatching.utilization(dispatcher.dispatch_state, pool),
+        may_coordinate=partial(may_coordinate, link),
+        random=random,
+    )
     done = asyncio.Event()
     try:
         await run_until(
@@ -117,25 +133,7 @@
             tick(coordinator_inbox, CheckGroups(), CHECK_PERIOD_S),
             _close_expired_connections(pooled_connections),
             _serve(settings, server, link, dispatcher),
-            run_coordinator(
-                Coordinator(
-                    inbox=coordinator_inbox,
-                    new_rank=lambda record: Rank(
-                        record,
-                        settings.dialect,
-                        pooled_connections,
-                        settings.link_bytes_per_s,
-                        observe_head,
-                    ),
-                    records=lambda: _live_records(dispatcher),
-                    engine_of=partial(_engine_of, index),
-                    utilization_of=lambda pool: dispatching.utilization(
-                        dispatcher.dispatch_state, pool
-                    ),
-                    may_coordinate=partial(may_coordinate, link),
-                    random=random,
-                )
-            ),
+            run_coordinator(coordinator),
             _drain(settings, stop, done, server, link),
             *_optional_tasks(settings, link),
         )
--- a/src/lycheefall/_rules/concurrency_limits.py
+++ b/src/lycheefall/_rules/concurrency_limits.py
@@ -27,7 +27,9 @@
         return max(1, stats.record.slots) * _SERVICE_REQUESTS_PER_SLOT
     slots = max(1, stats.record.slots or engine.slots)
     slots = batch_limit.usable_slots(pauses_of(pool, stats).batch, slots)
-    if stats.owner_distance == 0:
+    # All ranks wait for the slowest one, so a slow rank gets fewer requests, or none.
+    slots = int(slots / stats.pace)
+    if stats.owner_distance == 0 or slots == 0:
         return slots
     margin = _NEIGHBOUR_MARGIN if upstream_selection.is_neighbour(stats) else _DISTANT_MARGIN
     return max(1, slots - margin)
--- a/src/lycheefall/_rules/dispatching.py
+++ b/src/lycheefall/_rules/dispatching.py
@@ -12,6 +12,7 @@
 from msgspec import Struct, field
 
 from lycheefall._core.ids import DataCentreId, GroupId, InstanceId, PoolId, TeamId, UpstreamId
+from lycheefall._core.messages.relay import SlowRank
 from lycheefall._core.relay import RelayConfiguration, RelayPool, UpstreamRecord
 from lycheefall._rules import (
     concurrency_limits,
@@ -73,6 +74,13 @@
     received_s: float
 
 
+class SlowRanks(Struct, frozen=True):
+    """Slow ranks of groups, as last reported by a replica."""
+
+    ranks: tuple[SlowRank, ...]
+    received_s: float
+
+
 class DispatchState(Struct, eq=False, kw_only=True):
     """State that the dispatch decisions of an entry depend on."""
 
@@ -86,6 +94,8 @@
     peers: dict[InstanceId, PeerEntry] = field(default_factory=dict)
     # By reporting replica of control; each one knows only the entries that report loads to it.
     peer_loads: dict[InstanceId, PeerLoads] = field(default_factory=dict)
+    # By reporting replica.
+    slow_ranks: dict[InstanceId, SlowRanks] = field(default_factory=dict)
     # Pool and team of each placed request, by request number.
     team_by_request: dict[int, tuple[PoolId, TeamId | None]] = field(default_factory=dict)
 
@@ -147,6 +157,22 @@
     _sum_peer_loads(state)
 
 
+def update_slow_ranks(
+    state: DispatchState, replica: InstanceId, ranks: tuple[SlowRank, ...], now_s: float
+) -> None:
+    """Update how much slower each upstream is than the fastest one of its group."""
+    state.slow_ranks[replica] = SlowRanks(ranks, now_s)
+    paces: dict[tuple[UpstreamId, int], float] = {}
+    for source, reported in list(state.slow_ranks.items()):
+        if now_s - reported.received_s > _PEER_TIMEOUT_S:
+            del state.slow_ranks[source]
+            continue
+        for rank in reported.ranks:
+            paces[rank.upstream, rank.start_time_ms] = rank.pace
+    for pool in state.pools.values():
+        _update_paces(pool, paces)
+
+
 def on_request(state: DispatchState, message: DispatchRequest, now_s: float) -> list[Output]:
     """Place a request, queue it or refuse it.
 
@@ -384,6 +410,17 @@
     return pool
 
 
+def _update_paces(pool: PoolState, paces: dict[tuple[UpstreamId, int], float]) -> None:
+    """Set the pace of each upstream relative to the fastest one of its group."""
+    fastest: dict[GroupId | None, float] = {}
+    for stats in pool.upstreams.by_id.values():
+        stats.pace = paces.get(upstream_notices.start_of(stats.record), 1.0)
+        group = upstream_selection.group_of(stats)
+        fastest[group] = min(stats.pace, fastest.get(group, stats.pace))
+    for stats in pool.upstreams.by_id.values():
+        stats.pace /= fastest[upstream_selection.group_of(stats)]
+
+
 def _assign_owners(state: DispatchState) -> None:
     """Update the distance from this entry to the owner of each upstream."""
     entries = [EntryLocation(name, peer.data_centre) for name, peer in state.peers.items()]
--- a/src/lycheefall/_rules/expert_maps.py
+++ b/src/lycheefall/_rules/expert_maps.py
@@ -3,6 +3,8 @@
 All ranks wait for the most loaded one in each set of layers. Experts in demand get replicas on
 further ranks, which share their tokens evenly. Each layer set has a placement of its own; groups
 that control coordinates have only one placement, which `placement` plans.
+
+The pace of a rank is the factor by which it is slower than usual.
 """
 
 from collections.abc import Sequence
@@ -23,23 +25,36 @@
     return all({each for rank in of_set for each in rank} == all_experts for of_set in experts)
 
 
-def skew_of_set(experts_by_rank: Sequence[Sequence[int]], load: Sequence[float]) -> float:
-    """Return the ratio of the load of the most loaded rank to the mean."""
+def even_paces(ranks: int) -> tuple[float, ...]:
+    """Return the paces of ranks none of which is slow."""
+    return (1.0,) * ranks
+
+
+def skew_of_set(
+    experts_by_rank: Sequence[Sequence[int]], load: Sequence[float], paces: Sequence[float]
+) -> float:
+    """Return the ratio of the time of the slowest rank to that with an even load at full pace."""
     counts = [0] * len(load)
     for experts in experts_by_rank:
         for expert in experts:
             counts[expert] += 1
     rank_load = [sum(load[each] / counts[each] for each in experts) for experts in experts_by_rank]
     total = sum(rank_load)
-    return max(rank_load) * len(rank_load) / total if total > 0 else 1.0
+    if total <= 0:
+        return 1.0
+    slowest = max(each * pace for each, pace in zip(rank_load, paces, strict=True))
+    return slowest * len(rank_load) / total
 
 
 def relative_pass_time(
-    experts: ExpertMap, loads: Sequence[Sequence[float]], layout: ExpertLayout
+    experts: ExpertMap,
+    loads: Sequence[Sequence[float]],
+    layout: ExpertLayout,
+    paces: Sequence[float],
 ) -> float:
     """Return the ratio of the pass duration to that with an even load."""
     skews = [
-        skew_of_set(experts_by_rank, load)
+        skew_of_set(experts_by_rank, load, paces)
         for experts_by_rank, load in zip(experts, loads, strict=True)
     ]
     mean = sum(skews) / len(skews)
--- a/src/lycheefall/_rules/map_planning.py
+++ b/src/lycheefall/_rules/map_planning.py
@@ -60,20 +60,24 @@
 
 
 def plan(
-    before: ExpertMap, loads: Sequence[Sequence[float]], layout: ExpertLayout, times: PlanTimes
+    before: ExpertMap,
+    loads: Sequence[Sequence[float]],
+    paces: Sequence[float],
+    layout: ExpertLayout,
+    times: PlanTimes,
 ) -> Generator[None, None, Plan]:
     """Return the plan with the shortest mean pass; yield between the parts of the search.
 
     Without a better map, this is the present one.
     """
-    ratio_before = relative_pass_time(before, loads, layout)
+    ratio_before = relative_pass_time(before, loads, layout, paces)
     best = Plan(before, 0, ratio_before, times.pass_s(ratio_before))
     copies_left = [0] * len(before[0])
     searches = []
     for experts, load in zip(before, loads, strict=True):
         searches.append(
             placement_search.start_search(
-                experts, load, layout.expert_slots, layout.spare, copies_left
+                experts, load, paces, layout.expert_slots, layout.spare, copies_left
             )
         )
         yield
@@ -86,8 +90,8 @@
         for rank in range(len(copies_left)):
             copies_left[rank] += added
         yield from _improve_jointly(searches)
-        found = yield from _plan_of(before, searches, loads)
-        ratio = relative_pass_time(found, loads, layout)
+        found = yield from _plan_of(before, searches, loads, paces)
+        ratio = relative_pass_time(found, loads, layout, paces)
         mean_pass_s = _mean_pass_s(copies, ratio_before, ratio, times)
         if mean_pass_s < best.mean_pass_s:
             best = Plan(found, copies, ratio, mean_pass_s)
@@ -164,11 +168,12 @@
     before: ExpertMap,
     searches: list[SetSearch],
     loads: Sequence[Sequence[float]],
+    paces: Sequence[float],
 ) -> Generator[None, None, ExpertMap]:
     """Return the map of the searches; a set that did not improve stays as it was."""
     found = []
     for old, search, load in zip(before, searches, loads, strict=True):
         new = placement_search.with_old_replicas(search)
-        found.append(new if skew_of_set(new, load) < skew_of_set(old, load) else old)
+        found.append(new if skew_of_set(new, load, paces) < skew_of_set(old, load, paces) else old)
         yield
     return tuple(found)
--- a/src/lycheefall/_rules/placement_search.py
+++ b/src/lycheefall/_rules/placement_search.py
@@ -1,7 +1,8 @@
 """Search for a better placement of one set of layers, within limits on copied experts.
 
 The search starts with one replica of each expert and adds, moves or swaps replicas to reduce the
-load of the most loaded rank. Replicas that a rank already holds cost no copy.
+load of the most loaded rank. Replicas that a rank already holds cost no copy. The load of a slow
+rank counts by its pace.
 """
 
 from collections.abc import Sequence
@@ -24,6 +25,8 @@
 
     # Load of each expert.
     load: Sequence[float]
+    # Factor by which each rank is slower than usual; `rank_load` includes it.
+    paces: Sequence[float]
     # Experts of each rank before the change; keeping them needs no copy.
     before: list[frozenset[int]]
     # Ranks that hold each expert, and experts that each rank holds.
@@ -41,6 +44,7 @@
 def start_search(
     before: Sequence[Sequence[int]],
     load: Sequence[float],
+    paces: Sequence[float],
     slots_per_rank: int,
     spare: int,
     copies_left: list[int],
@@ -53,6 +57,7 @@
             holders_before[expert].append(rank)
     search = SetSearch(
         load,
+        paces,
         [frozenset(experts) for experts in before],
         [set() for _ in load],
         [set() for _ in range(ranks)],
@@ -66,7 +71,10 @@
         candidates = [
             r for r in holders_before[expert] if len(search.experts_by_rank[r]) < slots_per_rank
         ]
-        rank = min(candidates, key=lambda each: (search.rank_load[each], each))
+        rank = min(
+            candidates,
+            key=lambda each: (search.rank_load[each] + load[expert] * paces[each], each),
+        )
         add(search, expert, rank)
     return search
 
@@ -78,10 +86,10 @@
     before = load / len(holders) if holders else 0.0
     after = load / (len(holders) + 1)
     for each in holders:
-        search.rank_load[each] += after - before
+        search.rank_load[each] += (after - before) * search.paces[each]
     holders.add(rank)
     search.experts_by_rank[rank].add(expert)
-    search.rank_load[rank] += after
+    search.rank_load[rank] += after * search.paces[rank]
     if expert not in search.before[rank]:
         search.added[rank] += 1
         search.copies_left[rank] -= 1
@@ -93,10 +101,10 @@
     before = load / len(holders)
     holders.discard(rank)
     search.experts_by_rank[rank].discard(expert)
-    search.rank_load[rank] -= before
+    search.rank_load[rank] -= before * search.paces[rank]
     after = load / len(holders)
     for each in holders:
-        search.rank_load[each] += after - before
+        search.rank_load[each] += (after - before) * search.paces[each]
     if expert not in search.before[rank]:
         search.added[rank] -= 1
         search.copies_left[rank] += 1
@@ -142,7 +150,8 @@
                 if difference <= 0 or not _can_hold(search, lesser, worst):
                     continue
                 reached = max(
-                    search.rank_load[worst] - difference, search.rank_load[target] + difference
+                    search.rank_load[worst] - difference * search.paces[worst],
+                    search.rank_load[target] + difference * search.paces[target],
                 )
                 if best is None or reached < best[0]:
                     best = (reached, expert, target, lesser)
@@ -181,10 +190,12 @@
     count = len(search.holders[expert])
     load = search.load[expert]
     share = load / count
-    if is_move:
-        return max(search.rank_load[worst] - share, search.rank_load[target] + share)
-    shared = load / (count + 1)
-    return max(search.rank_load[worst] - share + shared, search.rank_load[target] + shared)
+    added = share if is_move else load / (count + 1)
+    removed = share if is_move else share - added
+    return max(
+        search.rank_load[worst] - removed * search.paces[worst],
+        search.rank_load[target] + added * search.paces[target],
+    )
 
 
 def peak_ratio(search: SetSearch) -> float:
@@ -207,7 +218,7 @@
         for expert in sorted(old - experts, key=lambda each: -search.load[each]):
             if len(experts) >= search.slots_per_rank:
                 break
-            share = search.load[expert] / (holder_count[expert] + 1)
+            share = search.load[expert] / (holder_count[expert] + 1) * search.paces[rank]
             if rank_load[rank] + share <= peak:
                 experts.add(expert)
                 rank_load[rank] += share
--- a/src/lycheefall/_rules/upstream_selection.py
+++ b/src/lycheefall/_rules/upstream_selection.py
@@ -60,6 +60,8 @@
     suspended_until_s: float = float("-inf")
     # Mean first-byte delay relative to that of the pool.
     slowness: float = 1.0
+    # Factor by which a rank is slower than the fastest one of its group.
+    pace: float = 1.0
     # Time of the last delay.
     slowness_at_s: float = 0.0
 
@@ -128,6 +130,11 @@
             stats.suspended_until_s = max(stats.suspended_until_s, until_s)
 
 
+def group_of(stats: UpstreamStats) -> GroupId | None:
+    """Return the group of an upstream, or None."""
+    return None if stats.record.group is None else stats.record.group.group
+
+
 def is_group_broken(stats: UpstreamStats) -> bool:
     """Return whether the group of an upstream is reported to run no passes."""
     group = stats.record.group
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -10,6 +10,7 @@
 import pytest
 
 from lycheefall._core.ids import DataCentreId, GroupId, InstanceId, TeamId, UpstreamId
+from lycheefall._core.messages.relay import SlowRank
 from lycheefall._core.relay import RequestKind, UpstreamRecord, Urgency
 from lycheefall._rules import dispatching, record_table
 from lycheefall._rules.dispatch_messages import (
@@ -107,6 +108,31 @@
         outputs = dispatching.on_attempt_ended(state, end("u1"), 0.1)
         assert [each.number for each in outputs] == [1]
 
+    def test_slow_rank_gets_no_requests(self) -> None:
+        """Guards against requests on a slow rank, for which all ranks of its group wait."""
+        state = dispatcher(record("u1", rank=0), record("u2", rank=1))
+        slow = (SlowRank(UpstreamId("u1"), 1000, 4.0),)
+        dispatching.update_slow_ranks(state, InstanceId("c1"), slow, 0.0)
+        outputs = [dispatching.on_request(state, make_request(n), 0.0) for n in range(3)]
+        assert [each[0].record.upstream for each in outputs if each] == ["u2", "u2"]
+        dispatching.update_slow_ranks(state, InstanceId("c1"), (), 0.1)
+        assert [each.record.upstream for each in dispatching.tick(state, 0.1)] == ["u1"]
+
+    def test_all_ranks_slow(self) -> None:
+        """Guards against a group without any requests because all its ranks are slow alike."""
+        state = dispatcher(record("u1", rank=0), record("u2", rank=1))
+        slow = tuple(SlowRank(UpstreamId(name), 1000, 4.0) for name in ("u1", "u2"))
+        dispatching.update_slow_ranks(state, InstanceId("c1"), slow, 0.0)
+        assert dispatching.on_request(state, make_request(0), 0.0)
+
+    def test_report_of_an_earlier_start(self) -> None:
+        """Guards against a restarted rank that is avoided because its earlier start was slow."""
+        state = dispatcher(record("u1", rank=0, start_time_ms=2000), record("u2", rank=1))
+        slow = (SlowRank(UpstreamId("u1"), 1000, 4.0),)
+        dispatching.update_slow_ranks(state, InstanceId("c1"), slow, 0.0)
+        outputs = [dispatching.on_request(state, make_request(n), 0.0) for n in range(4)]
+        assert all(outputs)
+
     def test_attempts_of_other_entries_count(self) -> None:
         """Guards against entries that all take the same free slot."""
         state = dispatcher(record("u1"), record("u2"))
--- a/tests/test_expert_maps.py
+++ b/tests/test_expert_maps.py
@@ -4,6 +4,7 @@
 
 from lycheefall._core.relay import ExpertLayout
 from lycheefall._rules.expert_maps import (
+    even_paces,
     initial_map,
     is_complete,
     max_experts_to_copy,
@@ -28,13 +29,15 @@
         """Guards against a gain that counts the work which maps don't change."""
         experts = initial_map(LAYOUT, RANKS)
         even = [[1.0] * 64 for _ in range(6)]
-        assert relative_pass_time(experts, even, LAYOUT) == pytest.approx(1.0)
+        assert relative_pass_time(experts, even, LAYOUT, even_paces(RANKS)) == pytest.approx(1.0)
         all_on_one = [[1.0 if e % 8 == 0 else 0.0 for e in range(64)] for _ in range(6)]
-        assert relative_pass_time(experts, all_on_one, LAYOUT) == pytest.approx(0.15 + 0.85 * 8)
+        assert relative_pass_time(experts, all_on_one, LAYOUT, even_paces(RANKS)) == pytest.approx(
+            0.15 + 0.85 * 8
+        )
 
     def test_no_demand(self) -> None:
         """Guards against a division by zero."""
-        assert skew_of_set(initial_map(LAYOUT, RANKS)[0], [0.0] * 64) == 1.0
+        assert skew_of_set(initial_map(LAYOUT, RANKS)[0], [0.0] * 64, even_paces(RANKS)) == 1.0
 
 
 class TestMaps:
--- a/tests/test_map_planning.py
+++ b/tests/test_map_planning.py
@@ -13,6 +13,7 @@
 from lycheefall._core.relay import ExpertLayout
 from lycheefall._rules import map_planning, placement_search
 from lycheefall._rules.expert_maps import (
+    even_paces,
     initial_map,
     max_experts_to_copy,
     relative_pass_time,
@@ -89,7 +90,11 @@
 
 
 def run_plan(
-    before: ExpertMap, loads: Loads, layout: ExpertLayout, remaining_s: float = 4.0
+    before: ExpertMap,
+    loads: Loads,
+    layout: ExpertLayout,
+    remaining_s: float = 4.0,
+    paces: Sequence[float] | None = None,
 ) -> Plan:
     """Return a plan for passes that take as long as their ratio."""
     times = PlanTimes(
@@ -98,7 +103,8 @@
         orders_s=ORDERS_S,
         remaining_s=remaining_s,
     )
-    steps = map_planning.plan(before, loads, layout, times)
+    paces = even_paces(len(before[0])) if paces is None else paces
+    steps = map_planning.plan(before, loads, paces, layout, times)
     while True:
         try:
             next(steps)
@@ -120,13 +126,16 @@
 ) -> tuple[ExpertMap, int]:
     """Plan each set for itself with one copy to a rank, whatever a copy takes: the baseline."""
     after = []
+    paces = even_paces(len(before[0]))
     for old, load in zip(before, loads, strict=True):
         copies_left = [layout.experts] * len(old)
-        search = placement_search.start_search(old, load, layout.expert_slots, 1, copies_left)
+        search = placement_search.start_search(
+            old, load, paces, layout.expert_slots, 1, copies_left
+        )
         while placement_search.improve(search):
             pass
         new = placement_search.with_old_replicas(search)
-        after.append(new if skew_of_set(new, load) < skew_of_set(old, load) else old)
+        after.append(new if skew_of_set(new, load, paces) < skew_of_set(old, load, paces) else old)
     return tuple(after), max_experts_to_copy(before, tuple(after))
 
 
@@ -138,7 +147,7 @@
     total_s = 0.0
     for _ in range(SHIFTS):
         loads = [skewed(random, layout.experts, exponent) for _ in range(layout.sets)]
-        ratio = relative_pass_time(experts, loads, layout)
+        ratio = relative_pass_time(experts, loads, layout, even_paces(ranks))
         now_s = DETECTION_S
         total_s += DETECTION_S * ratio
         while now_s < period_s:
@@ -147,7 +156,7 @@
             if after == experts or now_s + ORDERS_S + copying_s >= period_s:
                 break
             total_s += ratio * (ORDERS_S + copying_s * COPYING_RATIO)
-            experts, ratio = after, relative_pass_time(after, loads, layout)
+            experts, ratio = after, relative_pass_time(after, loads, layout, even_paces(ranks))
             now_s += ORDERS_S + copying_s
             pause_s = min(COOLDOWN_S, period_s - now_s)
             total_s += ratio * pause_s
@@ -211,9 +220,12 @@
                 assert max(added) <= spare
             assert max_experts_to_copy(before, found.experts) <= found.copies
             assert found.pass_ratio == pytest.approx(
-                relative_pass_time(found.experts, loads, layout)
+                relative_pass_time(found.experts, loads, layout, even_paces(RANKS))
+            )
+            assert (
+                found.pass_ratio
+                <= relative_pass_time(before, loads, layout, even_paces(RANKS)) + 1e-9
             )
-            assert found.pass_ratio <= relative_pass_time(before, loads, layout) + 1e-9
             before = found.experts
 
     @pytest.mark.parametrize("seed", range(3))
@@ -222,5 +234,14 @@
         loads = [skewed(Random(seed + n), 64, 1.5) for n in range(6)]
         before = initial_map(LAYOUT, RANKS)
         found = run_plan(before, loads, structs.replace(LAYOUT, expert_bytes=0.1))
-        assert relative_pass_time(before, loads, LAYOUT) > 2.0
+        assert relative_pass_time(before, loads, LAYOUT, even_paces(RANKS)) > 2.0
         assert found.pass_ratio <= 1.1
+
+    def test_slow_rank(self) -> None:
+        """Guards against a group that waits for a slow rank with as many experts as the others."""
+        loads = [skewed(Random(n), 64, 1.0) for n in range(6)]
+        before = run_plan(initial_map(LAYOUT, RANKS), loads, LAYOUT, 20.0).experts
+        paces = (1.0,) * (RANKS - 1) + (4.0,)
+        found = run_plan(before, loads, LAYOUT, 20.0, paces)
+        assert relative_pass_time(before, loads, LAYOUT, paces) > 3.0
+        assert relative_pass_time(found.experts, loads, LAYOUT, paces) < 1.5
