--- a/tests/test_map_groups.py
+++ b/tests/test_map_groups.py
@@ -13,7 +13,14 @@
 from lycheefall._core.relay import UpstreamRecord
 from lycheefall._relay.connection_pool import ConnectionPool
 from lycheefall._relay.map_coordinator import Coordinator, run_coordinator
-from lycheefall._relay.map_groups import Group, Pool, check_group, update_groups
+from lycheefall._relay.map_groups import (
+    Group,
+    Pool,
+    check_group,
+    slow_ranks,
+    update_groups,
+    update_paces,
+)
 from lycheefall._relay.messages import CheckGroups
 from lycheefall._relay.rank_calls import Rank
 from lycheefall._relay.settings import DEFAULT_LINK_BYTES_PER_S
@@ -126,3 +133,35 @@
         await check_group(group, LAYOUT)
     assert group.status is not None
     assert group.active_map is None
+
+
+class TestPaces:
+    async def test_read_while_passes_are_long(self) -> None:
+        """Guards against a slow rank that is not noticed, or reads that go on without a cause."""
+        paces = {"g0": 1.1, "g1": 3.0}
+        reads = 0
+
+        async def respond(exchange: Exchange) -> None:
+            nonlocal reads
+            reads += 1
+            name = exchange.received.headers["expect-instance"]
+            body = msgspec.json.encode({"Sequence": 0, "pace": paces[name]})
+            await exchange.send(complete_response(exchange.received, body))
+
+        async with upstream(respond) as double:
+            pool = Pool(POOL, ENGINE, LAYOUT)
+            records = [record(f"g{rank}", rank=rank, address=double.address) for rank in range(2)]
+            update_groups(pool, records, new_rank)
+            group = pool.groups[GroupId("g")]
+            await update_paces(group, are_passes_long=False)
+            assert reads == 0
+            await update_paces(group, are_passes_long=True)
+            assert group.paces == (1.0, 3.0)
+            assert [each.upstream for each in slow_ranks([pool])] == ["g1"]
+            # A slow rank is read again until it has recovered, but not at every check.
+            await update_paces(group, are_passes_long=False)
+            assert reads == 2
+            group.next_paces_s = float("-inf")
+            paces["g1"] = 1.0
+            await update_paces(group, are_passes_long=False)
+            assert slow_ranks([pool]) == ()
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -30,6 +30,7 @@
     FileBody,
     PeerUpdate,
     ReplicaUpdate,
+    SlowRank,
     ToRelay,
 )
 from lycheefall._core.pipeline import Inbox, tick
@@ -136,6 +137,17 @@
 
 @pytest.mark.looptime
 class TestAnnouncements:
+    async def test_slow_ranks_reach_all_entries(self) -> None:
+        """Guards against slow ranks that only the entry that read their paces keeps work from."""
+        slow = (SlowRank(UpstreamId("u1"), 1000, 3.0),)
+        async with running_registrar() as harness:
+            await harness.status("e1", slow_ranks=slow)
+            await harness.status("e2")
+            assert harness.updates("e2")[-1].slow_ranks == slow
+            await harness.status("e1")
+            await asyncio.sleep(1.0)
+            assert harness.updates("e2")[-1].slow_ranks == ()
+
     async def test_drain_is_acknowledged_once_entries_have_applied_it(self) -> None:
         """Guards against acknowledging a drain that an entry has not applied."""
         async with running_registrar() as harness:
