Refresh paces when a group is idle, and update them only on a change

A slow rank was read again only while its pool was loaded, so one that had recovered stayed avoided until then.

Change: the paces are refreshed at every check that finds a slow rank, after the counts so that the sample of a shift is not delayed; entries recompute them when the reported ranks change or upstreams are replaced.

--- a/src/lycheefall/_relay/map_coordinator.py
+++ b/src/lycheefall/_relay/map_coordinator.py
@@ -191,18 +191,24 @@
     _update_arrivals(state, pool)
     is_new = not expert_demand.is_known(pool.demand) and _running_per_rank(state, pool) >= 1.0
     if not is_new and not is_shifted and not _is_loaded(state, pool):
+        await _refresh_paces(state, pool, groups)
         return
     await _update_demand(state, pool, groups, is_shifted)
+    await _refresh_paces(state, pool, groups)
     if expert_demand.is_known(pool.demand):
         plans: Plans = {}
-        are_long = _has_long_passes(state, pool, LONG_PASS_RATIO)
-        await asyncio.gather(*(update_paces(each, are_long) for each in groups))
-        state.slow_ranks = slow_ranks(state.pools.values())
         for group in groups:
             if may_change(group):
                 await _improve_map(state, pool, group, plans)
 
 
+async def _refresh_paces(state: Coordinator, pool: Pool, groups: list[Group]) -> None:
+    """Update the paces of the ranks, and the slow ranks that all entries learn of."""
+    are_long = _has_long_passes(state, pool, LONG_PASS_RATIO)
+    await asyncio.gather(*(update_paces(each, are_long) for each in groups))
+    state.slow_ranks = slow_ranks(state.pools.values())
+
+
 async def _update_demand(
     state: Coordinator, pool: Pool, groups: list[Group], is_shifted: bool
 ) -> None:
--- a/src/lycheefall/_rules/dispatching.py
+++ b/src/lycheefall/_rules/dispatching.py
@@ -42,6 +42,7 @@
 from lycheefall._rules.pool_state import PoolState, opens_s, pauses_of
 from lycheefall._rules.record_table import RecordTable
 from lycheefall._rules.retry_budget import RetryBounds
+from lycheefall._rules.upstream_notices import Start
 from lycheefall._rules.upstream_ownership import EntryLocation, UpstreamLocation, assign_owners
 from lycheefall._rules.upstream_selection import UpstreamStats
 
@@ -132,6 +133,7 @@
             stats.record = record
     _assign_owners(state)
     _sum_peer_loads(state)
+    _update_paces(state)
 
 
 def update_peers(
@@ -160,17 +162,14 @@
 def update_slow_ranks(
     state: DispatchState, replica: InstanceId, ranks: tuple[SlowRank, ...], now_s: float
 ) -> None:
-    """Update how much slower each upstream is than the fastest one of its group."""
+    """Store the slow ranks that a replica reports, and update the paces if that is a change."""
+    before = _paces(state)
     state.slow_ranks[replica] = SlowRanks(ranks, now_s)
-    paces: dict[tuple[UpstreamId, int], float] = {}
     for source, reported in list(state.slow_ranks.items()):
         if now_s - reported.received_s > _PEER_TIMEOUT_S:
             del state.slow_ranks[source]
-            continue
-        for rank in reported.ranks:
-            paces[rank.upstream, rank.start_time_ms] = rank.pace
-    for pool in state.pools.values():
-        _update_paces(pool, paces)
+    if _paces(state) != before:
+        _update_paces(state)
 
 
 def on_request(state: DispatchState, message: DispatchRequest, now_s: float) -> list[Output]:
@@ -410,15 +409,26 @@
     return pool
 
 
-def _update_paces(pool: PoolState, paces: dict[tuple[UpstreamId, int], float]) -> None:
-    """Set the pace of each upstream relative to the fastest one of its group."""
-    fastest: dict[GroupId | None, float] = {}
-    for stats in pool.upstreams.by_id.values():
-        stats.pace = paces.get(upstream_notices.start_of(stats.record), 1.0)
-        group = upstream_selection.group_of(stats)
-        fastest[group] = min(stats.pace, fastest.get(group, stats.pace))
-    for stats in pool.upstreams.by_id.values():
-        stats.pace /= fastest[upstream_selection.group_of(stats)]
+def _paces(state: DispatchState) -> dict[Start, float]:
+    """Return the paces of all slow ranks."""
+    return {
+        (rank.upstream, rank.start_time_ms): rank.pace
+        for reported in state.slow_ranks.values()
+        for rank in reported.ranks
+    }
+
+
+def _update_paces(state: DispatchState) -> None:
+    """Update how much slower each upstream is than the fastest one of its group."""
+    paces = _paces(state)
+    for pool in state.pools.values():
+        fastest: dict[GroupId | None, float] = {}
+        for stats in pool.upstreams.by_id.values():
+            stats.pace = paces.get(upstream_notices.start_of(stats.record), 1.0)
+            group = upstream_selection.group_of(stats)
+            fastest[group] = min(stats.pace, fastest.get(group, stats.pace))
+        for stats in pool.upstreams.by_id.values():
+            stats.pace /= fastest[upstream_selection.group_of(stats)]
 
 
 def _assign_owners(state: DispatchState) -> None:
