Log the prompt parts and the last event of lost attempts

The log can't tell whether requests that crash upstreams have a part of their prompt in common, or whether an entry's own retry caused a crash.

--- a/src/lycheefall/_core/dialect.py
+++ b/src/lycheefall/_core/dialect.py
@@ -8,7 +8,7 @@
 from msgspec import Struct
 
 from lycheefall._core.expert_maps import ExpertCounts, LoadedExperts, RankOrder, RankStatus
-from lycheefall._core.ids import Address, UpstreamId
+from lycheefall._core.ids import Address, PromptPart, UpstreamId
 from lycheefall._core.relay import RelayConfiguration, UpstreamRecord
 
 HeaderName = bytes
@@ -32,6 +32,8 @@
     retry_after: HeaderName
     # Set to 1 by an upstream that is leaving.
     leaving: HeaderName
+    # Parts of the prompt of a request.
+    prompt: HeaderName
 
 
 class EndpointPaths(Struct, frozen=True, kw_only=True):
@@ -70,6 +72,8 @@
     decode_announcement: Callable[[UpstreamId, bytes], UpstreamRecord]
     # Returns the start time of the departing upstream in ms; 0 if the body omits it.
     decode_departure: Callable[[bytes], int]
+    # Returns the parts that a prompt shares with others; none if the header is invalid.
+    decode_prompt: Callable[[bytes], tuple[PromptPart, ...]]
     encode_directory: Callable[[tuple[Address, ...], float], bytes]
     encode_error: Callable[[str], bytes]
     ranks: RankEndpoints
--- a/src/lycheefall/_core/ids.py
+++ b/src/lycheefall/_core/ids.py
@@ -15,6 +15,8 @@
 AttemptNumber = NewType("AttemptNumber", int)
 IdempotencyKey = NewType("IdempotencyKey", str)
 Fingerprint = NewType("Fingerprint", str)
+# Part of a prompt that several requests share, such as its system prompt.
+PromptPart = NewType("PromptPart", str)
 Digest = NewType("Digest", str)
 
 # Identifies one run of a process; a restart generates a new value.
--- a/src/lycheefall/_relay/exchange.py
+++ b/src/lycheefall/_relay/exchange.py
@@ -5,13 +5,11 @@
 
 import asyncio
 
-from lycheefall._core.events import Event
-from lycheefall._core.log import log
 from lycheefall._core.messages.relay import Crash
 from lycheefall._core.relay import RequestKind, UpstreamRecord
 from lycheefall._operate.exposition import ATTEMPTS
 from lycheefall._relay import connection_pool, headers, notices
-from lycheefall._relay.exchange_log import log_end, log_routed
+from lycheefall._relay.exchange_log import log_attempt_ended, log_end, log_routed
 from lycheefall._relay.exchange_state import Exchange, Failure, NextStep, Relay, ReportEnd
 from lycheefall._relay.identify import fingerprint, identify_request
 from lycheefall._relay.messages import RequestEnded, RequestPlacement, SuspectedCrash
@@ -169,14 +167,7 @@
         )
         ATTEMPTS.labels(record.pool, outcome.value).inc()
         if outcome is not Outcome.ANSWERED:
-            log(
-                Event.ATTEMPT_ENDED,
-                request=exchange.attempt_id.decode("latin-1"),
-                upstream=record.upstream,
-                outcome=outcome.value,
-                took_s=round(took_s, 4),
-                detail=detail,
-            )
+            log_attempt_ended(exchange, record, outcome, took_s, detail)
 
     return report_end
 
--- a/src/lycheefall/_relay/exchange_log.py
+++ b/src/lycheefall/_relay/exchange_log.py
@@ -4,9 +4,10 @@
 
 from lycheefall._core.events import Event
 from lycheefall._core.log import log
+from lycheefall._core.relay import UpstreamRecord
 from lycheefall._operate.exposition import FIRST_BYTE_LATENCY_S, REQUESTS
 from lycheefall._relay.exchange_state import Exchange, Relay
-from lycheefall._rules.dispatch_messages import PauseObserved, Place
+from lycheefall._rules.dispatch_messages import Outcome, PauseObserved, Place
 from lycheefall._rules.identification import Index, Unidentified
 from lycheefall._wire.http_server import IncomingRequest
 from lycheefall._wire.http_upstream import get_header
@@ -60,6 +61,28 @@
     )
 
 
+def log_attempt_ended(
+    exchange: Exchange, record: UpstreamRecord, outcome: Outcome, took_s: float, detail: str
+) -> None:
+    """Log an attempt without an answer; a lost one with what may have crashed the upstream."""
+    lost: dict[str, object] = {}
+    if outcome is Outcome.LOST:
+        lost = {
+            "tried": len(exchange.tried) - 1,
+            "last_event": exchange.events.last_id,
+            "prompt_parts": exchange.prompt_parts,
+        }
+    log(
+        Event.ATTEMPT_ENDED,
+        request=exchange.attempt_id.decode("latin-1"),
+        upstream=record.upstream,
+        outcome=outcome.value,
+        took_s=round(took_s, 4),
+        detail=detail,
+        **lost,
+    )
+
+
 def log_refused(
     relay: Relay, exchange: Exchange, reason: str, waiting: int, retry_after_s: float | None
 ) -> None:
--- a/src/lycheefall/_relay/exchange_state.py
+++ b/src/lycheefall/_relay/exchange_state.py
@@ -7,7 +7,7 @@
 from msgspec import Struct, field
 
 from lycheefall._core.dialect import Dialect
-from lycheefall._core.ids import RouteId
+from lycheefall._core.ids import PromptPart, RouteId
 from lycheefall._core.pipeline import Inbox, Latest
 from lycheefall._core.relay import RequestKind, UpstreamRecord
 from lycheefall._relay.connection_pool import ConnectionPool
@@ -62,6 +62,8 @@
     caller: CallerConnection
     identified: Identified
     attempt_id: bytes
+    # Parts of the prompt that other requests share.
+    prompt_parts: tuple[PromptPart, ...] = ()
     # The caller's deadline, and the earlier one of it and the route's timeout.
     caller_deadline_s: float
     deadline_s: float
--- a/src/lycheefall/_relay/identify.py
+++ b/src/lycheefall/_relay/identify.py
@@ -2,7 +2,7 @@
 
 import xxhash
 
-from lycheefall._core.ids import Fingerprint
+from lycheefall._core.ids import Fingerprint, PromptPart
 from lycheefall._relay import headers
 from lycheefall._relay.exchange_log import (
     log_refused,
@@ -63,6 +63,7 @@
         caller=caller,
         identified=identified,
         attempt_id=get_header(request.headers, names.attempt) or b"",
+        prompt_parts=_prompt_parts(relay, request),
         caller_deadline_s=request.received_s + remaining_s,
         deadline_s=request.received_s + min(remaining_s, timeout_s),
         is_caller_retry=remaining_s < longest_timeout_s * RETRY_TIMEOUT_RATIO,
@@ -83,6 +84,11 @@
     return Fingerprint(digest.hexdigest())
 
 
+def _prompt_parts(relay: Relay, request: IncomingRequest) -> tuple[PromptPart, ...]:
+    value = get_header(request.headers, relay.dialect.headers.prompt)
+    return () if value is None else relay.dialect.decode_prompt(value)
+
+
 async def _wait_for_configuration(relay: Relay, request: IncomingRequest) -> Index | None:
     """Return the active configuration, waiting up to a limit for the first one."""
     if relay.index.value is None:
