Add a failing test of a prompt part that crashes upstreams one after the other

Requests that crash upstreams are recognised by path, key and body, so a part that different requests share is never recognised.

--- /dev/null
+++ b/tests/test_crashing_prompts.py
@@ -0,0 +1,69 @@
+"""Tests of prompts with a part on which every upstream crashes."""
+
+from contextlib import AsyncExitStack
+
+from entry_harness import EntryHarness, Response, call, request, running_entry
+from lycheefall._core.relay import RequestKind
+from relay_values import configuration, record, route
+from upstream_double import (
+    LAST_CHUNK,
+    Exchange,
+    UpstreamDouble,
+    chunk,
+    event,
+    stream_head,
+    upstream,
+)
+
+STREAM = configuration(route(kind=RequestKind.STREAMING, target_s=0.2, timeout_s=4.0))
+COMMON = "a0"
+CRASHING = "dead"
+UPSTREAMS = 12
+# An outside rule: nothing with the part is sent once five upstreams have crashed.
+MAX_CRASHES = 5
+
+
+async def crash_on_part(exchange: Exchange) -> None:
+    """Stream a short answer, but crash on the part once the response has begun."""
+    await exchange.send(stream_head(exchange.received))
+    if CRASHING in exchange.received.headers["prefix-hash"]:
+        exchange.double.close()
+        exchange.reset()
+        return
+    for number in range(3):
+        await exchange.send(chunk(event(number)))
+    await exchange.send(LAST_CHUNK)
+
+
+def crashed(doubles: list[UpstreamDouble]) -> int:
+    """Return the number of upstreams that no longer listen."""
+    return sum(not each.server.is_serving() for each in doubles if each.server is not None)
+
+
+async def ask(harness: EntryHarness, number: int, *shared: str) -> Response:
+    """Send a request whose prompt has these parts and one of its own."""
+    prompt = ",".join(f"{part}:40" for part in (*shared, f"b{number:04x}"))
+    data = request(
+        f"/a/{number}",
+        attempt=f"id{number}",
+        body=b"question %d" % number,
+        extra=f"Prefix-Hash: {prompt}\r\n",
+    )
+    return await call(harness.port, data)
+
+
+class TestCrashingPart:
+    async def test_crashes_end_though_no_two_requests_are_alike(self) -> None:
+        """Guards against a prompt part that crashes one upstream after another."""
+        async with AsyncExitStack() as stack, running_entry(STREAM) as harness:
+            doubles = [
+                await stack.enter_async_context(upstream(crash_on_part)) for _ in range(UPSTREAMS)
+            ]
+            records = [record(f"u{n}", address=each.address) for n, each in enumerate(doubles)]
+            await harness.announce(*records)
+            sound = [(await ask(harness, n, COMMON)).status for n in range(4)]
+            for number in range(10, 30):
+                await ask(harness, number, COMMON, CRASHING)
+                sound.append((await ask(harness, 100 + number, COMMON)).status)
+            assert crashed(doubles) <= MAX_CRASHES
+            assert set(sound) == {200}, "requests without the part are refused"
