Leave a group alone as soon as one of its ranks has crashed

Callers saw requests held for up to 1.5 s and then refused after an upstream had crashed. Cause: the other ranks of a group accept requests while they wait for a lost one, and announce that the group is broken only after that. An entry learned of the crash by the next request that it sent to the same rank, and told the others nothing but the fingerprint. Change: an entry checks by one connection whether a rank that broke one still listens, and reports a crash at once; control passes it on; all entries suspend the group until it must have been announced. Result: test_ranks_that_wait_for_a_crashed_one fails before (a stalled rank gets requests) and passes.

--- a/src/lycheefall/_core/messages/relay.py
+++ b/src/lycheefall/_core/messages/relay.py
@@ -24,6 +24,16 @@
     start_time_ms: int
     # Shared parts of the prompt, if the upstream may have been about to generate on it.
     prompt_parts: tuple[PromptPart, ...] = ()
+    # Whether nothing listened at the address afterwards. Otherwise the upstream may be cut off.
+    refuses_connections: bool = False
+
+
+class LostUpstream(Struct, frozen=True, array_like=True):
+    """A start of an upstream that has crashed, and how long ago."""
+
+    upstream: UpstreamId
+    start_time_ms: int
+    age_s: float
 
 
 class SoundPart(Struct, frozen=True, array_like=True):
@@ -113,6 +123,8 @@
     slow_ranks: tuple[SlowRank, ...] = ()
     # Of the parts of prompts that were in recent crashes.
     part_verdicts: tuple[PartVerdict, ...] = ()
+    # Crashes of the last seconds.
+    lost: tuple[LostUpstream, ...] = ()
 
 
 class PeerUpdate(Struct, frozen=True, array_like=True, tag=85):
--- a/src/lycheefall/_registry/registrar.py
+++ b/src/lycheefall/_registry/registrar.py
@@ -20,6 +20,7 @@
     EntryStatus,
     FetchFile,
     FileBody,
+    LostUpstream,
     PartVerdict,
     PeerUpdate,
     ReplicaUpdate,
@@ -38,7 +39,7 @@
 )
 from lycheefall._rules import crash_counts, prompt_evidence, record_table
 from lycheefall._rules.crash_counts import CrashCounts
-from lycheefall._rules.prompt_evidence import PromptEvidence
+from lycheefall._rules.prompt_evidence import PromptEvidence, Start
 from lycheefall._rules.record_table import RecordTable
 from lycheefall._rules.replicated.newest_file import NewestFile
 
@@ -57,6 +58,8 @@
 # Changes are resent to the other replicas for this long, because a connection may lose messages.
 REPEAT_CHANGES_S = 5.0
 REPEAT_PERIOD_S = 0.5
+# Entries report a crash for 2 s.
+LOST_RETENTION_S = 4.0
 
 # Sends a message to the entry with a ZeroMQ routing id.
 SendToEntry = Callable[[bytes, ToRelay], None]
@@ -98,6 +101,8 @@
     voters: tuple[InstanceId, ...] = ()
     crashes: CrashCounts = field(default_factory=CrashCounts)
     prompts: PromptEvidence = field(default_factory=PromptEvidence)
+    # Starts of upstreams that have crashed, and when an entry reported it first.
+    lost_s: dict[Start, float] = field(default_factory=dict)
     pending_replies: list[PendingReply] = field(default_factory=list)
     is_leader: bool = False
     coordinator: InstanceId | None = None
@@ -196,7 +201,7 @@
     """Store the status of an entry; a new or restarted one is sent all records."""
     for crash in status.crashes:
         crash_counts.record(state.crashes, crash, now_s)
-    if _update_prompts(state, status, now_s):
+    if _record_lost(state, status, now_s) | _update_prompts(state, status, now_s):
         # The next crash may be milliseconds away.
         for each in state.entries.values():
             _send_update(state, each, to_entry, now_s)
@@ -215,6 +220,28 @@
     link.received_s = now_s
 
 
+def _record_lost(state: Registrar, status: EntryStatus, now_s: float) -> bool:
+    """Record the crashes that an entry has confirmed, and return whether any is new."""
+    is_news = False
+    for crash in status.crashes:
+        start = (crash.upstream, crash.start_time_ms)
+        if crash.refuses_connections and start not in state.lost_s:
+            state.lost_s[start] = now_s
+            is_news = True
+    return is_news
+
+
+def _lost(state: Registrar, now_s: float) -> tuple[LostUpstream, ...]:
+    """Return the recent crashes, and forget those that entries no longer report."""
+    for start, lost_s in list(state.lost_s.items()):
+        if now_s - lost_s > LOST_RETENTION_S:
+            del state.lost_s[start]
+    return tuple(
+        LostUpstream(upstream, start_time_ms, now_s - lost_s)
+        for (upstream, start_time_ms), lost_s in state.lost_s.items()
+    )
+
+
 def _update_prompts(state: Registrar, status: EntryStatus, now_s: float) -> bool:
     """Record what an entry reports on parts of prompts, and return whether a verdict changes."""
     if not (status.sound_parts or any(crash.prompt_parts for crash in status.crashes)):
@@ -311,6 +338,7 @@
             _select_coordinator(state, now_s),
             tuple(rank for each in state.entries.values() for rank in each.status.slow_ranks),
             _part_verdicts(state, now_s),
+            _lost(state, now_s),
         ),
     )
     link.pending_records = {}
--- a/src/lycheefall/_relay/connection_pool.py
+++ b/src/lycheefall/_relay/connection_pool.py
@@ -1,5 +1,6 @@
 """Pool of idle connections to upstreams."""
 
+import asyncio
 from collections import deque
 
 from msgspec import Struct, field
@@ -20,15 +21,25 @@
 # after 1 s.
 CONNECT_TIMEOUT_S = 0.4
 MAX_IDLE_PER_UPSTREAM = 16
+# Time for which the result of a check is reused: a crash breaks many connections at once.
+CHECK_REUSE_S = 0.5
 
 # An upstream and its start time in ms; a restarted upstream may keep its id.
 PoolKey = tuple[UpstreamId, int]
 
 
+class _Check(Struct):
+    """A connection that shows whether an upstream still listens."""
+
+    started_s: float
+    is_refused: asyncio.Future[bool]
+
+
 class ConnectionPool(Struct, eq=False):
     """Idle connections to each start of an upstream, most recently used last."""
 
     idle_by_key: dict[PoolKey, deque[UpstreamConnection]] = field(default_factory=dict)
+    checks: dict[PoolKey, _Check] = field(default_factory=dict)
 
 
 async def acquire(
@@ -49,15 +60,17 @@
     return await connect(record.address, CONNECT_TIMEOUT_S)
 
 
-async def refuses_connections(record: UpstreamRecord) -> bool:
-    """Return whether nothing listens at the address of an upstream that is otherwise reachable."""
-    if ":" not in record.address:
-        return False
-    try:
-        discard(await connect(record.address, CONNECT_TIMEOUT_S))
-    except ExchangeError as error:
-        return error.cause is FailureCause.CONNECTION_REFUSED
-    return False
+async def refuses_connections(state: ConnectionPool, record: UpstreamRecord, now_s: float) -> bool:
+    """Return whether nothing listens at the address of an upstream that is otherwise reachable.
+
+    Callers that ask at about the same time share one connection.
+    """
+    key = _pool_key(record)
+    check = state.checks.get(key)
+    if check is None or now_s - check.started_s > CHECK_REUSE_S:
+        result = asyncio.ensure_future(_is_refused(record))
+        check = state.checks[key] = _Check(now_s, result)
+    return await asyncio.shield(check.is_refused)
 
 
 def put_back(
@@ -73,7 +86,10 @@
 
 
 def close_expired(state: ConnectionPool, now_s: float) -> None:
-    """Close the connections that have been idle for too long."""
+    """Close the connections that have been idle for too long, and forget old checks."""
+    for checked, check in list(state.checks.items()):
+        if now_s - check.started_s > CHECK_REUSE_S and check.is_refused.done():
+            del state.checks[checked]
     for key, idle in list(state.idle_by_key.items()):
         reusable = deque(each for each in idle if is_reusable(each, now_s))
         for connection in idle:
@@ -93,5 +109,15 @@
     state.idle_by_key.clear()
 
 
+async def _is_refused(record: UpstreamRecord) -> bool:
+    if ":" not in record.address:
+        return False
+    try:
+        discard(await connect(record.address, CONNECT_TIMEOUT_S))
+    except ExchangeError as error:
+        return error.cause is FailureCause.CONNECTION_REFUSED
+    return False
+
+
 def _pool_key(record: UpstreamRecord) -> PoolKey:
     return record.upstream, record.start_time_ms
--- a/src/lycheefall/_relay/dispatch.py
+++ b/src/lycheefall/_relay/dispatch.py
@@ -141,11 +141,10 @@
             dispatching.update_upstreams(dispatch_state, state.table)
         case ReplicaUpdate():
             return _on_replica_update(state, message, now_s)
-        case SuspectedCrash(crash, is_confirmed):
+        case SuspectedCrash(crash):
             crash_counts.suspect(state.crashes, crash, now_s)
-            if is_confirmed:
-                _confirm_crashes(state, crash.upstream, None, now_s)
-                return _refresh_prompts(state, now_s)
+            if crash.refuses_connections:
+                return _on_lost_upstream(state, crash, now_s)
         case PromptGenerated(parts):
             prompt_guard.on_generated(state.prompts, parts, now_s)
             if state.prompts.blocks.blocks:
@@ -194,6 +193,9 @@
     dispatching.update_slow_ranks(state.dispatch_state, update.replica, update.slow_ranks, now_s)
     state.refused_by_replica[update.replica] = update.refused
     _update_refused(state, now_s)
+    for lost in update.lost:
+        start = (lost.upstream, lost.start_time_ms)
+        dispatching.on_upstream_lost(state.dispatch_state, start, now_s - lost.age_s)
     prompt_guard.on_verdicts(state.prompts, update.replica, update.part_verdicts, now_s)
     refused = _refresh_prompts(state, now_s)
     if not changed:
@@ -208,6 +210,16 @@
     return refused + placed
 
 
+def _on_lost_upstream(state: Dispatcher, crash: Crash, now_s: float) -> list[Output]:
+    """Confirm a crash, and stop using what it affects."""
+    start = (crash.upstream, crash.start_time_ms)
+    if dispatching.on_upstream_lost(state.dispatch_state, start, now_s):
+        log(Event.UPSTREAM_LOST, upstream=crash.upstream, born_ms=crash.start_time_ms)
+        state.report_evidence()
+    _confirm_crashes(state, crash.upstream, None, now_s)
+    return _refresh_prompts(state, now_s)
+
+
 def _refresh_prompts(state: Dispatcher, now_s: float) -> list[Output]:
     """Update the blocked parts of prompts, and refuse the queued requests with new ones."""
     before = set(state.prompts.blocks.blocks)
--- a/src/lycheefall/_relay/exchange.py
+++ b/src/lycheefall/_relay/exchange.py
@@ -5,7 +5,6 @@
 
 import asyncio
 
-from lycheefall._core.ids import PromptPart
 from lycheefall._core.messages.relay import Crash
 from lycheefall._core.relay import RequestKind, UpstreamRecord
 from lycheefall._operate.exposition import ATTEMPTS
@@ -291,16 +290,22 @@
 ) -> None:
     """Report a connection that broke after the request was sent as a suspected crash.
 
-    If the upstream was about to generate on the prompt, its parts may be the cause. Other entries
-    act on that report, so the crash is confirmed first.
+    Other entries act on a crash, so it is confirmed first where it matters to them: if the upstream
+    was about to generate on a prompt, or if its group stalls without it.
     """
     if error.cause is not FailureCause.BROKEN:
         return
-    parts: tuple[PromptPart, ...] = ()
-    if exchange.prompt_parts and exchange.attempt_deliveries < GENERATED_DELIVERIES:
-        is_confirmed = await connection_pool.refuses_connections(record)
-        parts = exchange.prompt_parts if is_confirmed else ()
+    is_suspect = exchange.attempt_deliveries < GENERATED_DELIVERIES
+    parts = exchange.prompt_parts if is_suspect else ()
+    is_refusing = False
+    if parts or record.group is not None:
+        pool = relay.connections
+        is_refusing = await connection_pool.refuses_connections(pool, record, relay.now())
     crash = Crash(
-        fingerprint(relay, exchange.request), record.upstream, record.start_time_ms, parts
+        fingerprint(relay, exchange.request),
+        record.upstream,
+        record.start_time_ms,
+        parts if is_refusing else (),
+        is_refusing,
     )
-    relay.dispatch.offer(SuspectedCrash(crash, is_confirmed=bool(parts)))
+    relay.dispatch.offer(SuspectedCrash(crash))
--- a/src/lycheefall/_relay/messages.py
+++ b/src/lycheefall/_relay/messages.py
@@ -43,8 +43,6 @@
     """A connection broke while a request was running, so the upstream may have crashed."""
 
     crash: Crash
-    # Whether the upstream refuses connections.
-    is_confirmed: bool = False
 
 
 class PromptGenerated(Struct, frozen=True):
--- a/src/lycheefall/_rules/dispatching.py
+++ b/src/lycheefall/_rules/dispatching.py
@@ -66,6 +66,9 @@
 # A stalled rank blocks its group until the platform aborts the requests; the group then re-forms
 # within about this time.
 GROUP_SUSPENDED_S = 0.8
+# The other ranks of a group accept requests while they wait for a lost one. Once this time has
+# passed, they have announced that the group is broken.
+GROUP_LOST_S = 2.0
 # An entry that no replica has reported for this time is taken to have no attempts in flight.
 _PEER_TIMEOUT_S = 1.5
 
@@ -131,6 +134,7 @@
     known = {upstream_notices.start_of(entry.record) for entry in table.entries.values()}
     for pool in state.pools.values():
         upstream_notices.retain(pool.notices, known)
+        pool.lost &= known
         for upstream in [each for each in pool.upstreams.by_id if each not in usable]:
             del pool.upstreams.by_id[upstream]
     for record in usable.values():
@@ -256,6 +260,23 @@
     return True
 
 
+def on_upstream_lost(state: DispatchState, start: Start, lost_s: float) -> bool:
+    """Suspend an upstream that has crashed, and its group; return whether that is news."""
+    until_s = lost_s + GROUP_LOST_S
+    for pool in state.pools.values():
+        stats = pool.upstreams.by_id.get(start[0])
+        if stats is None or upstream_notices.start_of(stats.record) != start:
+            continue
+        is_news = start not in pool.lost
+        pool.lost.add(start)
+        stats.suspended_until_s = max(stats.suspended_until_s, until_s)
+        group = upstream_selection.group_of(stats)
+        if group is not None:
+            upstream_selection.suspend_group(pool.upstreams, group, until_s)
+        return is_news
+    return False
+
+
 def on_upstream_closed(state: DispatchState, message: UpstreamClosed, now_s: float) -> None:
     """Send no requests to an upstream for the time that it asks for."""
     start = (message.upstream, message.start_time_ms)
--- a/src/lycheefall/_rules/pool_state.py
+++ b/src/lycheefall/_rules/pool_state.py
@@ -10,7 +10,7 @@
 from lycheefall._rules.dispatch_messages import DispatchRequest
 from lycheefall._rules.group_pauses import GroupPauses
 from lycheefall._rules.retry_budget import RetryBudget
-from lycheefall._rules.upstream_notices import Notices
+from lycheefall._rules.upstream_notices import Notices, Start
 from lycheefall._rules.upstream_selection import PoolUpstreams, UpstreamStats
 
 # Time constant of the decaying counts of requests and placements by urgency.
@@ -43,6 +43,8 @@
     usable_share: float = 1.0
     retries: RetryBudget = field(default_factory=RetryBudget)
     notices: Notices = field(default_factory=Notices)
+    # Starts of upstreams that have crashed.
+    lost: set[Start] = field(default_factory=set)
 
 
 def opens_s(pool: PoolState, now_s: float) -> float:
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -67,3 +67,24 @@
                 sound.append((await ask(harness, 100 + number, COMMON)).status)
             assert crashed(doubles) <= MAX_CRASHES
             assert set(sound) == {200}, "requests without the part are refused"
+
+
+class TestGroup:
+    async def test_ranks_that_wait_for_a_crashed_one(self) -> None:
+        """Guards against requests sent to a group that stalls because one of its ranks crashed."""
+        async with AsyncExitStack() as stack, running_entry(STREAM) as harness:
+            doubles = [await stack.enter_async_context(upstream(crash_on_part)) for _ in range(3)]
+            groups = [("g", 0, 50), ("g", 1, 40), ("h", 0, 20)]
+            await harness.announce(
+                *(
+                    record(f"u{n}", address=each.address, slots=slots, rank=rank, group=group)
+                    for n, (each, (group, rank, slots)) in enumerate(
+                        zip(doubles, groups, strict=True)
+                    )
+                )
+            )
+            await ask(harness, 0, CRASHING)
+            assert crashed(doubles) == 1
+            responses = [(await ask(harness, n, COMMON)).status for n in range(1, 9)]
+            assert set(responses) == {200}
+            assert [len(each.received) for each in doubles] == [1, 0, 8]
