Don't take groups that make no passes for fast ones

Callers saw 503 after a few milliseconds, with a Retry-After of 0.15 s, while half of the upstreams served. Cause: requests that can be in time use the groups that keep their pause target. A broken group has no late pauses, so beside a group made slow by the additional load it was the only eligible one; its ranks reject at once, and each rejection takes a token of the retry budget. Change: suspended upstreams and broken groups are set aside before the pace is looked at; they are used only if there is no other. Result: test_broken_group_beside_a_slow_one fails before and passes.

--- a/src/lycheefall/_rules/concurrency_limits.py
+++ b/src/lycheefall/_rules/concurrency_limits.py
@@ -43,7 +43,8 @@
     Requests that can be in time use the groups that keep their pause target. Late requests also use
     the slow groups, and the others while more than the reserved slots are free. A plain service
     accepts more requests than it runs at once, so no slots are reserved there. Upstreams that asked
-    for a time without requests are never eligible.
+    for a time without requests are never eligible. Those that are suspended or whose group is broken
+    are eligible only if there is no other: a group that makes no passes has no slow ones either.
     """
     members = [
         stats
@@ -52,6 +53,7 @@
     ]
     if engine is None:
         return members
+    members = [each for each in members if upstream_selection.is_usable(each, now_s)] or members
     slow = [stats for stats in members if pauses_of(pool, stats).is_slow]
     fast = [stats for stats in members if not pauses_of(pool, stats).is_slow] or members
     if not is_late:
--- a/src/lycheefall/_rules/upstream_selection.py
+++ b/src/lycheefall/_rules/upstream_selection.py
@@ -141,6 +141,11 @@
     return group is not None and group.health is GroupHealth.BROKEN
 
 
+def is_usable(stats: UpstreamStats, now_s: float) -> bool:
+    """Return whether an upstream is neither suspended nor a rank of a broken group."""
+    return stats.suspended_until_s <= now_s and not is_group_broken(stats)
+
+
 def choose(
     upstreams: Iterable[UpstreamStats],
     limit_of: Callable[[UpstreamStats], int],
@@ -156,12 +161,7 @@
     used only if no upstream of this entry or its neighbours is usable.
     """
     candidates = [stats for stats in upstreams if stats.record.upstream not in tried]
-    healthy = [
-        stats
-        for stats in candidates
-        if stats.suspended_until_s <= now_s and not is_group_broken(stats)
-    ]
-    usable = healthy or candidates
+    usable = [stats for stats in candidates if is_usable(stats, now_s)] or candidates
     neighbours = [stats for stats in usable if is_neighbour(stats)]
     compared = [stats for stats in neighbours or usable if load_of(stats) < limit_of(stats)]
     if not neighbours:
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -8,10 +8,17 @@
 from random import Random
 
 import pytest
+from msgspec.structs import replace
 
 from lycheefall._core.ids import DataCentreId, GroupId, InstanceId, TeamId, UpstreamId
 from lycheefall._core.messages.relay import SlowRank
-from lycheefall._core.relay import RequestKind, UpstreamRecord, Urgency
+from lycheefall._core.relay import (
+    GroupHealth,
+    GroupMembership,
+    RequestKind,
+    UpstreamRecord,
+    Urgency,
+)
 from lycheefall._rules import dispatching, record_table
 from lycheefall._rules.dispatch_messages import (
     AttemptEnded,
@@ -531,6 +538,19 @@
             dispatching.on_pause_observed(state, observed, 2.0 + step * 0.1)
         assert isinstance(dispatching.on_request(state, make_request(0, 4.0), 4.0)[0], Place)
 
+    def test_broken_group_beside_a_slow_one(self) -> None:
+        """Guards against requests sent to a group that makes no passes because another is slow."""
+        state = self.entry_with_a_slow_group()
+        broken = GroupMembership(GroupId("fast"), 0, 2, GroupHealth.BROKEN)
+        known = [stats.record for stats in state.pools[POOL].upstreams.by_id.values()]
+        lost = [
+            replace(each, sequence=2, group=broken) if each.upstream[0] == "f" else each
+            for each in known
+        ]
+        set_upstreams(state, *lost)
+        outputs = dispatching.on_request(state, make_request(0, 2.0), 2.0)
+        assert [each.record.upstream[0] for each in outputs if isinstance(each, Place)] == ["s"]
+
 
 class TestServices:
     def test_requests_per_slot_of_a_plain_service(self) -> None:
