End attempts on the way to other upstreams when a part of their prompt is blocked

Callers saw both groups down at once: two requests with the part crashed two upstreams within 0.3 s. Cause: a block held for new placements only. A request needs 150 to 250 ms until the upstream generates, so others with the part were already on the way when the first upstream crashed. Change: the dispatcher knows the placed requests on which no upstream has generated; a new block ends their attempts, and an upstream drops a request whose connection closes before it begins to generate. Result: test_attempt_on_the_way_to_another_upstream fails before and passes.

--- a/src/lycheefall/_relay/dispatch.py
+++ b/src/lycheefall/_relay/dispatch.py
@@ -7,7 +7,7 @@
 
 from lycheefall._core.enums import MemberState
 from lycheefall._core.events import Event
-from lycheefall._core.ids import Fingerprint, InstanceId, UpstreamId
+from lycheefall._core.ids import Fingerprint, InstanceId, PromptPart, UpstreamId
 from lycheefall._core.log import log
 from lycheefall._core.messages.relay import Crash, EntryRecord, ReplicaUpdate, SoundPart
 from lycheefall._core.pipeline import Inbox
@@ -55,6 +55,13 @@
     sound_parts: tuple[SoundPart, ...] = ()
 
 
+class Ungenerated(Struct, frozen=True):
+    """Prompt parts of a request that no upstream has generated on, and how to end its attempt."""
+
+    parts: tuple[PromptPart, ...]
+    revoked: Future[None]
+
+
 class Dispatcher(Struct, eq=False, kw_only=True):
     """State of the filter."""
 
@@ -64,6 +71,8 @@
     pending_placements: dict[int, Future[Place | Refuse]] = field(default_factory=dict)
     crashes: CrashCounts = field(default_factory=CrashCounts)
     prompts: PromptGuard = field(default_factory=PromptGuard)
+    # By request number.
+    ungenerated: dict[int, Ungenerated] = field(default_factory=dict)
     # Has new evidence of crashes reported to control at once.
     report_evidence: Callable[[], None] = lambda: None
     # Confirmed crashes that are still reported to the replicas, and when they were confirmed.
@@ -106,8 +115,10 @@
 def _handle(state: Dispatcher, message: ToDispatch, now_s: float) -> list[Output]:
     dispatch_state = state.dispatch_state
     match message:
-        case RequestPlacement(request, placement):
+        case RequestPlacement(request, placement, revoked):
             state.pending_placements[request.number] = placement
+            if request.prompt_parts:
+                state.ungenerated[request.number] = Ungenerated(request.prompt_parts, revoked)
             blocked_s = prompt_guard.blocked_for_s(state.prompts, request.prompt_parts, now_s)
             if blocked_s > 0.0:
                 return [dispatching.refuse_prompt(dispatch_state, request, blocked_s)]
@@ -135,6 +146,7 @@
                 duration_s=message.duration_s,
             )
         case RequestEnded(number):
+            state.ungenerated.pop(number, None)
             dispatching.release_team(dispatch_state, number)
         case ApplyConfiguration(configuration):
             dispatching.apply_configuration(dispatch_state, configuration)
@@ -145,7 +157,8 @@
             crash_counts.suspect(state.crashes, crash, now_s)
             if crash.refuses_connections:
                 return _on_lost_upstream(state, crash, now_s)
-        case PromptGenerated(parts):
+        case PromptGenerated(number, parts):
+            state.ungenerated.pop(number, None)
             prompt_guard.on_generated(state.prompts, parts, now_s)
             if state.prompts.blocks.blocks:
                 return _refresh_prompts(state, now_s)
@@ -221,7 +234,10 @@
 
 
 def _refresh_prompts(state: Dispatcher, now_s: float) -> list[Output]:
-    """Update the blocked parts of prompts, and refuse the queued requests with new ones."""
+    """Update the blocked parts of prompts, and end what is on the way with a new one.
+
+    An upstream that has not generated yet drops a request when its connection closes.
+    """
     before = set(state.prompts.blocks.blocks)
     blocked = prompt_guard.refresh(state.prompts, now_s, state.dispatch_state.random)
     for part in blocked:
@@ -232,6 +248,11 @@
     if not blocked:
         return []
     state.report_evidence()
+    for number, each in list(state.ungenerated.items()):
+        if not set(blocked).isdisjoint(each.parts):
+            del state.ungenerated[number]
+            if not each.revoked.done():
+                each.revoked.set_result(None)
     return [
         dispatching.refuse_prompt(
             state.dispatch_state,
--- a/src/lycheefall/_relay/exchange.py
+++ b/src/lycheefall/_relay/exchange.py
@@ -100,6 +100,7 @@
 async def _request_placement(relay: Relay, exchange: Exchange, deadline_s: float) -> Place | Refuse:
     """Return the upstream that the dispatcher assigns, or its refusal; the request may queue."""
     placement: asyncio.Future[Place | Refuse] = asyncio.get_running_loop().create_future()
+    exchange.revoked = asyncio.get_running_loop().create_future()
     # A stream that has begun counts as newly arrived: its caller is waiting mid-response.
     arrived_s = relay.now() if exchange.has_stream_begun else exchange.request.received_s
     is_late = exchange.is_caller_retry and not exchange.has_stream_begun
@@ -116,7 +117,7 @@
         is_retry=exchange.attempts_sent > 0,
         prompt_parts=exchange.prompt_parts,
     )
-    await relay.dispatch.put(RequestPlacement(request, placement))
+    await relay.dispatch.put(RequestPlacement(request, placement, exchange.revoked))
     try:
         return await placement
     except asyncio.CancelledError:
@@ -125,6 +126,33 @@
 
 
 async def _attempt(relay: Relay, exchange: Exchange, place: Place) -> NextStep | Place:
+    """Send the request to one upstream and forward its response, unless it is revoked."""
+    scope = asyncio.timeout(None)
+    revoked = exchange.revoked
+    is_open = True
+
+    def end_attempt(_: object) -> None:
+        if is_open:
+            scope.reschedule(relay.now())
+
+    try:
+        async with scope:
+            if revoked is not None:
+                revoked.add_done_callback(end_attempt)
+            try:
+                return await _run_attempt(relay, exchange, place)
+            finally:
+                is_open = False
+                if revoked is not None:
+                    revoked.remove_done_callback(end_attempt)
+    except TimeoutError:
+        if not scope.expired():
+            raise
+        # The dispatcher refuses the next placement with the reason.
+        return NextStep.TRY_ELSEWHERE
+
+
+async def _run_attempt(relay: Relay, exchange: Exchange, place: Place) -> NextStep | Place:
     """Send the request to one upstream and forward its response."""
     record = place.record
     exchange.tried.append(record)
@@ -239,7 +267,7 @@
         return _next_after_failure(exchange)
     report_end(Outcome.ANSWERED, "")
     if exchange.prompt_parts and head.status < 300:
-        relay.dispatch.offer(PromptGenerated(exchange.prompt_parts))
+        relay.dispatch.offer(PromptGenerated(exchange.number, exchange.prompt_parts))
     if exchange.has_stream_begun:
         # A stream that was partly sent to the caller can't be replaced by another response.
         return NextStep.GIVE_UP
--- a/src/lycheefall/_relay/exchange_state.py
+++ b/src/lycheefall/_relay/exchange_state.py
@@ -1,5 +1,6 @@
 """Shared state of the requests of an entry, and the state of one request."""
 
+from asyncio import Future
 from collections.abc import Callable, Iterator
 from enum import Enum
 from random import Random
@@ -79,6 +80,8 @@
     failure: Failure | None = None
     # Partial event of a stream, and the id of the last event sent to the caller.
     events: EventBuffer = field(default_factory=EventBuffer)
+    # Resolved if the attempt of the latest placement must end.
+    revoked: Future[None] | None = None
     # Deliveries of events by the current attempt.
     attempt_deliveries: int = 0
     # Whether events of a stream have been sent to the caller.
--- a/src/lycheefall/_relay/messages.py
+++ b/src/lycheefall/_relay/messages.py
@@ -21,10 +21,14 @@
 
 
 class RequestPlacement(Struct, frozen=True):
-    """Request the assignment of an upstream; the future receives the decision."""
+    """Request the assignment of an upstream; the future receives the decision.
+
+    The second future is resolved if the attempt must end because its prompt is blocked.
+    """
 
     request: DispatchRequest
     placement: Future[Place | Refuse]
+    revoked: Future[None]
 
 
 class RequestEnded(Struct, frozen=True):
@@ -48,6 +52,7 @@
 class PromptGenerated(Struct, frozen=True):
     """An upstream has generated on a prompt with these shared parts."""
 
+    number: int
     parts: tuple[PromptPart, ...]
 
 
--- a/src/lycheefall/_relay/streams.py
+++ b/src/lycheefall/_relay/streams.py
@@ -80,7 +80,7 @@
     connection_pool.put_back(relay.connections, record, connection, relay.now())
     report_end(Outcome.ANSWERED, "")
     if exchange.prompt_parts and exchange.attempt_deliveries < GENERATED_DELIVERIES:
-        relay.dispatch.offer(PromptGenerated(exchange.prompt_parts))
+        relay.dispatch.offer(PromptGenerated(exchange.number, exchange.prompt_parts))
     await _send_events(relay, exchange, head, b"")
     await finish_response(exchange.caller)
     exchange.status = head.status
@@ -119,5 +119,5 @@
     if events:
         exchange.attempt_deliveries += 1
         if exchange.attempt_deliveries == GENERATED_DELIVERIES and exchange.prompt_parts:
-            relay.dispatch.offer(PromptGenerated(exchange.prompt_parts))
+            relay.dispatch.offer(PromptGenerated(exchange.number, exchange.prompt_parts))
     await send_data(exchange.caller, events)
--- a/src/lycheefall/_rules/concurrency_limits.py
+++ b/src/lycheefall/_rules/concurrency_limits.py
@@ -43,8 +43,8 @@
     Requests that can be in time use the groups that keep their pause target. Late requests also use
     the slow groups, and the others while more than the reserved slots are free. A plain service
     accepts more requests than it runs at once, so no slots are reserved there. Upstreams that asked
-    for a time without requests are never eligible. Those that are suspended or whose group is broken
-    are eligible only if there is no other: a group that makes no passes has no slow ones either.
+    for a time without requests are never eligible. Suspended ones and those of a broken group are
+    eligible only if there is no other: a group that makes no passes has no slow ones either.
     """
     members = [
         stats
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -1,5 +1,7 @@
 """Tests of prompts with a part on which every upstream crashes."""
 
+import asyncio
+import contextlib
 from contextlib import AsyncExitStack
 
 from entry_harness import EntryHarness, Response, call, request, running_entry
@@ -68,6 +70,37 @@
             assert crashed(doubles) <= MAX_CRASHES
             assert set(sound) == {200}, "requests without the part are refused"
 
+    async def test_attempt_on_the_way_to_another_upstream(self) -> None:
+        """Guards against a second upstream that crashes on a request sent before the first did."""
+        arrived = asyncio.Event()
+        closed = asyncio.Event()
+
+        async def crash_first(exchange: Exchange) -> None:
+            await arrived.wait()
+            await crash_on_part(exchange)
+
+        async def crash_later(exchange: Exchange) -> None:
+            arrived.set()
+            with contextlib.suppress(ConnectionError):
+                await exchange.reader.read()
+            closed.set()
+
+        async with (
+            upstream(crash_first) as first,
+            upstream(crash_later) as second,
+            running_entry(STREAM) as harness,
+        ):
+            await harness.announce(
+                record("u0", address=first.address, slots=1),
+                record("u1", address=second.address, slots=1),
+            )
+            calls = [asyncio.create_task(ask(harness, n, CRASHING)) for n in range(2)]
+            await arrived.wait()
+            # Less than the time after which an attempt without a response ends in any case.
+            async with asyncio.timeout(0.4):
+                await closed.wait()
+            assert {each.status for each in await asyncio.gather(*calls)} == {502}
+
 
 class TestGroup:
     async def test_ranks_that_wait_for_a_crashed_one(self) -> None:
