--- a/src/lycheefall/_core/dialect.py
+++ b/src/lycheefall/_core/dialect.py
@@ -34,6 +34,8 @@
     leaving: HeaderName
     # Parts of the prompt of a request.
     prompt: HeaderName
+    # Requests per second that an upstream accepts from all entries together.
+    rate_limit: HeaderName
 
 
 class EndpointPaths(Struct, frozen=True, kw_only=True):
--- a/src/lycheefall/_relay/dispatch.py
+++ b/src/lycheefall/_relay/dispatch.py
@@ -30,6 +30,7 @@
     Output,
     PauseObserved,
     Place,
+    RateLimitStated,
     Refuse,
     UpstreamClosed,
     UpstreamLeaving,
@@ -145,6 +146,14 @@
                 pool=message.pool,
                 duration_s=message.duration_s,
             )
+        case RateLimitStated():
+            if dispatching.on_rate_limit_stated(dispatch_state, message, now_s):
+                log(
+                    Event.UPSTREAM_RATE_LIMITED,
+                    upstream=message.upstream,
+                    pool=message.pool,
+                    rate_per_s=message.rate_per_s,
+                )
         case RequestEnded(number):
             state.ungenerated.pop(number, None)
             dispatching.release_team(dispatch_state, number)
--- a/src/lycheefall/_relay/headers.py
+++ b/src/lycheefall/_relay/headers.py
@@ -91,8 +91,8 @@
     return int(text) if len(text) <= _MAX_NUMBER_DIGITS and text.isdigit() else None
 
 
-def parse_seconds(value: bytes | None) -> float | None:
-    """Return the seconds in a header, or None if it is absent or not a non-negative decimal."""
+def parse_decimal(value: bytes | None) -> float | None:
+    """Return the number in a header, or None if it is absent or not a non-negative decimal."""
     whole, _, fraction = (b"" if value is None else value.strip()).partition(b".")
     if len(whole) + len(fraction) > _MAX_NUMBER_DIGITS or not (whole + fraction).isdigit():
         return None
--- a/src/lycheefall/_relay/messages.py
+++ b/src/lycheefall/_relay/messages.py
@@ -13,6 +13,7 @@
     FirstByte,
     PauseObserved,
     Place,
+    RateLimitStated,
     Refuse,
     UpstreamClosed,
     UpstreamLeaving,
@@ -86,6 +87,7 @@
     | PauseObserved
     | UpstreamLeaving
     | UpstreamClosed
+    | RateLimitStated
     | RequestEnded
     | ApplyConfiguration
     | ReplicaUpdate
--- a/src/lycheefall/_rules/dispatch_messages.py
+++ b/src/lycheefall/_rules/dispatch_messages.py
@@ -126,6 +126,16 @@
     duration_s: float
 
 
+class RateLimitStated(Struct, frozen=True):
+    """An upstream responded with a limit on its requests from all entries, or without one."""
+
+    pool: PoolId
+    upstream: UpstreamId
+    start_time_ms: int
+    # None lifts the limit.
+    rate_per_s: float | None
+
+
 class Withdraw(Struct, frozen=True):
     """The caller of a queued request disconnected."""
 
--- a/src/lycheefall/_rules/dispatching.py
+++ b/src/lycheefall/_rules/dispatching.py
@@ -27,6 +27,7 @@
     concurrency_limits,
     decaying_counts,
     group_pauses,
+    rate_limits,
     record_table,
     retry_budget,
     upstream_notices,
@@ -41,6 +42,7 @@
     Output,
     PauseObserved,
     Place,
+    RateLimitStated,
     RefusalReason,
     Refuse,
     UpstreamClosed,
@@ -135,6 +137,7 @@
     for pool in state.pools.values():
         upstream_notices.retain(pool.notices, known)
         pool.lost &= known
+        rate_limits.retain(pool.rate_limits, known)
         for upstream in [each for each in pool.upstreams.by_id if each not in usable]:
             del pool.upstreams.by_id[upstream]
     for record in usable.values():
@@ -283,6 +286,14 @@
     upstream_notices.close(_pool(state, message.pool).notices, start, message.duration_s, now_s)
 
 
+def on_rate_limit_stated(state: DispatchState, message: RateLimitStated, now_s: float) -> bool:
+    """Record the limit that an upstream states, or its end; return whether it has changed."""
+    start = (message.upstream, message.start_time_ms)
+    return rate_limits.record(
+        _pool(state, message.pool).rate_limits, start, message.rate_per_s, now_s
+    )
+
+
 def on_pause_observed(state: DispatchState, message: PauseObserved, now_s: float) -> None:
     """Record the longest recent pause of a stream."""
     pool = _pool(state, message.pool)
--- a/src/lycheefall/_rules/pool_state.py
+++ b/src/lycheefall/_rules/pool_state.py
@@ -9,6 +9,7 @@
 from lycheefall._rules.decaying_counts import DecayingCounts
 from lycheefall._rules.dispatch_messages import DispatchRequest
 from lycheefall._rules.group_pauses import GroupPauses
+from lycheefall._rules.rate_limits import RateLimits
 from lycheefall._rules.retry_budget import RetryBudget
 from lycheefall._rules.upstream_notices import Notices, Start
 from lycheefall._rules.upstream_selection import PoolUpstreams, UpstreamStats
@@ -43,6 +44,7 @@
     usable_share: float = 1.0
     retries: RetryBudget = field(default_factory=RetryBudget)
     notices: Notices = field(default_factory=Notices)
+    rate_limits: RateLimits = field(default_factory=RateLimits)
     # Starts of upstreams that have crashed.
     lost: set[Start] = field(default_factory=set)
 
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -4,7 +4,7 @@
 
 from entry_harness import call, request, running_entry
 from lycheefall._core.relay import RequestKind
-from lycheefall._relay.headers import parse_seconds
+from lycheefall._relay.headers import parse_decimal
 from relay_values import configuration, record, route
 from upstream_double import (
     LAST_CHUNK,
@@ -98,12 +98,12 @@
         assert await requests_received(LOOKUP, responding("200 OK", "Retry-After: 30\r\n")) == 3
 
 
-def test_parse_seconds() -> None:
+def test_parse_decimal() -> None:
     """Guards against fractions that are read as whole seconds."""
-    assert parse_seconds(b" 1.25 ") == 1.25
-    assert parse_seconds(b"7") == 7.0
-    assert parse_seconds(b".") is None
-    assert parse_seconds(None) is None
+    assert parse_decimal(b" 1.25 ") == 1.25
+    assert parse_decimal(b"7") == 7.0
+    assert parse_decimal(b".") is None
+    assert parse_decimal(None) is None
 
 
 async def test_deadline_with_thousands_of_digits() -> None:
