--- /dev/null
+++ b/tests/test_rate_limits.py
@@ -0,0 +1,119 @@
+"""Tests of limits on the rate of requests that an upstream accepts from all entries together."""
+
+from random import Random
+
+import pytest
+
+from entry_harness import call, request, running_entry
+from lycheefall._core.ids import DataCentreId, InstanceId, UpstreamId
+from lycheefall._core.relay import RequestKind
+from lycheefall._rules import dispatching
+from lycheefall._rules.dispatch_messages import Place, RateLimitStated
+from lycheefall._rules.dispatching import DispatchState, PeerEntry
+from relay_values import SERVICE_POOL, configuration, record, route
+from test_dispatching import BOUNDS, end, make_request, set_upstreams
+from upstream_double import Exchange, complete_response, upstream
+
+LOOKUP = configuration(route(kind=RequestKind.IDEMPOTENT, target_s=0.2, timeout_s=2.0))
+WINDOW_S = 4.0
+STEP_S = 0.05
+
+
+def allowed(rate_per_s: float) -> float:
+    """Return how many requests in a window the outside rule allows."""
+    return 1.5 * rate_per_s * WINDOW_S + 5
+
+
+def entry(number: int, entries: int) -> DispatchState:
+    """Return an entry that knows the others, a limited upstream and one without a limit."""
+    state = DispatchState(
+        instance=InstanceId(f"e{number:02}"),
+        data_centre=DataCentreId("dc1"),
+        retry_bounds=BOUNDS,
+        random=Random(number),
+    )
+    dispatching.apply_configuration(state, configuration())
+    set_upstreams(
+        state,
+        record("u1", pool=SERVICE_POOL, slots=50),
+        record("u2", pool=SERVICE_POOL, slots=5),
+    )
+    report_peers(state, entries, 0.0)
+    return state
+
+
+def report_peers(state: DispatchState, entries: int, now_s: float) -> None:
+    """Report the other entries."""
+    names = [InstanceId(f"e{number:02}") for number in range(entries)]
+    peers = {name: PeerEntry(DataCentreId("dc1"), now_s) for name in names}
+    del peers[state.instance]
+    dispatching.update_peers(state, peers, InstanceId("c1"), None, now_s)
+
+
+def state_limit(state: DispatchState, rate_per_s: float | None, now_s: float) -> None:
+    """Have the limited upstream state a rate, or that there is no limit."""
+    stated = RateLimitStated(SERVICE_POOL, UpstreamId("u1"), 1000, rate_per_s)
+    dispatching.on_rate_limit_stated(state, stated, now_s)
+
+
+def play(states: list[DispatchState], rate_per_s: float | None, until_s: float) -> list[float]:
+    """Send each entry 20 requests a second, and return when the limited upstream received one."""
+    received: list[float] = []
+    numbers = iter(range(1_000_000))
+    for step in range(int(until_s / STEP_S)):
+        now_s = step * STEP_S
+        for state in states:
+            if step % 10 == 0:
+                report_peers(state, len(states), now_s)
+                state_limit(state, rate_per_s, now_s)
+            message = make_request(next(numbers), now_s, pool=SERVICE_POOL)
+            outputs = dispatching.on_request(state, message, now_s)
+            for output in outputs:
+                if isinstance(output, Place):
+                    name = output.record.upstream
+                    received += [now_s] if name == "u1" else []
+                    dispatching.on_attempt_ended(state, end(name), now_s)
+    return received
+
+
+def most_in_window(times_s: list[float]) -> int:
+    """Return the most requests in any window."""
+    return max(
+        (sum(start <= each < start + WINDOW_S for each in times_s) for start in times_s), default=0
+    )
+
+
+class TestAllEntriesTogether:
+    @pytest.mark.parametrize("entries", [1, 4, 16, 38])
+    @pytest.mark.parametrize("rate_per_s", [0.0, 1.1, 2.2, 8.0])
+    def test_limit_is_kept(self, entries: int, rate_per_s: float) -> None:
+        """Guards against entries that each send as many requests as all together may."""
+        states = [entry(number, entries) for number in range(entries)]
+        received = play(states, rate_per_s, 20.0)
+        assert most_in_window(received) <= allowed(rate_per_s)
+
+
+class TestOneEntry:
+    async def test_limit_in_a_response(self) -> None:
+        """Guards against an upstream that is asked more often than its responses allow."""
+
+        async def respond(exchange: Exchange) -> None:
+            extra = "Server-Limit: 0.5\r\n"
+            await exchange.send(complete_response(exchange.received, extra=extra))
+
+        async def respond_without_limit(exchange: Exchange) -> None:
+            await exchange.send(complete_response(exchange.received))
+
+        async with (
+            upstream(respond) as limited,
+            upstream(respond_without_limit) as other,
+            running_entry(LOOKUP) as harness,
+        ):
+            await harness.announce(
+                record("u1", address=limited.address, slots=50),
+                record("u2", address=other.address, slots=5),
+            )
+            for number in range(30):
+                response = await call(harness.port, request(attempt=str(number)))
+                assert response.status == 200
+            assert len(limited.received) <= allowed(0.5)
