Keep the rate that an upstream states, over all entries together

Callers lost nothing; upstreams that had asked for fewer requests got as many as before. Change: the entries that use an upstream take equal parts of its rate as permits at regular times, which start at random and expire after 1 s; distant entries take none. A changed limit goes to control, and from there to all entries, with its age, so that the latest statement counts. The expected wait counts limited upstreams by their rate.

--- a/src/lycheefall/_core/messages/relay.py
+++ b/src/lycheefall/_core/messages/relay.py
@@ -36,6 +36,16 @@
     age_s: float
 
 
+class SharedRateLimit(Struct, frozen=True, array_like=True):
+    """Requests per second that a start of an upstream accepts, and how long ago it said so."""
+
+    upstream: UpstreamId
+    start_time_ms: int
+    # None if it has no limit any more.
+    rate_per_s: float | None
+    age_s: float
+
+
 class SoundPart(Struct, frozen=True, array_like=True):
     """A suspected part of prompts on which an upstream has generated, and how long ago."""
 
@@ -78,6 +88,8 @@
     # Reported by the map coordinator.
     slow_ranks: tuple[SlowRank, ...] = ()
     sound_parts: tuple[SoundPart, ...] = ()
+    # Changes of the last seconds.
+    rate_limits: tuple[SharedRateLimit, ...] = ()
 
 
 class FetchFile(Struct, frozen=True, array_like=True, tag=82):
@@ -125,6 +137,8 @@
     part_verdicts: tuple[PartVerdict, ...] = ()
     # Crashes of the last seconds.
     lost: tuple[LostUpstream, ...] = ()
+    # Changes since the previous update; all limits in the first one.
+    rate_limits: tuple[SharedRateLimit, ...] = ()
 
 
 class PeerUpdate(Struct, frozen=True, array_like=True, tag=85):
--- a/src/lycheefall/_registry/registrar.py
+++ b/src/lycheefall/_registry/registrar.py
@@ -24,6 +24,7 @@
     PartVerdict,
     PeerUpdate,
     ReplicaUpdate,
+    SharedRateLimit,
     ToRelay,
 )
 from lycheefall._core.pipeline import Inbox
@@ -66,6 +67,13 @@
 SendToPeers = Callable[[PeerUpdate], None]
 
 
+class StatedRate(Struct):
+    """A limit that an upstream has stated to some entry; None if it has none any more."""
+
+    rate_per_s: float | None
+    stated_s: float
+
+
 class EntryLink(Struct, eq=False):
     """A connected entry, and the state last sent to it."""
 
@@ -77,6 +85,7 @@
     sent_s: float = float("-inf")
     # Changes since that update.
     pending_records: dict[UpstreamId, UpstreamRecord] = field(default_factory=dict)
+    pending_rates: set[Start] = field(default_factory=set)
     sent_voters: tuple[InstanceId, ...] = ()
     sent_entries: tuple[EntryRecord, ...] | None = None
     sent_revision: int = -1
@@ -101,6 +110,7 @@
     voters: tuple[InstanceId, ...] = ()
     crashes: CrashCounts = field(default_factory=CrashCounts)
     prompts: PromptEvidence = field(default_factory=PromptEvidence)
+    rates: dict[Start, StatedRate] = field(default_factory=dict)
     # Starts of upstreams that have crashed, and when an entry reported it first.
     lost_s: dict[Start, float] = field(default_factory=dict)
     pending_replies: list[PendingReply] = field(default_factory=list)
@@ -186,6 +196,7 @@
     if now_s - state.last_repeat_s >= REPEAT_PERIOD_S:
         state.last_repeat_s = now_s
         record_table.drop_departed(state.table, now_s)
+        _forget_rates(state)
         changed = tuple(
             entry.record
             for entry in state.table.entries.values()
@@ -201,6 +212,7 @@
     """Store the status of an entry; a new or restarted one is sent all records."""
     for crash in status.crashes:
         crash_counts.record(state.crashes, crash, now_s)
+    _record_rates(state, status, now_s)
     if _record_lost(state, status, now_s) | _update_prompts(state, status, now_s):
         # The next crash may be milliseconds away.
         for each in state.entries.values():
@@ -215,11 +227,47 @@
             log(Event.ENTRY_SEEN, entry=status.entry, address=status.address)
         link = state.entries[status.entry] = EntryLink(routing_id, status, now_s)
         link.pending_records = {each.upstream: each for each in record_table.records(state.table)}
+        link.pending_rates = set(state.rates)
         _send_update(state, link, to_entry, now_s)
     link.status = status
     link.received_s = now_s
 
 
+def _record_rates(state: Registrar, status: EntryStatus, now_s: float) -> None:
+    """Record the limits that upstreams have stated to an entry, and pass changes on."""
+    for each in status.rate_limits:
+        start = (each.upstream, each.start_time_ms)
+        known = state.rates.get(start)
+        stated_s = now_s - each.age_s
+        if known is not None and (stated_s < known.stated_s or each.rate_per_s == known.rate_per_s):
+            continue
+        state.rates[start] = StatedRate(each.rate_per_s, stated_s)
+        for link in state.entries.values():
+            link.pending_rates.add(start)
+
+
+def _pending_rates(state: Registrar, link: EntryLink, now_s: float) -> tuple[SharedRateLimit, ...]:
+    pending = [start for start in link.pending_rates if start in state.rates]
+    link.pending_rates = set()
+    return tuple(
+        SharedRateLimit(
+            upstream,
+            start_time_ms,
+            state.rates[upstream, start_time_ms].rate_per_s,
+            now_s - state.rates[upstream, start_time_ms].stated_s,
+        )
+        for upstream, start_time_ms in pending
+    )
+
+
+def _forget_rates(state: Registrar) -> None:
+    """Forget the limits of upstreams that have left or started anew."""
+    for upstream, start_time_ms in list(state.rates):
+        entry = state.table.entries.get(upstream)
+        if entry is None or entry.record.start_time_ms != start_time_ms:
+            del state.rates[upstream, start_time_ms]
+
+
 def _record_lost(state: Registrar, status: EntryStatus, now_s: float) -> bool:
     """Record the crashes that an entry has confirmed, and return whether any is new."""
     is_news = False
@@ -339,6 +387,7 @@
             tuple(rank for each in state.entries.values() for rank in each.status.slow_ranks),
             _part_verdicts(state, now_s),
             _lost(state, now_s),
+            _pending_rates(state, link, now_s),
         ),
     )
     link.pending_records = {}
--- a/src/lycheefall/_relay/dispatch.py
+++ b/src/lycheefall/_relay/dispatch.py
@@ -9,7 +9,13 @@
 from lycheefall._core.events import Event
 from lycheefall._core.ids import Fingerprint, InstanceId, PromptPart, UpstreamId
 from lycheefall._core.log import log
-from lycheefall._core.messages.relay import Crash, EntryRecord, ReplicaUpdate, SoundPart
+from lycheefall._core.messages.relay import (
+    Crash,
+    EntryRecord,
+    ReplicaUpdate,
+    SharedRateLimit,
+    SoundPart,
+)
 from lycheefall._core.pipeline import Inbox
 from lycheefall._operate.exposition import IN_FLIGHT, WAITING
 from lycheefall._relay.messages import (
@@ -41,8 +47,8 @@
 from lycheefall._rules.record_table import RecordTable
 
 DISPATCH_TICK_PERIOD_S = 0.025
-# Time for which a crash is reported to the replicas; a connection may lose messages.
-CRASH_REPORT_S = 2.0
+# Time for which a crash or a rate limit is reported to the replicas; messages may be lost.
+REPORT_S = 2.0
 
 
 class DispatchSnapshot(Struct, frozen=True):
@@ -54,6 +60,7 @@
     upstream_count: int
     # Suspected parts of prompts on which an upstream has generated.
     sound_parts: tuple[SoundPart, ...] = ()
+    rate_limits: tuple[SharedRateLimit, ...] = ()
 
 
 class Ungenerated(Struct, frozen=True):
@@ -78,6 +85,8 @@
     report_evidence: Callable[[], None] = lambda: None
     # Confirmed crashes that are still reported to the replicas, and when they were confirmed.
     recent_crashes: list[tuple[float, Crash]] = field(default_factory=list)
+    # Changes of limits stated to this entry that are still reported to the replicas.
+    recent_rate_limits: list[tuple[float, RateLimitStated]] = field(default_factory=list)
     # Requests refused because they crashed several upstreams, here or at other entries.
     refused: frozenset[Fingerprint] = frozenset()
     # Contents of the latest update of each replica.
@@ -98,11 +107,16 @@
 
 
 def dispatch_snapshot(state: Dispatcher, now_s: float) -> DispatchSnapshot:
-    """Return the current snapshot, and drop crashes that have been reported long enough."""
+    """Return the current snapshot, and drop what has been reported long enough."""
     state.recent_crashes = [
         (confirmed_s, crash)
         for confirmed_s, crash in state.recent_crashes
-        if now_s - confirmed_s < CRASH_REPORT_S
+        if now_s - confirmed_s < REPORT_S
+    ]
+    state.recent_rate_limits = [
+        (stated_s, each)
+        for stated_s, each in state.recent_rate_limits
+        if now_s - stated_s < REPORT_S
     ]
     return DispatchSnapshot(
         dispatching.in_flight(state.dispatch_state),
@@ -110,6 +124,10 @@
         state.refused,
         sum(len(pool.upstreams.by_id) for pool in state.dispatch_state.pools.values()),
         prompt_guard.sound_parts(state.prompts, now_s),
+        tuple(
+            SharedRateLimit(each.upstream, each.start_time_ms, each.rate_per_s, now_s - stated_s)
+            for stated_s, each in state.recent_rate_limits
+        ),
     )
 
 
@@ -148,6 +166,7 @@
             )
         case RateLimitStated():
             if dispatching.on_rate_limit_stated(dispatch_state, message, now_s):
+                state.recent_rate_limits.append((now_s, message))
                 log(
                     Event.UPSTREAM_RATE_LIMITED,
                     upstream=message.upstream,
@@ -220,10 +239,12 @@
         dispatching.on_upstream_lost(state.dispatch_state, start, now_s - lost.age_s)
     prompt_guard.on_verdicts(state.prompts, update.replica, update.part_verdicts, now_s)
     refused = _refresh_prompts(state, now_s)
+    if changed:
+        record_table.drop_departed(state.table, now_s)
+        dispatching.update_upstreams(state.dispatch_state, state.table)
+    dispatching.on_shared_rate_limits(state.dispatch_state, update.rate_limits, now_s)
     if not changed:
         return refused
-    record_table.drop_departed(state.table, now_s)
-    dispatching.update_upstreams(state.dispatch_state, state.table)
     placed = [
         output
         for pool in list(state.dispatch_state.pools)
--- a/src/lycheefall/_rules/concurrency_limits.py
+++ b/src/lycheefall/_rules/concurrency_limits.py
@@ -1,7 +1,9 @@
 """Concurrency limits of upstreams, and the upstreams that are eligible for a request."""
 
+from random import Random
+
 from lycheefall._core.relay import EngineModel
-from lycheefall._rules import batch_limit, upstream_notices, upstream_selection
+from lycheefall._rules import batch_limit, rate_limits, upstream_notices, upstream_selection
 from lycheefall._rules.pool_state import PoolState, pauses_of
 from lycheefall._rules.upstream_selection import UpstreamStats
 
@@ -36,20 +38,22 @@
 
 
 def eligible_upstreams(
-    pool: PoolState, engine: EngineModel | None, is_late: bool, now_s: float
+    pool: PoolState, engine: EngineModel | None, is_late: bool, now_s: float, random: Random
 ) -> list[UpstreamStats]:
     """Return the upstreams that a request may use.
 
     Requests that can be in time use the groups that keep their pause target. Late requests also use
     the slow groups, and the others while more than the reserved slots are free. A plain service
     accepts more requests than it runs at once, so no slots are reserved there. Upstreams that asked
-    for a time without requests are never eligible. Suspended ones and those of a broken group are
-    eligible only if there is no other: a group that makes no passes has no slow ones either.
+    for a time without requests, or for fewer, are not eligible meanwhile. Suspended ones and those
+    of a broken group are eligible only if there is no other: a group that makes no passes has no
+    slow ones either.
     """
     members = [
         stats
         for stats in pool.upstreams.by_id.values()
         if not upstream_notices.is_closed(pool.notices, stats.record, now_s)
+        and rate_limits.has_permit(pool.rate_limits, stats.record, stats.sharers, now_s, random)
     ]
     if engine is None:
         return members
--- a/src/lycheefall/_rules/dispatching.py
+++ b/src/lycheefall/_rules/dispatching.py
@@ -7,7 +7,7 @@
 rank does not take all capacity. A request is refused as soon as its expected wait is too long.
 """
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from random import Random
 
 from msgspec import Struct, field
@@ -21,7 +21,7 @@
     TeamId,
     UpstreamId,
 )
-from lycheefall._core.messages.relay import SlowRank
+from lycheefall._core.messages.relay import SharedRateLimit, SlowRank
 from lycheefall._core.relay import RelayConfiguration, RelayPool, UpstreamRecord
 from lycheefall._rules import (
     concurrency_limits,
@@ -54,7 +54,12 @@
 from lycheefall._rules.record_table import RecordTable
 from lycheefall._rules.retry_budget import RetryBounds
 from lycheefall._rules.upstream_notices import Start
-from lycheefall._rules.upstream_ownership import EntryLocation, UpstreamLocation, assign_owners
+from lycheefall._rules.upstream_ownership import (
+    EntryLocation,
+    UpstreamLocation,
+    assign_owners,
+    users_by_owner,
+)
 from lycheefall._rules.upstream_selection import UpstreamStats
 
 _MIN_RETRY_AFTER_S = 0.2
@@ -289,9 +294,21 @@
 def on_rate_limit_stated(state: DispatchState, message: RateLimitStated, now_s: float) -> bool:
     """Record the limit that an upstream states, or its end; return whether it has changed."""
     start = (message.upstream, message.start_time_ms)
-    return rate_limits.record(
-        _pool(state, message.pool).rate_limits, start, message.rate_per_s, now_s
-    )
+    limits = _pool(state, message.pool).rate_limits
+    return rate_limits.record(limits, start, message.rate_per_s, now_s)
+
+
+def on_shared_rate_limits(
+    state: DispatchState, shared: Iterable[SharedRateLimit], now_s: float
+) -> None:
+    """Record the limits that upstreams have stated to other entries."""
+    for each in shared:
+        for pool in state.pools.values():
+            stats = pool.upstreams.by_id.get(each.upstream)
+            start = (each.upstream, each.start_time_ms)
+            if stats is not None and upstream_notices.start_of(stats.record) == start:
+                limits = pool.rate_limits
+                rate_limits.record(limits, start, each.rate_per_s, now_s - each.age_s)
 
 
 def on_pause_observed(state: DispatchState, message: PauseObserved, now_s: float) -> None:
@@ -392,7 +409,9 @@
         if is_late in exhausted and not message.tried:
             continue
         if is_late not in eligible:
-            eligible[is_late] = concurrency_limits.eligible_upstreams(pool, engine, is_late, now_s)
+            eligible[is_late] = concurrency_limits.eligible_upstreams(
+                pool, engine, is_late, now_s, state.random
+            )
         stats = upstream_selection.choose(
             eligible[is_late],
             lambda each: concurrency_limits.concurrency_limit(pool, engine, each),
@@ -407,6 +426,7 @@
         pool.waiting.remove(message)
         stats.own_in_flight += 1
         stats.unanswered += 1
+        rate_limits.use_permit(pool.rate_limits, stats.record, stats.sharers)
         decaying_counts.add(pool.recent_placements, message.urgency, now_s)
         decaying_counts.add(pool.placement_rate, None, now_s)
         pool.in_service[message.team] = pool.in_service.get(message.team, 0) + 1
@@ -502,9 +522,13 @@
                 for stats in pool.upstreams.by_id.values()
             ],
         )
+        own = order.index(state.instance)
+        users = users_by_owner({order.index(owner) for owner in owners.values()}, len(order))
         for stats in pool.upstreams.by_id.values():
-            owner = owners.get(stats.record.upstream, state.instance)
-            stats.owner_distance = (order.index(owner) - order.index(state.instance)) % len(order)
+            position = order.index(owners.get(stats.record.upstream, state.instance))
+            stats.owner_distance = (position - own) % len(order)
+            using = users.get(position, frozenset([own]))
+            stats.sharers = len(using) if own in using else 0
 
 
 def _sum_peer_loads(state: DispatchState) -> None:
--- a/src/lycheefall/_rules/upstream_ownership.py
+++ b/src/lycheefall/_rules/upstream_ownership.py
@@ -1,12 +1,17 @@
 """Assign each upstream to an owning entry, so that entries rarely select the same free slot."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from math import ceil
 
 from msgspec import Struct
 
 from lycheefall._core.ids import DataCentreId, InstanceId, UpstreamId
 
+# Number of entries whose upstreams an entry uses besides its own. The loads of other entries are
+# known a few hundred milliseconds late; if all entries compared all upstreams, they would select
+# the same one at the same time.
+NEIGHBOURS = 2
+
 
 class EntryLocation(Struct, frozen=True):
     """An entry and its data centre."""
@@ -53,3 +58,20 @@
                 owners[upstream.upstream] = chosen.entry
                 counts[chosen.entry] += 1
     return owners
+
+
+def users_by_owner(owners: Collection[int], entries: int) -> dict[int, frozenset[int]]:
+    """Return the entries that use the upstreams of each owner, by positions in their order.
+
+    An entry uses the upstreams of its neighbours, or all of them if no neighbour owns any.
+    """
+    without_neighbours = {
+        position
+        for position in range(entries)
+        if all((owner - position) % entries > NEIGHBOURS for owner in owners)
+    }
+    return {
+        owner: frozenset((owner - distance) % entries for distance in range(NEIGHBOURS + 1))
+        | without_neighbours
+        for owner in owners
+    }
--- a/src/lycheefall/_rules/upstream_selection.py
+++ b/src/lycheefall/_rules/upstream_selection.py
@@ -7,6 +7,7 @@
 
 from lycheefall._core.ids import DataCentreId, GroupId, UpstreamId
 from lycheefall._core.relay import GroupHealth, UpstreamRecord
+from lycheefall._rules.upstream_ownership import NEIGHBOURS
 
 # Weight of a new outcome in the failure ratio; about the last eight outcomes count.
 _OUTCOME_WEIGHT = 0.15
@@ -18,10 +19,6 @@
 _REMOTE_COST = 0.04
 # Cost of an upstream owned by another entry, which knows its load more accurately.
 _NON_OWNED_COST = 0.1
-# Number of entries whose upstreams an entry uses besides its own. The loads of other entries are
-# known a few hundred milliseconds late; if all entries compared all upstreams, they would select
-# the same one at the same time.
-NEIGHBOURS = 2
 # Random upstreams that are compared if none of the owned and neighbouring ones is usable; see
 # M. Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001.
 _RANDOM_CHOICES = 2
@@ -52,6 +49,8 @@
     peer_in_flight: int = 0
     # Position of the owning entry after this one in the order of their names, cyclically.
     owner_distance: int = 0
+    # Number of entries that use the upstream, or 0 if this one does not.
+    sharers: int = 1
     failure_ratio: float = 0.0
     # Time of the last outcome.
     outcome_at_s: float = 0.0
--- a/src/lycheefall/_rules/wait_queue.py
+++ b/src/lycheefall/_rules/wait_queue.py
@@ -1,6 +1,6 @@
 """Order the queued requests of a pool, and find those that can't be served in time."""
 
-from lycheefall._rules import batch_limit, decaying_counts
+from lycheefall._rules import batch_limit, decaying_counts, rate_limits
 from lycheefall._rules.dispatch_messages import DispatchRequest
 from lycheefall._rules.pool_state import RATE_TIME_CONSTANT_S, PoolState, opens_s, pauses_of
 
@@ -64,16 +64,20 @@
 def placements_per_s(pool: PoolState, now_s: float) -> float:
     """Return the placement rate of this entry: the measured rate or that of its usable slots.
 
-    The higher of the two is used, so that a start or an idle period causes no refusals.
+    The higher of the two is used, so that a start or an idle period causes no refusals. Upstreams
+    that limit the rate of their requests count with that rate.
     """
-    slots = sum(
-        batch_limit.usable_slots(pauses_of(pool, stats).batch, stats.record.slots)
-        for stats in pool.upstreams.by_id.values()
-        if stats.owner_distance == 0
-    )
+    usable_per_s = 0.0
+    for stats in pool.upstreams.by_id.values():
+        limit_per_s = rate_limits.rate_of(pool.rate_limits, stats.record, stats.sharers)
+        if limit_per_s is not None:
+            usable_per_s += limit_per_s
+        elif stats.owner_distance == 0:
+            slots = batch_limit.usable_slots(pauses_of(pool, stats).batch, stats.record.slots)
+            usable_per_s += slots / _DEFAULT_SERVICE_S
     return max(
         1.0,
-        slots / _DEFAULT_SERVICE_S,
+        usable_per_s,
         decaying_counts.value(pool.placement_rate, None, now_s) / RATE_TIME_CONSTANT_S,
     )
 
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -19,6 +19,7 @@
     Incarnation,
     InstanceId,
     LogIndex,
+    PromptPart,
     Revision,
     Term,
     UpstreamId,
@@ -30,7 +31,9 @@
     FileBody,
     PeerUpdate,
     ReplicaUpdate,
+    SharedRateLimit,
     SlowRank,
+    SoundPart,
     ToRelay,
 )
 from lycheefall._core.pipeline import Inbox, tick
@@ -325,3 +328,57 @@
             await harness.status("e1", crashes=crashes)
             await asyncio.sleep(0.3)
             assert harness.updates("e2")[-1].refused == ("f",)
+
+    async def test_crash_reaches_all_entries_at_once(self) -> None:
+        """Guards against a second upstream that crashes before the other entries know the part."""
+        async with running_registrar() as harness:
+            await harness.status("e2")
+            crash = Crash(Fingerprint("f"), UpstreamId("u1"), 1, (PromptPart("dead"),), True)
+            await harness.status("e1", crashes=(crash,))
+            update = harness.updates("e2")[-1]
+            assert [(each.part, each.crashes) for each in update.part_verdicts] == [("dead", 1)]
+            assert [each.upstream for each in update.lost] == ["u1"]
+
+    async def test_sound_response_clears_a_part_at_once(self) -> None:
+        """Guards against a part that stays blocked after another entry saw a response to it."""
+        async with running_registrar() as harness:
+            await harness.status("e2")
+            crash = Crash(Fingerprint("f"), UpstreamId("u1"), 1, (PromptPart("a0"),), True)
+            await harness.status("e1", crashes=(crash,))
+            await harness.status("e3", sound_parts=(SoundPart(PromptPart("a0"), 1.0),))
+            verdicts = harness.updates("e2")[-1].part_verdicts
+            assert [(each.part, each.crashes) for each in verdicts] == [("a0", 0)]
+
+
+@pytest.mark.looptime
+class TestRateLimits:
+    async def test_limit_reaches_all_entries(self) -> None:
+        """Guards against entries that learn of a limit only from their own requests."""
+        async with running_registrar() as harness:
+            await harness.status("e2")
+            await harness.announce("u1")
+            limit = SharedRateLimit(UpstreamId("u1"), 1000, 1.5, 0.1)
+            await harness.status("e1", rate_limits=(limit,))
+            await asyncio.sleep(0.3)
+            shared = [each for update in harness.updates("e2") for each in update.rate_limits]
+            assert [(each.upstream, each.rate_per_s) for each in shared] == [("u1", 1.5)]
+
+    async def test_restarted_entry(self) -> None:
+        """Guards against an entry that does not know the limits after a restart."""
+        async with running_registrar() as harness:
+            await harness.announce("u1")
+            limit = SharedRateLimit(UpstreamId("u1"), 1000, 1.5, 0.1)
+            await harness.status("e1", rate_limits=(limit,))
+            await harness.status("e2")
+            assert [each.rate_per_s for each in harness.updates("e2")[0].rate_limits] == [1.5]
+
+    async def test_restarted_upstream(self) -> None:
+        """Guards against limits of upstreams that have left, which are kept for good."""
+        async with running_registrar() as harness:
+            await harness.announce("u1")
+            limit = SharedRateLimit(UpstreamId("u1"), 1000, 1.5, 0.1)
+            await harness.status("e1", rate_limits=(limit,))
+            await harness.announce("u1", start_time_ms=2000)
+            await asyncio.sleep(1.0)
+            await harness.status("e2")
+            assert harness.updates("e2")[0].rate_limits == ()
--- a/tests/test_upstream_ownership.py
+++ b/tests/test_upstream_ownership.py
@@ -6,7 +6,12 @@
 from hypothesis import strategies as st
 
 from lycheefall._core.ids import DataCentreId, InstanceId, UpstreamId
-from lycheefall._rules.upstream_ownership import EntryLocation, UpstreamLocation, assign_owners
+from lycheefall._rules.upstream_ownership import (
+    EntryLocation,
+    UpstreamLocation,
+    assign_owners,
+    users_by_owner,
+)
 
 data_centres = st.sampled_from("abc")
 
@@ -47,3 +52,15 @@
     def test_no_entry(self) -> None:
         """Guards against a division by zero."""
         assert assign_owners([], upstreams("a")) == {}
+
+
+class TestUsers:
+    def test_neighbours(self) -> None:
+        """Guards against shares of a rate for entries that don't use the upstream."""
+        users = users_by_owner({0, 3}, 6)
+        assert users == {0: {0, 5, 4}, 3: {3, 2, 1}}
+
+    def test_entry_without_neighbours(self) -> None:
+        """Guards against an entry that gets no share because no neighbour owns an upstream."""
+        users = users_by_owner({0}, 6)
+        assert users == {0: {0, 1, 2, 3, 4, 5}}
