Don't take a refusal without an id on a kept connection for the response to a request

Operators of similar systems report: a faulty server writes an earlier refusal once more; callers are told "not run, try again" for requests that are running. Cause: a response names its request, and one that names another is skipped; an error that names none was accepted, on a kept connection too. Change: on a kept connection an error without an id is skipped like one with another id. Requests that may not run twice have connections of their own, so a booking can't be affected; a test shows it. Result: test_kept_connection[None] fails before (503 while the upstream runs the request) and passes; [a] and test_booking_after_a_refused_lookup passed before too.

--- a/src/lycheefall/_wire/http_upstream.py
+++ b/src/lycheefall/_wire/http_upstream.py
@@ -220,12 +220,16 @@
 
 
 def _matches_request(connection: UpstreamConnection, head: ResponseHead) -> bool:
-    """Return whether a response belongs to the request; an error may lack the echo header."""
+    """Return whether a response belongs to the request.
+
+    An error may lack the echo header on a new connection. On a kept one it may be a late copy of
+    the response to an earlier request.
+    """
     if connection.request is None:
         return False
     name, expected = connection.request.echo
     echoed = get_header(head.headers, name) or b""
-    return echoed == expected or (not echoed and head.status >= 300)
+    return echoed == expected or (not echoed and head.status >= 300 and connection.is_new)
 
 
 def _skip_response(connection: UpstreamConnection) -> None:
