Resume a stream only from a response of the same media type

Operators of similar systems report: a stream breaks off, the next server answers with an error, and callers find its text in the middle of their stream. Cause: an error status after the first event resets the connection to the caller, but a sealed 200 was passed on as events whatever it held; text without ids counts as new events. Change: a response that continues a stream must have the media type of the stream.

--- a/src/lycheefall/_relay/exchange_state.py
+++ b/src/lycheefall/_relay/exchange_state.py
@@ -84,6 +84,8 @@
     revoked: Future[None] | None = None
     # Deliveries of events by the current attempt.
     attempt_deliveries: int = 0
+    # Media type of the latest stream, in lower case.
+    stream_media_type: bytes = b""
     # Whether events of a stream have been sent to the caller.
     has_stream_begun: bool = False
     # Status of the response to the caller; 0 before it, or if a stream was given up.
--- a/src/lycheefall/_relay/headers.py
+++ b/src/lycheefall/_relay/headers.py
@@ -21,6 +21,7 @@
     )
 )
 _LENGTH = b"content-length"
+_MEDIA_TYPE = b"content-type"
 # Responses with these statuses have no body, so their Content-Length is forwarded as it is.
 _NO_BODY_STATUS = frozenset((204, 304))
 # Longer numbers are invalid; int() raises ValueError above 4,300 digits.
@@ -85,6 +86,12 @@
     return tuple(each for each in end_to_end(head.headers) if each[0].lower() != _LENGTH)
 
 
+def media_type(head: ResponseHead) -> bytes:
+    """Return the media type of a response in lower case, without parameters."""
+    value = get_header(head.headers, _MEDIA_TYPE) or b""
+    return value.partition(b";")[0].strip().lower()
+
+
 def parse_number(value: bytes | None) -> int | None:
     """Return the number in a header, or None if it is absent or not a non-negative integer."""
     text = b"" if value is None else value.strip()
--- a/src/lycheefall/_relay/streams.py
+++ b/src/lycheefall/_relay/streams.py
@@ -47,8 +47,13 @@
 ) -> NextStep | Place:
     """Forward complete events; return another placement if the stream must be resumed.
 
-    Raises ExchangeError if the connection ends within an event, or an event is too large.
+    Raises ExchangeError if the connection ends within an event, an event is too large, or the
+    response does not go on with the stream of an earlier one.
     """
+    media_type = headers.media_type(head)
+    if exchange.has_stream_begun and media_type != exchange.stream_media_type:
+        raise ExchangeError(FailureCause.BROKEN, f"{media_type!r} does not continue the stream")
+    exchange.stream_media_type = media_type
     event_stream.discard_partial(exchange.events)
     may_resume = True
     # Only whole events count as progress: a faulty upstream may send a byte now and then.
