Tell the other entries of a trial with a suspected prompt part

Cause: a block ends at each entry at a random time. At a high share of such requests two entries try one before the first of them has crashed an upstream. Change: an entry reports the start of a trial at once, and control passes it on; the others wait for its outcome. Asking whether a prompt is blocked no longer starts a trial.

--- a/src/lycheefall/_core/messages/relay.py
+++ b/src/lycheefall/_core/messages/relay.py
@@ -53,12 +53,21 @@
     age_s: float
 
 
+class PartTrial(Struct, frozen=True, array_like=True):
+    """A request with a suspected part of prompts that an entry has let pass, and how long ago."""
+
+    part: PromptPart
+    age_s: float
+
+
 class PartVerdict(Struct, frozen=True, array_like=True):
     """Crashes blamed on a part of prompts, 0 if it is not suspected, and the last one's age."""
 
     part: PromptPart
     crashes: int
     age_s: float
+    # Age of the latest trial; None if there was none.
+    trial_age_s: float | None = None
 
 
 class SlowRank(Struct, frozen=True, array_like=True):
@@ -88,6 +97,7 @@
     # Reported by the map coordinator.
     slow_ranks: tuple[SlowRank, ...] = ()
     sound_parts: tuple[SoundPart, ...] = ()
+    part_trials: tuple[PartTrial, ...] = ()
     # Changes of the last seconds.
     rate_limits: tuple[SharedRateLimit, ...] = ()
 
--- a/src/lycheefall/_registry/registrar.py
+++ b/src/lycheefall/_registry/registrar.py
@@ -292,7 +292,8 @@
 
 def _update_prompts(state: Registrar, status: EntryStatus, now_s: float) -> bool:
     """Record what an entry reports on parts of prompts, and return whether a verdict changes."""
-    if not (status.sound_parts or any(crash.prompt_parts for crash in status.crashes)):
+    has_crash = any(crash.prompt_parts for crash in status.crashes)
+    if not (has_crash or status.sound_parts or status.part_trials):
         return False
     before = prompt_evidence.verdicts(state.prompts, now_s)
     for crash in status.crashes:
@@ -301,13 +302,20 @@
             prompt_evidence.record_crash(state.prompts, start, crash.prompt_parts, now_s)
     for sound in status.sound_parts:
         prompt_evidence.record_generated(state.prompts, sound.part, now_s - sound.age_s)
+    for trial in status.part_trials:
+        prompt_evidence.record_trial(state.prompts, trial.part, now_s - trial.age_s)
     return before != prompt_evidence.verdicts(state.prompts, now_s)
 
 
 def _part_verdicts(state: Registrar, now_s: float) -> tuple[PartVerdict, ...]:
     verdicts = prompt_evidence.verdicts(state.prompts, now_s)
     return tuple(
-        PartVerdict(part, verdict.crashes, now_s - verdict.crashed_s)
+        PartVerdict(
+            part,
+            verdict.crashes,
+            now_s - verdict.crashed_s,
+            None if verdict.trial_s is None else now_s - verdict.trial_s,
+        )
         for part, verdict in verdicts.items()
     )
 
--- a/src/lycheefall/_relay/control_link.py
+++ b/src/lycheefall/_relay/control_link.py
@@ -148,6 +148,7 @@
         snapshot.crashes,
         state.slow_ranks(),
         snapshot.sound_parts,
+        snapshot.part_trials,
         snapshot.rate_limits,
     )
     link.socket.send(encode(status))
--- a/src/lycheefall/_relay/dispatch.py
+++ b/src/lycheefall/_relay/dispatch.py
@@ -12,6 +12,7 @@
 from lycheefall._core.messages.relay import (
     Crash,
     EntryRecord,
+    PartTrial,
     ReplicaUpdate,
     SharedRateLimit,
     SoundPart,
@@ -60,6 +61,7 @@
     upstream_count: int
     # Suspected parts of prompts on which an upstream has generated.
     sound_parts: tuple[SoundPart, ...] = ()
+    part_trials: tuple[PartTrial, ...] = ()
     rate_limits: tuple[SharedRateLimit, ...] = ()
 
 
@@ -124,6 +126,7 @@
         state.refused,
         sum(len(pool.upstreams.by_id) for pool in state.dispatch_state.pools.values()),
         prompt_guard.sound_parts(state.prompts, now_s),
+        prompt_guard.trials(state.prompts, now_s),
         tuple(
             SharedRateLimit(each.upstream, each.start_time_ms, each.rate_per_s, now_s - stated_s)
             for stated_s, each in state.recent_rate_limits
@@ -141,6 +144,9 @@
             blocked_s = prompt_guard.blocked_for_s(state.prompts, request.prompt_parts, now_s)
             if blocked_s > 0.0:
                 return [dispatching.refuse_prompt(dispatch_state, request, blocked_s)]
+            if prompt_guard.start_trial(state.prompts, request.prompt_parts, now_s):
+                log(Event.PROMPT_PART_TRIED, parts=request.prompt_parts)
+                state.report_evidence()
             return dispatching.on_request(dispatch_state, request, now_s)
         case Withdraw():
             state.pending_placements.pop(message.number, None)
--- a/src/lycheefall/_rules/prompt_blocks.py
+++ b/src/lycheefall/_rules/prompt_blocks.py
@@ -1,7 +1,7 @@
 """Block requests whose prompt has a suspected part, and try one of them from time to time.
 
 The time until the next trial grows with the crashes, since a trial may crash one more upstream. It
-is random, so that of many entries one tries first and tells the others how it ended.
+is random, so that of many entries one tries first; the others wait until they know how it ended.
 """
 
 from collections.abc import Iterable, Mapping
@@ -16,7 +16,7 @@
 BLOCK_GROWTH = 4.0
 # Range of the random factor of a block.
 BLOCK_SPREAD = 3.0
-# Time for the outcome of a trial, in which no other one starts here.
+# Time for the outcome of a trial, in which no other one starts.
 TRIAL_S = 2.0
 MAX_BLOCK_S = 600.0
 
@@ -26,6 +26,8 @@
 
     crashes: int
     until_s: float
+    # Start of the latest trial by this entry.
+    trial_s: float = float("-inf")
 
 
 class PromptBlocks(Struct, eq=False):
@@ -52,11 +54,22 @@
 
 
 def blocked_for_s(state: PromptBlocks, parts: Iterable[PromptPart], now_s: float) -> float:
-    """Return how long a prompt with these parts is blocked; 0 starts a trial of its parts."""
+    """Return how long a prompt with these parts is still blocked; not above 0 if it is not."""
+    blocks = (state.blocks[part] for part in parts if part in state.blocks)
+    return max((block.until_s - now_s for block in blocks), default=0.0)
+
+
+def start_trial(state: PromptBlocks, parts: Iterable[PromptPart], now_s: float) -> bool:
+    """Start a trial of the suspected ones among some parts, and return whether there are any."""
     blocks = [state.blocks[part] for part in parts if part in state.blocks]
-    left_s = max((block.until_s - now_s for block in blocks), default=0.0)
-    if left_s > 0.0:
-        return left_s
     for block in blocks:
+        block.trial_s = now_s
         block.until_s = now_s + TRIAL_S
-    return 0.0
+    return bool(blocks)
+
+
+def await_trial(state: PromptBlocks, part: PromptPart, trial_s: float) -> None:
+    """Block a part for the duration of a trial by any entry."""
+    block = state.blocks.get(part)
+    if block is not None:
+        block.until_s = max(block.until_s, trial_s + TRIAL_S)
--- a/src/lycheefall/_rules/prompt_evidence.py
+++ b/src/lycheefall/_rules/prompt_evidence.py
@@ -20,6 +20,8 @@
 SOUND_PART_CRASHES = 3
 # Crashes and responses are forgotten after this time.
 RETENTION_S = 120.0
+# Reports of one trial differ by less than this.
+TRIAL_RESOLUTION_S = 0.5
 MAX_CRASHES = 64
 MAX_PARTS_PER_CRASH = 64
 MAX_GENERATED_PARTS = 8192
@@ -40,13 +42,19 @@
 
     crashes: int
     crashed_s: float
+    # Start of the latest trial, if any.
+    trial_s: float | None = None
 
 
 class PromptEvidence(Struct, eq=False):
-    """Crashes by start of an upstream, and the last response by part, each the oldest first."""
+    """Crashes by start of an upstream, and the last response by part, each the oldest first.
+
+    The latest trials are kept for parts that were in a crash.
+    """
 
     crashes: dict[Start, _Crash] = field(default_factory=dict)
     generated_s: dict[PromptPart, float] = field(default_factory=dict)
+    trials_s: dict[PromptPart, float] = field(default_factory=dict)
 
 
 def record_crash(
@@ -71,6 +79,14 @@
     evidence.generated_s[part] = latest_s
 
 
+def record_trial(evidence: PromptEvidence, part: PromptPart, at_s: float) -> None:
+    """Record a trial of a part that was in a crash; it may be reported several times."""
+    is_known = any(part in crash.parts for crash in evidence.crashes.values())
+    latest_s = evidence.trials_s.get(part, float("-inf"))
+    if is_known and at_s > latest_s + TRIAL_RESOLUTION_S:
+        evidence.trials_s[part] = at_s
+
+
 def verdicts(evidence: PromptEvidence, now_s: float) -> dict[PromptPart, Verdict]:
     """Return the verdict on each part that was in a crash.
 
@@ -87,7 +103,10 @@
     for crash in evidence.crashes.values():
         for part in crash.parts:
             is_weak = part in evidence.generated_s and counts[part] < SOUND_PART_CRASHES
-            result[part] = Verdict(0 if is_weak else counts[part], crash.crashed_s)
+            blamed_crashes = 0 if is_weak else counts[part]
+            trial_s = evidence.trials_s.get(part)
+            result[part] = Verdict(blamed_crashes, crash.crashed_s, trial_s)
+    evidence.trials_s = {part: at_s for part, at_s in evidence.trials_s.items() if part in result}
     return result
 
 
--- a/src/lycheefall/_rules/prompt_guard.py
+++ b/src/lycheefall/_rules/prompt_guard.py
@@ -11,9 +11,9 @@
 from msgspec import Struct, field
 
 from lycheefall._core.ids import InstanceId, PromptPart
-from lycheefall._core.messages.relay import Crash, PartVerdict, SoundPart
+from lycheefall._core.messages.relay import Crash, PartTrial, PartVerdict, SoundPart
 from lycheefall._rules import prompt_blocks, prompt_evidence
-from lycheefall._rules.prompt_blocks import PromptBlocks
+from lycheefall._rules.prompt_blocks import TRIAL_S, PromptBlocks
 from lycheefall._rules.prompt_evidence import SOUND_PART_CRASHES, PromptEvidence, Verdict
 
 # The verdicts of a replica that has sent none for this time give way to those of others.
@@ -51,7 +51,14 @@
     guard: PromptGuard, replica: InstanceId, verdicts: Iterable[PartVerdict], now_s: float
 ) -> None:
     """Replace the verdicts of a replica."""
-    received = {each.part: Verdict(each.crashes, now_s - each.age_s) for each in verdicts}
+    received = {
+        each.part: Verdict(
+            each.crashes,
+            now_s - each.age_s,
+            None if each.trial_age_s is None else now_s - each.trial_age_s,
+        )
+        for each in verdicts
+    }
     guard.reports[replica] = _Report(received, now_s)
 
 
@@ -65,14 +72,32 @@
         for part, verdict in verdicts.items()
         if verdict.crashes and not _is_sound_here(guard, part, verdict)
     }
-    return prompt_blocks.update(guard.blocks, suspected, now_s, random)
+    blocked = prompt_blocks.update(guard.blocks, suspected, now_s, random)
+    for part, verdict in verdicts.items():
+        if verdict.trial_s is not None:
+            prompt_blocks.await_trial(guard.blocks, part, verdict.trial_s)
+    return blocked
 
 
 def blocked_for_s(guard: PromptGuard, parts: Iterable[PromptPart], now_s: float) -> float:
-    """Return how long a prompt with these parts is blocked; 0 starts a trial of its parts."""
+    """Return how long a prompt with these parts is still blocked; not above 0 if it is not."""
     return prompt_blocks.blocked_for_s(guard.blocks, parts, now_s)
 
 
+def start_trial(guard: PromptGuard, parts: Iterable[PromptPart], now_s: float) -> bool:
+    """Start a trial of the suspected ones among some parts, and return whether there are any."""
+    return prompt_blocks.start_trial(guard.blocks, parts, now_s)
+
+
+def trials(guard: PromptGuard, now_s: float) -> tuple[PartTrial, ...]:
+    """Return the trials by this entry whose outcome may not be known."""
+    return tuple(
+        PartTrial(part, now_s - block.trial_s)
+        for part, block in guard.blocks.blocks.items()
+        if now_s - block.trial_s <= TRIAL_S
+    )
+
+
 def sound_parts(guard: PromptGuard, now_s: float) -> tuple[SoundPart, ...]:
     """Return the suspected parts on which this entry has seen a sound response."""
     generated_s = guard.evidence.generated_s
