Split the state of the dispatcher and the reports on upstreams into modules of their own

Change: dispatch_state.py holds the state, dispatch_peers.py what an entry knows of the others, upstream_statements.py what upstreams say of themselves, _registry/upstream_reports.py what entries report on upstreams. Nothing else changes.

--- a/src/lycheefall/_registry/registrar.py
+++ b/src/lycheefall/_registry/registrar.py
@@ -20,15 +20,13 @@
     EntryStatus,
     FetchFile,
     FileBody,
-    LostUpstream,
-    PartVerdict,
     PeerUpdate,
     ReplicaUpdate,
-    SharedRateLimit,
     ToRelay,
 )
 from lycheefall._core.pipeline import Inbox
 from lycheefall._core.relay import UpstreamRecord
+from lycheefall._registry import upstream_reports
 from lycheefall._registry.messages import (
     Announce,
     AwaitRevision,
@@ -38,11 +36,12 @@
     RegistrarTick,
     ToRegistrar,
 )
-from lycheefall._rules import crash_counts, prompt_evidence, record_table
+from lycheefall._registry.upstream_reports import UpstreamReports
+from lycheefall._rules import crash_counts, record_table
 from lycheefall._rules.crash_counts import CrashCounts
-from lycheefall._rules.prompt_evidence import PromptEvidence, Start
 from lycheefall._rules.record_table import RecordTable
 from lycheefall._rules.replicated.newest_file import NewestFile
+from lycheefall._rules.upstream_notices import Start
 
 REGISTRAR_TICK_PERIOD_S = 0.05
 # Maximum period between updates to an entry; they also serve as heartbeats of the connection.
@@ -59,21 +58,12 @@
 # Changes are resent to the other replicas for this long, because a connection may lose messages.
 REPEAT_CHANGES_S = 5.0
 REPEAT_PERIOD_S = 0.5
-# Entries report a crash for 2 s.
-LOST_RETENTION_S = 4.0
 
 # Sends a message to the entry with a ZeroMQ routing id.
 SendToEntry = Callable[[bytes, ToRelay], None]
 SendToPeers = Callable[[PeerUpdate], None]
 
 
-class StatedRate(Struct):
-    """A limit that an upstream has stated to some entry; None if it has none any more."""
-
-    rate_per_s: float | None
-    stated_s: float
-
-
 class EntryLink(Struct, eq=False):
     """A connected entry, and the state last sent to it."""
 
@@ -109,10 +99,7 @@
     file: NewestFile = NewestFile()
     voters: tuple[InstanceId, ...] = ()
     crashes: CrashCounts = field(default_factory=CrashCounts)
-    prompts: PromptEvidence = field(default_factory=PromptEvidence)
-    rates: dict[Start, StatedRate] = field(default_factory=dict)
-    # Starts of upstreams that have crashed, and when an entry reported it first.
-    lost_s: dict[Start, float] = field(default_factory=dict)
+    reports: UpstreamReports = field(default_factory=UpstreamReports)
     pending_replies: list[PendingReply] = field(default_factory=list)
     is_leader: bool = False
     coordinator: InstanceId | None = None
@@ -196,7 +183,7 @@
     if now_s - state.last_repeat_s >= REPEAT_PERIOD_S:
         state.last_repeat_s = now_s
         record_table.drop_departed(state.table, now_s)
-        _forget_rates(state)
+        upstream_reports.forget_rates(state.reports, state.table)
         changed = tuple(
             entry.record
             for entry in state.table.entries.values()
@@ -212,8 +199,10 @@
     """Store the status of an entry; a new or restarted one is sent all records."""
     for crash in status.crashes:
         crash_counts.record(state.crashes, crash, now_s)
-    _record_rates(state, status, now_s)
-    if _record_lost(state, status, now_s) | _update_prompts(state, status, now_s):
+    for start in upstream_reports.record_rates(state.reports, status.rate_limits, now_s):
+        for each in state.entries.values():
+            each.pending_rates.add(start)
+    if upstream_reports.record_crashes(state.reports, status, now_s):
         # The next crash may be milliseconds away.
         for each in state.entries.values():
             _send_update(state, each, to_entry, now_s)
@@ -227,99 +216,12 @@
             log(Event.ENTRY_SEEN, entry=status.entry, address=status.address)
         link = state.entries[status.entry] = EntryLink(routing_id, status, now_s)
         link.pending_records = {each.upstream: each for each in record_table.records(state.table)}
-        link.pending_rates = set(state.rates)
+        link.pending_rates = set(state.reports.rates)
         _send_update(state, link, to_entry, now_s)
     link.status = status
     link.received_s = now_s
 
 
-def _record_rates(state: Registrar, status: EntryStatus, now_s: float) -> None:
-    """Record the limits that upstreams have stated to an entry, and pass changes on."""
-    for each in status.rate_limits:
-        start = (each.upstream, each.start_time_ms)
-        known = state.rates.get(start)
-        stated_s = now_s - each.age_s
-        if known is not None and (stated_s < known.stated_s or each.rate_per_s == known.rate_per_s):
-            continue
-        state.rates[start] = StatedRate(each.rate_per_s, stated_s)
-        for link in state.entries.values():
-            link.pending_rates.add(start)
-
-
-def _pending_rates(state: Registrar, link: EntryLink, now_s: float) -> tuple[SharedRateLimit, ...]:
-    pending = [start for start in link.pending_rates if start in state.rates]
-    link.pending_rates = set()
-    return tuple(
-        SharedRateLimit(
-            upstream,
-            start_time_ms,
-            state.rates[upstream, start_time_ms].rate_per_s,
-            now_s - state.rates[upstream, start_time_ms].stated_s,
-        )
-        for upstream, start_time_ms in pending
-    )
-
-
-def _forget_rates(state: Registrar) -> None:
-    """Forget the limits of upstreams that have left or started anew."""
-    for upstream, start_time_ms in list(state.rates):
-        entry = state.table.entries.get(upstream)
-        if entry is None or entry.record.start_time_ms != start_time_ms:
-            del state.rates[upstream, start_time_ms]
-
-
-def _record_lost(state: Registrar, status: EntryStatus, now_s: float) -> bool:
-    """Record the crashes that an entry has confirmed, and return whether any is new."""
-    is_news = False
-    for crash in status.crashes:
-        start = (crash.upstream, crash.start_time_ms)
-        if crash.refuses_connections and start not in state.lost_s:
-            state.lost_s[start] = now_s
-            is_news = True
-    return is_news
-
-
-def _lost(state: Registrar, now_s: float) -> tuple[LostUpstream, ...]:
-    """Return the recent crashes, and forget those that entries no longer report."""
-    for start, lost_s in list(state.lost_s.items()):
-        if now_s - lost_s > LOST_RETENTION_S:
-            del state.lost_s[start]
-    return tuple(
-        LostUpstream(upstream, start_time_ms, now_s - lost_s)
-        for (upstream, start_time_ms), lost_s in state.lost_s.items()
-    )
-
-
-def _update_prompts(state: Registrar, status: EntryStatus, now_s: float) -> bool:
-    """Record what an entry reports on parts of prompts, and return whether a verdict changes."""
-    has_crash = any(crash.prompt_parts for crash in status.crashes)
-    if not (has_crash or status.sound_parts or status.part_trials):
-        return False
-    before = prompt_evidence.verdicts(state.prompts, now_s)
-    for crash in status.crashes:
-        if crash.prompt_parts:
-            start = (crash.upstream, crash.start_time_ms)
-            prompt_evidence.record_crash(state.prompts, start, crash.prompt_parts, now_s)
-    for sound in status.sound_parts:
-        prompt_evidence.record_generated(state.prompts, sound.part, now_s - sound.age_s)
-    for trial in status.part_trials:
-        prompt_evidence.record_trial(state.prompts, trial.part, now_s - trial.age_s)
-    return before != prompt_evidence.verdicts(state.prompts, now_s)
-
-
-def _part_verdicts(state: Registrar, now_s: float) -> tuple[PartVerdict, ...]:
-    verdicts = prompt_evidence.verdicts(state.prompts, now_s)
-    return tuple(
-        PartVerdict(
-            part,
-            verdict.crashes,
-            now_s - verdict.crashed_s,
-            None if verdict.trial_s is None else now_s - verdict.trial_s,
-        )
-        for part, verdict in verdicts.items()
-    )
-
-
 def _publish_change(
     state: Registrar,
     record: UpstreamRecord,
@@ -393,12 +295,13 @@
             _refused(state, now_s),
             _select_coordinator(state, now_s),
             tuple(rank for each in state.entries.values() for rank in each.status.slow_ranks),
-            _part_verdicts(state, now_s),
-            _lost(state, now_s),
-            _pending_rates(state, link, now_s),
+            upstream_reports.part_verdicts(state.reports, now_s),
+            upstream_reports.lost(state.reports, now_s),
+            upstream_reports.shared_rates(state.reports, link.pending_rates, now_s),
         ),
     )
     link.pending_records = {}
+    link.pending_rates = set()
 
 
 def _other_entries(state: Registrar, entry: InstanceId) -> tuple[EntryRecord, ...]:
--- a/src/lycheefall/_relay/dispatch.py
+++ b/src/lycheefall/_relay/dispatch.py
@@ -28,7 +28,14 @@
     SuspectedCrash,
     ToDispatch,
 )
-from lycheefall._rules import crash_counts, dispatching, prompt_guard, record_table
+from lycheefall._rules import (
+    crash_counts,
+    dispatch_peers,
+    dispatching,
+    prompt_guard,
+    record_table,
+    upstream_statements,
+)
 from lycheefall._rules.crash_counts import CrashCounts
 from lycheefall._rules.dispatch_messages import (
     AttemptEnded,
@@ -43,7 +50,7 @@
     UpstreamLeaving,
     Withdraw,
 )
-from lycheefall._rules.dispatching import DispatchState, PeerEntry, PeerLoads
+from lycheefall._rules.dispatch_state import DispatchState, PeerEntry, PeerLoads
 from lycheefall._rules.prompt_guard import PromptGuard
 from lycheefall._rules.record_table import RecordTable
 
@@ -160,10 +167,10 @@
         case PauseObserved():
             dispatching.on_pause_observed(dispatch_state, message, now_s)
         case UpstreamLeaving():
-            if dispatching.on_upstream_leaving(dispatch_state, message):
+            if upstream_statements.on_upstream_leaving(dispatch_state, message):
                 log(Event.UPSTREAM_LEAVING, upstream=message.upstream, pool=message.pool)
         case UpstreamClosed():
-            dispatching.on_upstream_closed(dispatch_state, message, now_s)
+            upstream_statements.on_upstream_closed(dispatch_state, message, now_s)
             log(
                 Event.UPSTREAM_CLOSED,
                 upstream=message.upstream,
@@ -171,7 +178,7 @@
                 duration_s=message.duration_s,
             )
         case RateLimitStated():
-            if dispatching.on_rate_limit_stated(dispatch_state, message, now_s):
+            if upstream_statements.on_rate_limit_stated(dispatch_state, message, now_s):
                 state.recent_rate_limits.append((now_s, message))
                 log(
                     Event.UPSTREAM_RATE_LIMITED,
@@ -236,19 +243,19 @@
     entries = state.entries_by_replica.get(update.replica, ())
     peers = {each.entry: PeerEntry(each.data_centre, now_s) for each in entries}
     loads = None if update.in_flight is None else PeerLoads(update.in_flight, now_s)
-    dispatching.update_peers(state.dispatch_state, peers, update.replica, loads, now_s)
-    dispatching.update_slow_ranks(state.dispatch_state, update.replica, update.slow_ranks, now_s)
+    dispatch_peers.update_peers(state.dispatch_state, peers, update.replica, loads, now_s)
+    dispatch_peers.update_slow_ranks(state.dispatch_state, update.replica, update.slow_ranks, now_s)
     state.refused_by_replica[update.replica] = update.refused
     _update_refused(state, now_s)
     for lost in update.lost:
         start = (lost.upstream, lost.start_time_ms)
-        dispatching.on_upstream_lost(state.dispatch_state, start, now_s - lost.age_s)
+        upstream_statements.on_upstream_lost(state.dispatch_state, start, now_s - lost.age_s)
     prompt_guard.on_verdicts(state.prompts, update.replica, update.part_verdicts, now_s)
     refused = _refresh_prompts(state, now_s)
     if changed:
         record_table.drop_departed(state.table, now_s)
         dispatching.update_upstreams(state.dispatch_state, state.table)
-    dispatching.on_shared_rate_limits(state.dispatch_state, update.rate_limits, now_s)
+    upstream_statements.on_shared_rate_limits(state.dispatch_state, update.rate_limits, now_s)
     if not changed:
         return refused
     placed = [
@@ -262,7 +269,7 @@
 def _on_lost_upstream(state: Dispatcher, crash: Crash, now_s: float) -> list[Output]:
     """Confirm a crash, and stop using what it affects."""
     start = (crash.upstream, crash.start_time_ms)
-    if dispatching.on_upstream_lost(state.dispatch_state, start, now_s):
+    if upstream_statements.on_upstream_lost(state.dispatch_state, start, now_s):
         log(Event.UPSTREAM_LOST, upstream=crash.upstream, born_ms=crash.start_time_ms)
         state.report_evidence()
     _confirm_crashes(state, crash.upstream, None, now_s)
--- a/src/lycheefall/_relay/service.py
+++ b/src/lycheefall/_relay/service.py
@@ -42,7 +42,7 @@
 from lycheefall._relay.rank_calls import Rank
 from lycheefall._relay.settings import RelaySettings
 from lycheefall._rules import dispatching, record_table
-from lycheefall._rules.dispatching import DispatchState
+from lycheefall._rules.dispatch_state import DispatchState
 from lycheefall._rules.identification import Index, build_index
 from lycheefall._wire.http_server import (
     CallerConnection,
--- a/src/lycheefall/_rules/dispatching.py
+++ b/src/lycheefall/_rules/dispatching.py
@@ -7,25 +7,19 @@
 rank does not take all capacity. A request is refused as soon as its expected wait is too long.
 """
 
-from collections.abc import Collection, Iterable
-from random import Random
-
-from msgspec import Struct, field
+from collections.abc import Collection
 
 from lycheefall._core.ids import (
-    DataCentreId,
     GroupId,
-    InstanceId,
     PoolId,
     PromptPart,
-    TeamId,
     UpstreamId,
 )
-from lycheefall._core.messages.relay import SharedRateLimit, SlowRank
-from lycheefall._core.relay import RelayConfiguration, RelayPool, UpstreamRecord
+from lycheefall._core.relay import RelayConfiguration, UpstreamRecord
 from lycheefall._rules import (
     concurrency_limits,
     decaying_counts,
+    dispatch_peers,
     group_pauses,
     rate_limits,
     record_table,
@@ -42,24 +36,14 @@
     Output,
     PauseObserved,
     Place,
-    RateLimitStated,
     RefusalReason,
     Refuse,
-    UpstreamClosed,
-    UpstreamLeaving,
     Withdraw,
 )
+from lycheefall._rules.dispatch_state import DispatchState, pool_of
 from lycheefall._rules.pass_duration import usable_share
 from lycheefall._rules.pool_state import PoolState, opens_s, pauses_of
 from lycheefall._rules.record_table import RecordTable
-from lycheefall._rules.retry_budget import RetryBounds
-from lycheefall._rules.upstream_notices import Start
-from lycheefall._rules.upstream_ownership import (
-    EntryLocation,
-    UpstreamLocation,
-    assign_owners,
-    users_by_owner,
-)
 from lycheefall._rules.upstream_selection import UpstreamStats
 
 _MIN_RETRY_AFTER_S = 0.2
@@ -73,51 +57,6 @@
 # A stalled rank blocks its group until the platform aborts the requests; the group then re-forms
 # within about this time.
 GROUP_SUSPENDED_S = 0.8
-# The other ranks of a group accept requests while they wait for a lost one. Once this time has
-# passed, they have announced that the group is broken.
-GROUP_LOST_S = 2.0
-# An entry that no replica has reported for this time is taken to have no attempts in flight.
-_PEER_TIMEOUT_S = 1.5
-
-
-class PeerEntry(Struct, frozen=True):
-    """Another entry, and when its last report was received."""
-
-    data_centre: DataCentreId
-    received_s: float
-
-
-class PeerLoads(Struct, frozen=True):
-    """Attempts in flight of other entries, summed by upstream, as last reported by a replica."""
-
-    in_flight: dict[UpstreamId, int]
-    received_s: float
-
-
-class SlowRanks(Struct, frozen=True):
-    """Slow ranks of groups, as last reported by a replica."""
-
-    ranks: tuple[SlowRank, ...]
-    received_s: float
-
-
-class DispatchState(Struct, eq=False, kw_only=True):
-    """State that the dispatch decisions of an entry depend on."""
-
-    instance: InstanceId
-    data_centre: DataCentreId
-    retry_bounds: RetryBounds
-    # Source of jitter and of tie-breaks between upstreams.
-    random: Random
-    pools: dict[PoolId, PoolState] = field(default_factory=dict)
-    pool_settings: dict[PoolId, RelayPool] = field(default_factory=dict)
-    peers: dict[InstanceId, PeerEntry] = field(default_factory=dict)
-    # By reporting replica of control; each one knows only the entries that report loads to it.
-    peer_loads: dict[InstanceId, PeerLoads] = field(default_factory=dict)
-    # By reporting replica.
-    slow_ranks: dict[InstanceId, SlowRanks] = field(default_factory=dict)
-    # Pool and team of each placed request, by request number.
-    team_by_request: dict[int, tuple[PoolId, TeamId | None]] = field(default_factory=dict)
 
 
 def apply_configuration(state: DispatchState, configuration: RelayConfiguration) -> None:
@@ -126,7 +65,7 @@
     for pool in configuration.pools:
         if pool.engine is not None:
             target_s = _pause_target_s(configuration, pool.name)
-            _pool(state, pool.name).usable_share = usable_share(pool.engine, target_s)
+            pool_of(state, pool.name).usable_share = usable_share(pool.engine, target_s)
 
 
 def update_upstreams(state: DispatchState, table: RecordTable) -> None:
@@ -146,51 +85,15 @@
         for upstream in [each for each in pool.upstreams.by_id if each not in usable]:
             del pool.upstreams.by_id[upstream]
     for record in usable.values():
-        by_id = _pool(state, record.pool).upstreams.by_id
+        by_id = pool_of(state, record.pool).upstreams.by_id
         stats = by_id.get(record.upstream)
         if stats is None or stats.record.start_time_ms != record.start_time_ms:
             by_id[record.upstream] = UpstreamStats(record)
         else:
             stats.record = record
-    _assign_owners(state)
-    _sum_peer_loads(state)
-    _update_paces(state)
-
-
-def update_peers(
-    state: DispatchState,
-    peers: dict[InstanceId, PeerEntry],
-    replica: InstanceId,
-    peer_loads: PeerLoads | None,
-    now_s: float,
-) -> None:
-    """Update the other entries and, unless `peer_loads` is None, their attempts in flight."""
-    known = set(state.peers)
-    state.peers.update(peers)
-    for entry, peer in list(state.peers.items()):
-        if now_s - peer.received_s > _PEER_TIMEOUT_S:
-            del state.peers[entry]
-    if known != set(state.peers):
-        _assign_owners(state)
-    if peer_loads is not None:
-        state.peer_loads[replica] = peer_loads
-    for source, each in list(state.peer_loads.items()):
-        if now_s - each.received_s > _PEER_TIMEOUT_S:
-            del state.peer_loads[source]
-    _sum_peer_loads(state)
-
-
-def update_slow_ranks(
-    state: DispatchState, replica: InstanceId, ranks: tuple[SlowRank, ...], now_s: float
-) -> None:
-    """Store the slow ranks that a replica reports, and update the paces if that is a change."""
-    before = _paces(state)
-    state.slow_ranks[replica] = SlowRanks(ranks, now_s)
-    for source, reported in list(state.slow_ranks.items()):
-        if now_s - reported.received_s > _PEER_TIMEOUT_S:
-            del state.slow_ranks[source]
-    if _paces(state) != before:
-        _update_paces(state)
+    dispatch_peers.update_owners(state)
+    dispatch_peers.sum_peer_loads(state)
+    dispatch_peers.update_paces(state)
 
 
 def on_request(state: DispatchState, message: DispatchRequest, now_s: float) -> list[Output]:
@@ -199,7 +102,7 @@
     A retry takes a token of the retry budget. It is refused if none is left, or if it has tried all
     upstreams.
     """
-    pool = _pool(state, message.pool)
+    pool = pool_of(state, message.pool)
     entries = len(state.peers) + 1
     retry_budget.refill(pool.retries, state.retry_bounds, entries, now_s)
     if message.is_retry:
@@ -222,7 +125,7 @@
 
 def refuse_prompt(state: DispatchState, message: DispatchRequest, retry_after_s: float) -> Refuse:
     """Refuse a request whose prompt has a blocked part."""
-    waiting = len(_pool(state, message.pool).waiting)
+    waiting = len(pool_of(state, message.pool).waiting)
     reason = RefusalReason.PROMPT_SUSPECTED
     return Refuse(message.number, reason, round(max(_MIN_RETRY_AFTER_S, retry_after_s), 2), waiting)
 
@@ -245,7 +148,7 @@
 
 def on_first_byte(state: DispatchState, message: FirstByte, now_s: float) -> None:
     """Record the delay from placement to the first byte of an answer."""
-    pool = _pool(state, message.pool)
+    pool = pool_of(state, message.pool)
     stats = pool.upstreams.by_id.get(message.upstream)
     if stats is not None:
         stats.unanswered = max(0, stats.unanswered - 1)
@@ -255,65 +158,9 @@
         )
 
 
-def on_upstream_leaving(state: DispatchState, message: UpstreamLeaving) -> bool:
-    """Stop using an upstream that is leaving; return whether it was in use."""
-    pool = _pool(state, message.pool)
-    start = (message.upstream, message.start_time_ms)
-    pool.notices.leaving.add(start)
-    stats = pool.upstreams.by_id.get(message.upstream)
-    if stats is None or upstream_notices.start_of(stats.record) != start:
-        return False
-    del pool.upstreams.by_id[message.upstream]
-    _assign_owners(state)
-    return True
-
-
-def on_upstream_lost(state: DispatchState, start: Start, lost_s: float) -> bool:
-    """Suspend an upstream that has crashed, and its group; return whether that is news."""
-    until_s = lost_s + GROUP_LOST_S
-    for pool in state.pools.values():
-        stats = pool.upstreams.by_id.get(start[0])
-        if stats is None or upstream_notices.start_of(stats.record) != start:
-            continue
-        is_news = start not in pool.lost
-        pool.lost.add(start)
-        stats.suspended_until_s = max(stats.suspended_until_s, until_s)
-        group = upstream_selection.group_of(stats)
-        if group is not None:
-            upstream_selection.suspend_group(pool.upstreams, group, until_s)
-        return is_news
-    return False
-
-
-def on_upstream_closed(state: DispatchState, message: UpstreamClosed, now_s: float) -> None:
-    """Send no requests to an upstream for the time that it asks for."""
-    start = (message.upstream, message.start_time_ms)
-    upstream_notices.close(_pool(state, message.pool).notices, start, message.duration_s, now_s)
-
-
-def on_rate_limit_stated(state: DispatchState, message: RateLimitStated, now_s: float) -> bool:
-    """Record the limit that an upstream states, or its end; return whether it has changed."""
-    start = (message.upstream, message.start_time_ms)
-    limits = _pool(state, message.pool).rate_limits
-    return rate_limits.record(limits, start, message.rate_per_s, now_s)
-
-
-def on_shared_rate_limits(
-    state: DispatchState, shared: Iterable[SharedRateLimit], now_s: float
-) -> None:
-    """Record the limits that upstreams have stated to other entries."""
-    for each in shared:
-        for pool in state.pools.values():
-            stats = pool.upstreams.by_id.get(each.upstream)
-            start = (each.upstream, each.start_time_ms)
-            if stats is not None and upstream_notices.start_of(stats.record) == start:
-                limits = pool.rate_limits
-                rate_limits.record(limits, start, each.rate_per_s, now_s - each.age_s)
-
-
 def on_pause_observed(state: DispatchState, message: PauseObserved, now_s: float) -> None:
     """Record the longest recent pause of a stream."""
-    pool = _pool(state, message.pool)
+    pool = pool_of(state, message.pool)
     stats = pool.upstreams.by_id.get(message.upstream)
     if stats is not None:
         group_pauses.observe(pauses_of(pool, stats), message.pause_s / message.target_s, now_s)
@@ -321,7 +168,7 @@
 
 def on_attempt_ended(state: DispatchState, message: AttemptEnded, now_s: float) -> list[Output]:
     """Release the slot of an attempt, record its outcome and place queued requests."""
-    pool = _pool(state, message.pool)
+    pool = pool_of(state, message.pool)
     stats = pool.upstreams.by_id.get(message.upstream)
     if stats is None:
         return place_queued(state, message.pool, now_s)
@@ -347,7 +194,7 @@
     """Remove a placed request from the count of its team."""
     pool, team = state.team_by_request.pop(number, (None, None))
     if pool is not None:
-        counts = _pool(state, pool).in_service
+        counts = pool_of(state, pool).in_service
         counts[team] = counts.get(team, 1) - 1
         if counts[team] <= 0:
             del counts[team]
@@ -366,7 +213,7 @@
 
 def place_queued(state: DispatchState, name: PoolId, now_s: float) -> list[Output]:
     """Assign free slots to queued requests."""
-    pool = _pool(state, name)
+    pool = pool_of(state, name)
     outputs: list[Output] = []
     while pool.waiting:
         placed = _place_next(state, name, pool, now_s)
@@ -388,7 +235,7 @@
 
 def utilization(state: DispatchState, name: PoolId) -> float:
     """Return the utilization of a pool's slots; queued requests count, so it can exceed 1."""
-    pool = _pool(state, name)
+    pool = pool_of(state, name)
     slots = sum(max(1, stats.record.slots) for stats in pool.upstreams.by_id.values())
     used = sum(upstream_selection.load_of(stats) for stats in pool.upstreams.by_id.values()) + len(
         pool.waiting
@@ -439,7 +286,7 @@
 def _refuse(
     state: DispatchState, message: DispatchRequest, reason: RefusalReason, now_s: float
 ) -> Refuse:
-    pool = _pool(state, message.pool)
+    pool = pool_of(state, message.pool)
     left_s = max(0.0, message.deadline_s - now_s)
     closed_s = opens_s(pool, now_s) - now_s
     if closed_s > 0.0:
@@ -458,7 +305,7 @@
 
 
 def _is_leaving(state: DispatchState, record: UpstreamRecord) -> bool:
-    return upstream_notices.start_of(record) in _pool(state, record.pool).notices.leaving
+    return upstream_notices.start_of(record) in pool_of(state, record.pool).notices.leaving
 
 
 def _suspend_group(pool: PoolState, stats: UpstreamStats, now_s: float) -> None:
@@ -478,63 +325,3 @@
         if route.pause_target_s and any(part.pool == name for part in route.split)
     ]
     return min(targets, default=0.0)
-
-
-def _pool(state: DispatchState, name: PoolId) -> PoolState:
-    pool = state.pools.get(name)
-    if pool is None:
-        pool = state.pools[name] = PoolState()
-    return pool
-
-
-def _paces(state: DispatchState) -> dict[Start, float]:
-    """Return the paces of all slow ranks."""
-    return {
-        (rank.upstream, rank.start_time_ms): rank.pace
-        for reported in state.slow_ranks.values()
-        for rank in reported.ranks
-    }
-
-
-def _update_paces(state: DispatchState) -> None:
-    """Update how much slower each upstream is than the fastest one of its group."""
-    paces = _paces(state)
-    for pool in state.pools.values():
-        fastest: dict[GroupId | None, float] = {}
-        for stats in pool.upstreams.by_id.values():
-            stats.pace = paces.get(upstream_notices.start_of(stats.record), 1.0)
-            group = upstream_selection.group_of(stats)
-            fastest[group] = min(stats.pace, fastest.get(group, stats.pace))
-        for stats in pool.upstreams.by_id.values():
-            stats.pace /= fastest[upstream_selection.group_of(stats)]
-
-
-def _assign_owners(state: DispatchState) -> None:
-    """Update the distance from this entry to the owner of each upstream."""
-    entries = [EntryLocation(name, peer.data_centre) for name, peer in state.peers.items()]
-    entries.append(EntryLocation(state.instance, state.data_centre))
-    order = sorted(each.entry for each in entries)
-    for pool in state.pools.values():
-        owners = assign_owners(
-            entries,
-            [
-                UpstreamLocation(stats.record.upstream, stats.record.data_centre)
-                for stats in pool.upstreams.by_id.values()
-            ],
-        )
-        own = order.index(state.instance)
-        users = users_by_owner({order.index(owner) for owner in owners.values()}, len(order))
-        for stats in pool.upstreams.by_id.values():
-            position = order.index(owners.get(stats.record.upstream, state.instance))
-            stats.owner_distance = (position - own) % len(order)
-            using = users.get(position, frozenset([own]))
-            stats.sharers = len(using) if own in using else 0
-
-
-def _sum_peer_loads(state: DispatchState) -> None:
-    """Update the attempts in flight of other entries at each upstream."""
-    for pool in state.pools.values():
-        for upstream, stats in pool.upstreams.by_id.items():
-            stats.peer_in_flight = sum(
-                each.in_flight.get(upstream, 0) for each in state.peer_loads.values()
-            )
--- a/src/lycheefall/_rules/prompt_evidence.py
+++ b/src/lycheefall/_rules/prompt_evidence.py
@@ -14,7 +14,8 @@
 
 from msgspec import Struct, field
 
-from lycheefall._core.ids import PromptPart, UpstreamId
+from lycheefall._core.ids import PromptPart
+from lycheefall._rules.upstream_notices import Start
 
 # A sound part that was in this many crashes without a response in between is suspected.
 SOUND_PART_CRASHES = 3
@@ -26,9 +27,6 @@
 MAX_PARTS_PER_CRASH = 64
 MAX_GENERATED_PARTS = 8192
 
-# An upstream and its start time in ms; a restarted upstream may keep its id.
-Start = tuple[UpstreamId, int]
-
 
 class _Crash(Struct):
     """Parts of the prompts on which a crashed upstream may have begun to generate."""
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -23,7 +23,7 @@
 from lycheefall._relay.exchange import request_handler
 from lycheefall._relay.exchange_state import Relay
 from lycheefall._relay.messages import ApplyConfiguration, DispatchTick, ToDispatch
-from lycheefall._rules.dispatching import DispatchState
+from lycheefall._rules.dispatch_state import DispatchState
 from lycheefall._rules.identification import Index, build_index
 from lycheefall._rules.retry_budget import RetryBounds
 from lycheefall._wire.http_server import HttpLimits, HttpServer, close_server, open_server
--- a/tests/simulated_day.py
+++ b/tests/simulated_day.py
@@ -14,7 +14,7 @@
 
 from lycheefall._core.ids import DataCentreId, GroupId, InstanceId, PoolId, TeamId, UpstreamId
 from lycheefall._core.relay import RequestKind, UpstreamRecord, Urgency
-from lycheefall._rules import dispatching, record_table
+from lycheefall._rules import dispatch_peers, dispatching, record_table
 from lycheefall._rules.dispatch_messages import (
     AttemptEnded,
     DispatchRequest,
@@ -25,7 +25,7 @@
     Place,
     Refuse,
 )
-from lycheefall._rules.dispatching import DispatchState, PeerEntry, PeerLoads
+from lycheefall._rules.dispatch_state import DispatchState, PeerEntry, PeerLoads
 from lycheefall._rules.record_table import RecordTable
 from lycheefall._rules.retry_budget import RetryBounds
 from relay_values import POOL, SERVICE_POOL, configuration, record
@@ -370,7 +370,7 @@
                 if other != number:
                     totals.update(counts)
             loads = PeerLoads(dict(totals), self.now_s)
-            dispatching.update_peers(state, others, InstanceId("c"), loads, self.now_s)
+            dispatch_peers.update_peers(state, others, InstanceId("c"), loads, self.now_s)
 
     def _tick(self) -> None:
         for state in self.entries:
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -19,7 +19,7 @@
     UpstreamRecord,
     Urgency,
 )
-from lycheefall._rules import dispatching, record_table
+from lycheefall._rules import dispatch_peers, dispatching, record_table
 from lycheefall._rules.dispatch_messages import (
     AttemptEnded,
     DispatchRequest,
@@ -31,7 +31,7 @@
     Refuse,
     Withdraw,
 )
-from lycheefall._rules.dispatching import DispatchState, PeerEntry, PeerLoads
+from lycheefall._rules.dispatch_state import DispatchState, PeerEntry, PeerLoads
 from lycheefall._rules.record_table import RecordTable
 from lycheefall._rules.retry_budget import RetryBounds
 from relay_values import POOL, SERVICE_POOL, configuration, record
@@ -74,7 +74,7 @@
     loads = None
     if in_flight is not None:
         loads = PeerLoads({UpstreamId(name): count for name, count in in_flight.items()}, now_s)
-    dispatching.update_peers(state, others, InstanceId(replica), loads, now_s)
+    dispatch_peers.update_peers(state, others, InstanceId(replica), loads, now_s)
 
 
 def make_request(number: int, now_s: float = 0.0, **changes: object) -> DispatchRequest:
@@ -119,24 +119,24 @@
         """Guards against requests on a slow rank, for which all ranks of its group wait."""
         state = dispatcher(record("u1", rank=0), record("u2", rank=1))
         slow = (SlowRank(UpstreamId("u1"), 1000, 4.0),)
-        dispatching.update_slow_ranks(state, InstanceId("c1"), slow, 0.0)
+        dispatch_peers.update_slow_ranks(state, InstanceId("c1"), slow, 0.0)
         outputs = [dispatching.on_request(state, make_request(n), 0.0) for n in range(3)]
         assert [each[0].record.upstream for each in outputs if each] == ["u2", "u2"]
-        dispatching.update_slow_ranks(state, InstanceId("c1"), (), 0.1)
+        dispatch_peers.update_slow_ranks(state, InstanceId("c1"), (), 0.1)
         assert [each.record.upstream for each in dispatching.tick(state, 0.1)] == ["u1"]
 
     def test_all_ranks_slow(self) -> None:
         """Guards against a group without any requests because all its ranks are slow alike."""
         state = dispatcher(record("u1", rank=0), record("u2", rank=1))
         slow = tuple(SlowRank(UpstreamId(name), 1000, 4.0) for name in ("u1", "u2"))
-        dispatching.update_slow_ranks(state, InstanceId("c1"), slow, 0.0)
+        dispatch_peers.update_slow_ranks(state, InstanceId("c1"), slow, 0.0)
         assert dispatching.on_request(state, make_request(0), 0.0)
 
     def test_report_of_an_earlier_start(self) -> None:
         """Guards against a restarted rank that is avoided because its earlier start was slow."""
         state = dispatcher(record("u1", rank=0, start_time_ms=2000), record("u2", rank=1))
         slow = (SlowRank(UpstreamId("u1"), 1000, 4.0),)
-        dispatching.update_slow_ranks(state, InstanceId("c1"), slow, 0.0)
+        dispatch_peers.update_slow_ranks(state, InstanceId("c1"), slow, 0.0)
         outputs = [dispatching.on_request(state, make_request(n), 0.0) for n in range(4)]
         assert all(outputs)
 
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -8,7 +8,7 @@
 from lycheefall._core.ids import DataCentreId, InstanceId, UpstreamId
 from lycheefall._core.messages.relay import SharedRateLimit
 from lycheefall._core.relay import RequestKind
-from lycheefall._rules import dispatching
+from lycheefall._rules import dispatch_peers, dispatching, upstream_statements
 from lycheefall._rules.dispatch_messages import (
     AttemptEnded,
     FirstByte,
@@ -16,7 +16,7 @@
     Place,
     RateLimitStated,
 )
-from lycheefall._rules.dispatching import DispatchState, PeerEntry
+from lycheefall._rules.dispatch_state import DispatchState, PeerEntry
 from relay_values import POOL, SERVICE_POOL, configuration, record, route
 from test_dispatching import BOUNDS, make_request, set_upstreams
 from upstream_double import Exchange, complete_response, upstream
@@ -54,13 +54,13 @@
     names = [InstanceId(f"e{number:02}") for number in range(entries)]
     peers = {name: PeerEntry(DataCentreId("dc1"), now_s) for name in names}
     del peers[state.instance]
-    dispatching.update_peers(state, peers, InstanceId("c1"), None, now_s)
+    dispatch_peers.update_peers(state, peers, InstanceId("c1"), None, now_s)
 
 
 def state_limit(state: DispatchState, rate_per_s: float | None, now_s: float) -> None:
     """Have the limited upstream state a rate, or that there is no limit."""
     stated = RateLimitStated(SERVICE_POOL, UpstreamId("u1"), 1000, rate_per_s)
-    dispatching.on_rate_limit_stated(state, stated, now_s)
+    upstream_statements.on_rate_limit_stated(state, stated, now_s)
 
 
 def finish(state: DispatchState, upstream: UpstreamId, now_s: float) -> None:
@@ -162,17 +162,17 @@
         """Guards against an entry that learns of a limit only from its own requests."""
         state = entry(0, 1)
         shared = SharedRateLimit(UpstreamId("u1"), 1000, 0.5, 0.2)
-        dispatching.on_shared_rate_limits(state, [shared], 0.0)
+        upstream_statements.on_shared_rate_limits(state, [shared], 0.0)
         # An older statement is ignored.
         older = SharedRateLimit(UpstreamId("u1"), 1000, None, 5.0)
-        dispatching.on_shared_rate_limits(state, [older], 0.0)
+        upstream_statements.on_shared_rate_limits(state, [older], 0.0)
         assert len(play_without_statements(state, 4.0)) <= allowed(0.5)
 
     def test_other_start(self) -> None:
         """Guards against a restarted upstream that is spared for what its earlier start stated."""
         state = entry(0, 1)
         shared = SharedRateLimit(UpstreamId("u1"), 999, 0.5, 0.2)
-        dispatching.on_shared_rate_limits(state, [shared], 0.0)
+        upstream_statements.on_shared_rate_limits(state, [shared], 0.0)
         assert len(play_without_statements(state, 4.0)) > allowed(0.5)
 
 
--- a/tests/test_upstream_notices.py
+++ b/tests/test_upstream_notices.py
@@ -3,7 +3,7 @@
 import pytest
 
 from lycheefall._core.ids import UpstreamId
-from lycheefall._rules import dispatching
+from lycheefall._rules import dispatching, upstream_statements
 from lycheefall._rules.dispatch_messages import (
     FirstByte,
     Outcome,
@@ -14,7 +14,7 @@
     UpstreamClosed,
     UpstreamLeaving,
 )
-from lycheefall._rules.dispatching import DispatchState
+from lycheefall._rules.dispatch_state import DispatchState
 from lycheefall._rules.upstream_notices import MAX_CLOSED_S
 from relay_values import POOL, record
 from test_dispatching import DEADLINE_S, dispatcher, end, make_request, set_upstreams
@@ -22,13 +22,15 @@
 
 def leave(state: DispatchState, name: str, start_time_ms: int = 1000) -> None:
     """Report that an upstream said that it is leaving."""
-    dispatching.on_upstream_leaving(state, UpstreamLeaving(POOL, UpstreamId(name), start_time_ms))
+    upstream_statements.on_upstream_leaving(
+        state, UpstreamLeaving(POOL, UpstreamId(name), start_time_ms)
+    )
 
 
 def close(state: DispatchState, name: str, duration_s: float, now_s: float = 0.0) -> None:
     """Report that an upstream asked for a time without requests."""
     message = UpstreamClosed(POOL, UpstreamId(name), 1000, duration_s)
-    dispatching.on_upstream_closed(state, message, now_s)
+    upstream_statements.on_upstream_closed(state, message, now_s)
 
 
 def upstreams_of(outputs: list[Output]) -> list[str]:
