Tell callers to return late while no upstream of a pool is usable

Callers were refused twice, 0.18 s apart in the median, while all groups were down for seconds; most retry once. Cause: Retry-After follows the rate at which requests are placed, also when none can be. Change: if all upstreams of a pool are suspended or in broken groups, it is a third of the time that the caller has left, less the jitter. Result: test_no_usable_upstream fails before and passes.

--- a/src/lycheefall/_rules/dispatching.py
+++ b/src/lycheefall/_rules/dispatching.py
@@ -297,6 +297,11 @@
         return Refuse(message.number, closed, retry_after_s, len(pool.waiting))
     if reason is RefusalReason.NO_UPSTREAM:
         wait_s = _NO_UPSTREAM_RETRY_S
+    elif not any(
+        upstream_selection.is_usable(stats, now_s) for stats in pool.upstreams.by_id.values()
+    ):
+        # Groups take seconds to form again, and a caller that returns before is refused again.
+        wait_s = left_s
     else:
         wait_s = (len(pool.waiting) + 1) / wait_queue.placements_per_s(pool, now_s)
     wait_s = max(_MIN_RETRY_AFTER_S, min(wait_s, left_s * _RETRY_AFTER_RATIO))
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -247,6 +247,15 @@
         times = {each.retry_after_s for each in found if isinstance(each, Refuse)}
         assert len(times) > 20
 
+    def test_no_usable_upstream(self) -> None:
+        """Guards against callers that use up their retries while all groups are broken."""
+        broken = GroupMembership(GroupId("g"), 0, 1, GroupHealth.BROKEN)
+        state = dispatcher(replace(record("u1", slots=1), group=broken))
+        retry = make_request(1, tried=(UpstreamId("u1"),), is_retry=True)
+        outputs = dispatching.on_request(state, retry, 0.0)
+        assert isinstance(outputs[0], Refuse)
+        assert outputs[0].retry_after_s >= 0.15 * DEADLINE_S
+
     def test_withdrawn_request_is_not_placed(self) -> None:
         """Guards against placing the request of a caller that disconnected."""
         state = dispatcher(record("u1", slots=1))
