Count a crash under a revoked attempt as evidence against its prompt

Callers with a sound part of a prompt were refused for 10 s. Cause: the block of a part ends attempts with it. If the upstream of such an attempt had just crashed on it, the entry never saw the broken connection; the crash was blamed on the sound request beside it. Change: after a revoked attempt the entry checks whether the upstream still listens, as after a broken connection, and reports the crash. Result: test_bystander_of_a_crash_on_a_revoked_attempt fails before and passes.

--- a/src/lycheefall/_relay/exchange.py
+++ b/src/lycheefall/_relay/exchange.py
@@ -148,6 +148,8 @@
     except TimeoutError:
         if not scope.expired():
             raise
+        # The upstream may have crashed on the prompt just before.
+        await _report_possible_crash(relay, exchange, place.record)
         # The dispatcher refuses the next placement with the reason.
         return NextStep.TRY_ELSEWHERE
 
@@ -174,7 +176,8 @@
         return await _send_and_receive(relay, exchange, record, connection, report_end)
     except ExchangeError as error:
         discard(connection)
-        await _report_broken_connection(relay, exchange, record, error)
+        if error.cause is FailureCause.BROKEN:
+            await _report_possible_crash(relay, exchange, record)
         report_end(Outcome.LOST, str(error))
         return _next_after_failure(exchange)
     except BaseException:
@@ -313,16 +316,12 @@
     return NextStep.TRY_ELSEWHERE if exchange.may_repeat else NextStep.GIVE_UP
 
 
-async def _report_broken_connection(
-    relay: Relay, exchange: Exchange, record: UpstreamRecord, error: ExchangeError
-) -> None:
-    """Report a connection that broke after the request was sent as a suspected crash.
+async def _report_possible_crash(relay: Relay, exchange: Exchange, record: UpstreamRecord) -> None:
+    """Report a suspected crash of an upstream that was sent the request.
 
     Other entries act on a crash, so it is confirmed first where it matters to them: if the upstream
     was about to generate on a prompt, or if its group stalls without it.
     """
-    if error.cause is not FailureCause.BROKEN:
-        return
     is_suspect = exchange.attempt_deliveries < GENERATED_DELIVERIES
     parts = exchange.prompt_parts if is_suspect else ()
     is_refusing = False
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -101,6 +101,33 @@
                 await closed.wait()
             assert {each.status for each in await asyncio.gather(*calls)} == {502}
 
+    async def test_bystander_of_a_crash_on_a_revoked_attempt(self) -> None:
+        """Guards against a sound part that is blamed because the attempt on the other one ended."""
+        arrived = asyncio.Event()
+
+        async def crash_first(exchange: Exchange) -> None:
+            await arrived.wait()
+            second.close()
+            await crash_on_part(exchange)
+
+        async def hang(exchange: Exchange) -> None:
+            arrived.set()
+            with contextlib.suppress(ConnectionError):
+                await exchange.reader.read()
+
+        async with (
+            upstream(crash_first) as first,
+            upstream(hang) as second,
+            running_entry(STREAM) as harness,
+        ):
+            await harness.announce(
+                record("u0", address=first.address, slots=1),
+                record("u1", address=second.address, slots=1),
+            )
+            await asyncio.gather(*(ask(harness, n, CRASHING) for n in range(2)))
+            evidence = harness.dispatcher.prompts.evidence
+            assert len(evidence.crashes) == 2
+
 
 class TestGroup:
     async def test_ranks_that_wait_for_a_crashed_one(self) -> None:
