Compute the verdicts on prompt parts once for all entries, and drop cleared parts

Change: one computation for all updates of a moment; a cleared part leaves the crash at once, and stays away when the crash is reported again. Result: test_crash_reported_again passes; the tests of prompts and of the registrar pass.

--- a/src/lycheefall/_registry/upstream_reports.py
+++ b/src/lycheefall/_registry/upstream_reports.py
@@ -30,6 +30,9 @@
     """Crashes, the parts of prompts that were in them, and limits on rates."""
 
     prompts: PromptEvidence = field(default_factory=PromptEvidence)
+    # The verdicts last sent, and the time that they hold for.
+    verdicts: tuple[PartVerdict, ...] = ()
+    verdicts_s: float = float("-inf")
     # When an entry first reported the crash of a start.
     lost_s: dict[Start, float] = field(default_factory=dict)
     rates: dict[Start, StatedRate] = field(default_factory=dict)
@@ -42,9 +45,15 @@
 
 
 def part_verdicts(reports: UpstreamReports, now_s: float) -> tuple[PartVerdict, ...]:
-    """Return the verdicts on the parts of prompts that were in recent crashes."""
+    """Return the verdicts on the parts of prompts that were in recent crashes.
+
+    All entries are sent the same ones at a time.
+    """
+    if reports.verdicts_s == now_s:
+        return reports.verdicts
     verdicts = prompt_evidence.verdicts(reports.prompts, now_s)
-    return tuple(
+    reports.verdicts_s = now_s
+    reports.verdicts = tuple(
         PartVerdict(
             part,
             verdict.crashes,
@@ -53,6 +62,7 @@
         )
         for part, verdict in verdicts.items()
     )
+    return reports.verdicts
 
 
 def lost(reports: UpstreamReports, now_s: float) -> tuple[LostUpstream, ...]:
@@ -118,6 +128,7 @@
     if not (has_crash or status.sound_parts or status.part_trials):
         return False
     before = prompt_evidence.verdicts(reports.prompts, now_s)
+    reports.verdicts_s = float("-inf")
     for crash in status.crashes:
         if crash.prompt_parts:
             start = (crash.upstream, crash.start_time_ms)
--- a/src/lycheefall/_rules/prompt_evidence.py
+++ b/src/lycheefall/_rules/prompt_evidence.py
@@ -110,15 +110,19 @@
 
 def _blamed(evidence: PromptEvidence, crash: _Crash) -> list[PromptPart]:
     """Return the parts that may have caused a crash."""
-    generated_s = evidence.generated_s
-    never = float("-inf")
-    # A response after the crash clears a part.
-    possible = [part for part in crash.parts if generated_s.get(part, never) < crash.crashed_s]
-    return [part for part in possible if part not in generated_s] or possible
+    return [part for part in crash.parts if part not in evidence.generated_s] or [*crash.parts]
 
 
 def _forget_old(evidence: PromptEvidence, now_s: float) -> None:
+    """Forget what is too old, and the parts that a response after a crash has cleared.
+
+    The crash itself is kept, since entries report it again for some time.
+    """
+    never = float("-inf")
     for start, crash in list(evidence.crashes.items()):
+        crash.parts = {
+            part for part in crash.parts if evidence.generated_s.get(part, never) < crash.crashed_s
+        }
         if now_s - crash.crashed_s > RETENTION_S:
             del evidence.crashes[start]
     for part, generated_s in list(evidence.generated_s.items()):
--- a/tests/test_prompt_evidence.py
+++ b/tests/test_prompt_evidence.py
@@ -49,6 +49,15 @@
         record_generated(evidence, RARE, 3.0)
         assert counts(evidence, 3.0) == {}
 
+    def test_crash_reported_again(self) -> None:
+        """Guards against a part that is suspected again by a second report of the same crash."""
+        evidence = PromptEvidence()
+        crash(evidence, 1, 1.0, RARE)
+        record_generated(evidence, RARE, 1.5)
+        assert counts(evidence, 1.5) == {}
+        crash(evidence, 1, 2.0, RARE)
+        assert verdicts(evidence, 2.0) == {}
+
     def test_response_seen_elsewhere_before_the_crash(self) -> None:
         """Guards against a part that is suspected because its responses went to other entries."""
         evidence = PromptEvidence()
