--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -138,9 +138,9 @@
     return ("\r\n".join(lines) + "\r\n" + extra + "\r\n").encode() + body
 
 
-async def call(port: int, data: bytes, timeout_s: float = 5.0) -> Response:
+async def call(port: int, data: bytes, timeout_s: float = 5.0, host: str = "127.0.0.1") -> Response:
     """Send a request over a new connection and return the response."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    reader, writer = await asyncio.open_connection(host, port)
     try:
         writer.write(data)
         async with asyncio.timeout(timeout_s):
