Bound the check of an upstream that broke a connection to 0.1 s

Cause: a retry waits for the check, and a connection to a host that is cut off hangs for the 0.4 s of an ordinary one. Found by reading the change. Change: the check has a timeout of its own; a host without a listener refuses within a round trip. Result: the tests of crashing prompts and of exchanges pass.

--- a/src/lycheefall/_relay/connection_pool.py
+++ b/src/lycheefall/_relay/connection_pool.py
@@ -20,6 +20,8 @@
 # Hosts accept a connection within a few milliseconds, but a lost SYN packet is retransmitted only
 # after 1 s.
 CONNECT_TIMEOUT_S = 0.4
+# A host without a listener refuses within a round trip; retries wait for the result of a check.
+CHECK_TIMEOUT_S = 0.1
 MAX_IDLE_PER_UPSTREAM = 16
 # Time for which the result of a check is reused: a crash breaks many connections at once.
 CHECK_REUSE_S = 0.5
@@ -113,7 +115,7 @@
     if ":" not in record.address:
         return False
     try:
-        discard(await connect(record.address, CONNECT_TIMEOUT_S))
+        discard(await connect(record.address, CHECK_TIMEOUT_S))
     except ExchangeError as error:
         return error.cause is FailureCause.CONNECTION_REFUSED
     return False
