Log revoked attempts with an outcome of their own

Add the outcome 'revoked' to logs and metrics, with the attempts sent, the last event and the parts of the prompt, as for lost ones.

--- a/src/lycheefall/_relay/exchange.py
+++ b/src/lycheefall/_relay/exchange.py
@@ -170,7 +170,7 @@
         report_end(Outcome.NOT_CONNECTED, str(error))
         return NextStep.TRY_ELSEWHERE
     except asyncio.CancelledError:
-        report_end(Outcome.CANCELLED, "")
+        report_end(_outcome_of_cancellation(exchange), "")
         raise
     try:
         return await _send_and_receive(relay, exchange, record, connection, report_end)
@@ -182,10 +182,15 @@
         return _next_after_failure(exchange)
     except BaseException:
         discard(connection)
-        report_end(Outcome.CANCELLED, "")
+        report_end(_outcome_of_cancellation(exchange), "")
         raise
 
 
+def _outcome_of_cancellation(exchange: Exchange) -> Outcome:
+    is_revoked = exchange.revoked is not None and exchange.revoked.done()
+    return Outcome.REVOKED if is_revoked else Outcome.CANCELLED
+
+
 def _end_reporter(
     relay: Relay, exchange: Exchange, record: UpstreamRecord, started_s: float
 ) -> ReportEnd:
--- a/src/lycheefall/_relay/exchange_log.py
+++ b/src/lycheefall/_relay/exchange_log.py
@@ -64,10 +64,11 @@
 def log_attempt_ended(
     exchange: Exchange, record: UpstreamRecord, outcome: Outcome, took_s: float, detail: str
 ) -> None:
-    """Log an attempt without an answer; a lost one with what may have crashed the upstream."""
-    lost: dict[str, object] = {}
-    if outcome is Outcome.LOST:
-        lost = {
+    """Log an attempt without an answer; a lost or revoked one with its progress."""
+    progress: dict[str, object] = {}
+    if outcome in (Outcome.LOST, Outcome.REVOKED):
+        progress = {
+            "sent": exchange.possible_runs,
             "tried": len(exchange.tried) - 1,
             "last_event": exchange.events.last_id,
             "prompt_parts": exchange.prompt_parts,
@@ -79,7 +80,7 @@
         outcome=outcome.value,
         took_s=round(took_s, 4),
         detail=detail,
-        **lost,
+        **progress,
     )
 
 
--- a/src/lycheefall/_rules/dispatch_messages.py
+++ b/src/lycheefall/_rules/dispatch_messages.py
@@ -78,6 +78,8 @@
     FAILED = "failed"
     TIMED_OUT = "timed-out"
     CANCELLED = "cancelled"
+    # The entry ended the attempt because its prompt may crash upstreams.
+    REVOKED = "revoked"
 
 
 class AttemptEnded(Struct, frozen=True):
--- a/src/lycheefall/_rules/dispatching.py
+++ b/src/lycheefall/_rules/dispatching.py
@@ -183,7 +183,7 @@
             upstream_selection.suspend(stats, now_s)
         case Outcome.LOST | Outcome.TIMED_OUT | Outcome.FAILED | Outcome.NOT_RUN:
             upstream_selection.record_outcome(stats, True, now_s)
-        case Outcome.CANCELLED:
+        case Outcome.CANCELLED | Outcome.REVOKED:
             pass
     if message.group_stalled:
         _suspend_group(pool, stats, now_s)
