Decide in one place whether a revoked attempt may run again

Cause: _attempt answered the revocation of an attempt with TRY_ELSEWHERE and relied on the dispatcher to refuse the next placement. If control clears the part within milliseconds, the placement succeeds and the request runs again, whether or not it may, beyond the attempts of its route. Besides, attempts stayed revocable until their second event, so that sound streams were cut though ending them protects no upstream.

Exchange.may_repeat now decides after each end of an attempt, and an attempt is revocable only until its first event or the report of its end. The cancellation takes effect at once rather than one iteration of the event loop later. On related paths: a second placement for a stalled stream no longer replaces the future that the attempt watches, and the end of an attempt is reported if the caller leaves while a possible crash is checked.

--- a/src/lycheefall/_relay/exchange.py
+++ b/src/lycheefall/_relay/exchange.py
@@ -100,7 +100,9 @@
 async def _request_placement(relay: Relay, exchange: Exchange, deadline_s: float) -> Place | Refuse:
     """Return the upstream that the dispatcher assigns, or its refusal; the request may queue."""
     placement: asyncio.Future[Place | Refuse] = asyncio.get_running_loop().create_future()
-    exchange.revoked = asyncio.get_running_loop().create_future()
+    # A stalled stream asks for another upstream within an attempt, which remains revocable.
+    if exchange.revoked is None or exchange.revoked.done():
+        exchange.revoked = asyncio.get_running_loop().create_future()
     # A stream that has begun counts as newly arrived: its caller is waiting mid-response.
     arrived_s = relay.now() if exchange.has_stream_begun else exchange.request.received_s
     is_late = exchange.is_caller_retry and not exchange.has_stream_begun
@@ -126,32 +128,35 @@
 
 
 async def _attempt(relay: Relay, exchange: Exchange, place: Place) -> NextStep | Place:
-    """Send the request to one upstream and forward its response, unless it is revoked."""
-    scope = asyncio.timeout(None)
+    """Send the request to one upstream and forward its response, unless it is revoked before."""
+    task = asyncio.current_task()
+    assert task is not None
+    cancellations = task.cancelling()
     revoked = exchange.revoked
-    is_open = True
+    exchange.is_revocable = True
+    is_cancelled = False
 
     def end_attempt(_: object) -> None:
-        if is_open:
-            scope.reschedule(relay.now())
-
+        # A timeout would cancel one iteration of the event loop later, when output that arrives
+        # meanwhile may already be on its way to the caller.
+        nonlocal is_cancelled
+        if exchange.is_revocable:
+            is_cancelled = task.cancel()
+
+    if revoked is not None:
+        revoked.add_done_callback(end_attempt)
     try:
-        async with scope:
-            if revoked is not None:
-                revoked.add_done_callback(end_attempt)
-            try:
-                return await _run_attempt(relay, exchange, place)
-            finally:
-                is_open = False
-                if revoked is not None:
-                    revoked.remove_done_callback(end_attempt)
-    except TimeoutError:
-        if not scope.expired():
+        return await _run_attempt(relay, exchange, place)
+    except asyncio.CancelledError:
+        if not is_cancelled or task.uncancel() > cancellations:
             raise
-        # The upstream may have crashed on the prompt just before.
-        await _report_possible_crash(relay, exchange, place.record)
-        # The dispatcher refuses the next placement with the reason.
-        return NextStep.TRY_ELSEWHERE
+    finally:
+        exchange.is_revocable = False
+        if revoked is not None:
+            revoked.remove_done_callback(end_attempt)
+    # The upstream may have crashed on the prompt just before.
+    await _report_possible_crash(relay, exchange, place.record)
+    return _next_after_failure(exchange)
 
 
 async def _run_attempt(relay: Relay, exchange: Exchange, place: Place) -> NextStep | Place:
@@ -176,9 +181,11 @@
         return await _send_and_receive(relay, exchange, record, connection, report_end)
     except ExchangeError as error:
         discard(connection)
-        if error.cause is FailureCause.BROKEN:
-            await _report_possible_crash(relay, exchange, record)
-        report_end(Outcome.LOST, str(error))
+        try:
+            if error.cause is FailureCause.BROKEN:
+                await _report_possible_crash(relay, exchange, record)
+        finally:
+            report_end(Outcome.LOST, str(error))
         return _next_after_failure(exchange)
     except BaseException:
         discard(connection)
@@ -187,7 +194,7 @@
 
 
 def _outcome_of_cancellation(exchange: Exchange) -> Outcome:
-    is_revoked = exchange.revoked is not None and exchange.revoked.done()
+    is_revoked = exchange.revoked is not None and exchange.revoked.done() and exchange.is_revocable
     return Outcome.REVOKED if is_revoked else Outcome.CANCELLED
 
 
@@ -202,6 +209,8 @@
         if not is_open:
             return
         is_open = False
+        # The response to the caller may follow, and nothing may replace it.
+        exchange.is_revocable = False
         took_s = relay.now() - started_s
         stalled = outcome is Outcome.NOT_RUN and took_s > GROUP_STALL_S
         had_first_byte = exchange.answered_by is record
@@ -317,7 +326,7 @@
 
 
 def _next_after_failure(exchange: Exchange) -> NextStep:
-    """Retry only repeatable requests, as the failed attempt may have run."""
+    """Retry a request that may have run only if it is repeatable and has attempts left."""
     return NextStep.TRY_ELSEWHERE if exchange.may_repeat else NextStep.GIVE_UP
 
 
--- a/src/lycheefall/_relay/exchange_state.py
+++ b/src/lycheefall/_relay/exchange_state.py
@@ -80,8 +80,11 @@
     failure: Failure | None = None
     # Partial event of a stream, and the id of the last event sent to the caller.
     events: EventBuffer = field(default_factory=EventBuffer)
-    # Resolved if the attempt of the latest placement must end.
+    # Resolved if the prompt may crash upstreams, so that a revocable attempt must end.
     revoked: Future[None] | None = None
+    # Whether the current attempt ends if it is revoked. Once the upstream has generated, ending the
+    # attempt doesn't protect the upstream any more, and the caller would lose a sound response.
+    is_revocable: bool = False
     # Deliveries of events by the current attempt.
     attempt_deliveries: int = 0
     # Media type of the latest stream, in lower case.
@@ -109,6 +112,8 @@
     @property
     def may_repeat(self) -> bool:
         """Whether another attempt may run the request."""
+        if self.possible_runs == 0:
+            return True
         return self.is_repeatable and self.possible_runs < self.identified.route.max_attempts
 
 
--- a/src/lycheefall/_relay/streams.py
+++ b/src/lycheefall/_relay/streams.py
@@ -123,6 +123,7 @@
         record_pause(relay, exchange)
     if events:
         exchange.attempt_deliveries += 1
+        exchange.is_revocable = False
         if exchange.attempt_deliveries == GENERATED_DELIVERIES and exchange.prompt_parts:
             relay.dispatch.offer(PromptGenerated(exchange.number, exchange.prompt_parts))
     await send_data(exchange.caller, events)
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -4,8 +4,15 @@
 import contextlib
 from contextlib import AsyncExitStack
 
+import pytest
+from msgspec import structs
+
 from entry_harness import EntryHarness, Response, call, request, running_entry
-from lycheefall._core.relay import RequestKind
+from lycheefall._core.ids import NO_REVISION, InstanceId, PromptPart
+from lycheefall._core.messages.relay import PartVerdict, ReplicaUpdate
+from lycheefall._core.relay import RelayRoute, RequestKind
+from lycheefall._relay import connection_pool
+from lycheefall._rules import dispatching
 from relay_values import configuration, record, route
 from upstream_double import (
     LAST_CHUNK,
@@ -148,3 +155,94 @@
             responses = [(await ask(harness, n, COMMON)).status for n in range(1, 9)]
             assert set(responses) == {200}
             assert [len(each.received) for each in doubles] == [1, 0, 8]
+
+
+ONCE_STREAM = structs.replace(route(target_s=0.2, timeout_s=4.0), resumable=False)
+BOOKING = route(kind=RequestKind.NON_IDEMPOTENT, target_s=2.0, timeout_s=4.0)
+
+
+async def crash_beside(of: RelayRoute, *, has_output: bool) -> tuple[Response, int]:
+    """Run two requests with a common part, and crash the upstream of the first one.
+
+    The block of the part is lifted at once, as by control if another entry has seen output on it.
+    Return the response to the second request and the number of upstreams that received it.
+    """
+    both_run = asyncio.Barrier(2)
+    arrivals: list[str] = []
+
+    async def answer(exchange: Exchange) -> None:
+        arrivals.append(exchange.received.headers["attempt-id"])
+        begin = stream_head(exchange.received) + chunk(event(0))
+        if len(arrivals) == 1:
+            await both_run.wait()
+            exchange.double.close()
+            exchange.reset()
+        elif len(arrivals) == 2:
+            if has_output:
+                await exchange.send(begin)
+                await asyncio.sleep(0.05)
+            await both_run.wait()
+            await asyncio.sleep(0.3)
+            await exchange.send((b"" if has_output else begin) + chunk(event(1)) + LAST_CHUNK)
+        else:
+            await exchange.send(begin + chunk(event(1)) + LAST_CHUNK)
+
+    async with AsyncExitStack() as stack, running_entry(configuration(of)) as harness:
+        doubles = [await stack.enter_async_context(upstream(answer)) for _ in range(3)]
+        await harness.announce(
+            *(record(f"u{n}", address=each.address, slots=1) for n, each in enumerate(doubles))
+        )
+        first = asyncio.create_task(ask(harness, 0, CRASHING))
+        while not arrivals:
+            await asyncio.sleep(0.001)
+        second = asyncio.create_task(ask(harness, 1, CRASHING))
+        while not harness.dispatcher.prompts.blocks.blocks:
+            await asyncio.sleep(0.001)
+        cleared = (PartVerdict(PromptPart(CRASHING), 0, 0.0),)
+        replica = InstanceId("c")
+        await harness.dispatch.put(
+            ReplicaUpdate(2, replica, NO_REVISION, (), (), None, None, (), part_verdicts=cleared)
+        )
+        await first
+        return await second, arrivals.count("id1")
+
+
+class TestRevokedAttempt:
+    async def test_stream_with_output(self) -> None:
+        """Guards against a stream that is cut, and run again, because another upstream crashed."""
+        response, runs = await crash_beside(ONCE_STREAM, has_output=True)
+        assert (response.status, response.is_complete, runs) == (200, True, 1)
+        assert response.body == event(0) + event(1)
+
+    @pytest.mark.parametrize("of", [ONCE_STREAM, BOOKING], ids=["stream", "booking"])
+    async def test_request_that_may_run_once(self, of: RelayRoute) -> None:
+        """Guards against a second run after an attempt that may have run was revoked."""
+        response, runs = await crash_beside(of, has_output=False)
+        assert (response.status, runs) == (502, 1)
+
+    @pytest.mark.parametrize(("attempts", "status"), [(1, 502), (2, 200)])
+    async def test_attempts_of_the_route(self, attempts: int, status: int) -> None:
+        """Guards against more attempts than the route allows after one was revoked."""
+        of = route(target_s=0.2, timeout_s=4.0, attempts=attempts)
+        response, runs = await crash_beside(of, has_output=False)
+        assert (response.status, runs) == (status, attempts)
+
+    async def test_caller_leaves_during_the_check(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against a slot that stays taken if a caller leaves while a crash is checked."""
+        checking = asyncio.Event()
+
+        async def hang(*_: object) -> bool:
+            checking.set()
+            return await asyncio.Event().wait()
+
+        async def break_off(exchange: Exchange) -> None:
+            exchange.reset()
+
+        monkeypatch.setattr(connection_pool, "refuses_connections", hang)
+        async with upstream(break_off) as double, running_entry(STREAM) as harness:
+            await harness.announce(record("u0", address=double.address))
+            caller = asyncio.create_task(ask(harness, 0, CRASHING))
+            await checking.wait()
+            caller.cancel()
+            await asyncio.sleep(0.1)
+            assert dispatching.in_flight(harness.dispatcher.dispatch_state) == {}
