Send a booking from the agent once, whatever its method

A booking by PUT, DELETE or OPTIONS ran twice if its upstream read it and closed the connection without an answer.

Cause: aiohttp sends requests of idempotent methods again after a broken connection, also a new one; the agent relied on new connections to prevent it.

The session for bookings has a middleware that turns a broken connection into an error that aiohttp does not retry, so that the claim flow decides.

Measured: tests/test_run_attempts.py, 3 of 4 methods fail before the change and pass after it; test_not_run.py and test_bookings_under_faults.py pass.

--- a/src/lycheefall/_agent/forward.py
+++ b/src/lycheefall/_agent/forward.py
@@ -75,6 +75,22 @@
     return trace
 
 
+async def send_once(
+    request: aiohttp.ClientRequest, send: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Send a request, and hide from the HTTP client that its connection broke.
+
+    The client sends a request of an idempotent method again after such an error.
+    """
+    try:
+        return await send(request)
+    except aiohttp.ClientConnectorError:
+        # No connection was established, and the client does not retry.
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise aiohttp.ClientError(f"the connection broke: {error!r}") from error
+
+
 async def forward(
     session: aiohttp.ClientSession,
     upstream: Address,
--- a/src/lycheefall/_agent/run_attempts.py
+++ b/src/lycheefall/_agent/run_attempts.py
@@ -7,7 +7,13 @@
 import aiohttp
 from msgspec import structs
 
-from lycheefall._agent.forward import CreditWindow, cancelled_attempt, forward, trace_request_sent
+from lycheefall._agent.forward import (
+    CreditWindow,
+    cancelled_attempt,
+    forward,
+    send_once,
+    trace_request_sent,
+)
 from lycheefall._agent.messages import AttemptEnded, AttemptId, Forward
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.enums import RouteKind, UpstreamKind
@@ -63,9 +69,10 @@
         self._pooled_session = aiohttp.ClientSession(
             connector=_connector(force_close=False), trace_configs=[trace_request_sent()]
         )
-        # A booking gets a new connection: a pooled one may close during the call, and the HTTP
-        # client would then send an idempotent method again.
-        self._booking_session = aiohttp.ClientSession(connector=_connector(force_close=True))
+        # A booking gets a new connection: a pooled one may close just before it is used.
+        self._booking_session = aiohttp.ClientSession(
+            connector=_connector(force_close=True), middlewares=[send_once]
+        )
         self._tasks: dict[AttemptId, asyncio.Task[ToEntry]] = {}
         self._windows: dict[AttemptId, CreditWindow] = {}
         # Cancelled attempts and the times they started; they may still crash the upstream.
--- a/tests/test_run_attempts.py
+++ b/tests/test_run_attempts.py
@@ -1,8 +1,11 @@
 """Tests of the attempt tasks of an agent, with an upstream that never responds."""
 
 import asyncio
+import contextlib
 from typing import Any
 
+import pytest
+
 from lycheefall._agent.messages import AttemptEnded, Forward
 from lycheefall._agent.run_attempts import AttemptRunner
 from lycheefall._core.codes import ResultCode
@@ -39,3 +42,28 @@
         codes_and_crashes = [(result.code, result.crash) for result in results]  # type: ignore[union-attr]
         code = ResultCode.CANCELLED_AFTER_START
         assert codes_and_crashes == [(code, None), (code, Crash("1/1", "f"))]  # type: ignore[arg-type]
+
+
+class TestBookings:
+    @pytest.mark.parametrize("method", ["POST", "PUT", "DELETE", "OPTIONS"])
+    async def test_sent_once(self, method: str) -> None:
+        """Guards against a booking that the HTTP client sends again after a lost connection."""
+        received: list[bytes] = []
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                received.append(await reader.readuntil(b"\r\n\r\n"))
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        ended: asyncio.Queue[AttemptEnded] = asyncio.Queue()
+        arguments: Any = ("1", f"{host}:{port}", UpstreamKind.SERVICE, lambda *_: True)
+        runner = AttemptRunner(*arguments, ended.put_nowait)
+        fields: Any = ("r", 1, "1", 10.0, RouteKind.BOOKING, method, "/", "", b"", "p", 0, "f")
+        async with asyncio.timeout(TIMEOUT_S):
+            runner.start(Forward(b"peer", Dispatch(*fields)))
+            result: Any = (await ended.get()).result
+        server.close()
+        await runner.close()
+        assert (result.code, len(received)) == (ResultCode.UPSTREAM_LOST, 1)
