Tell an empty list of teams from an absent one

Cause: the adapter made the same empty tuple of a missing 'Tenants' and of an empty one, and identify asked for no key if there were no teams.

RelayConfiguration.teams is now None if requests need no key and empty if no key is valid; null is refused. A missing or empty key header matches no team, also one that lists an empty key. configuration_in_force logs the number of routes and teams, so that the log says whether an entry asks for keys.

--- a/src/lycheefall/_core/relay.py
+++ b/src/lycheefall/_core/relay.py
@@ -140,7 +140,8 @@
     revision: Revision = NO_REVISION
     routes: tuple[RelayRoute, ...] = ()
     pools: tuple[RelayPool, ...] = ()
-    teams: tuple[RelayTeam, ...] = ()
+    # None if requests need no API key; with an empty tuple, no key is valid.
+    teams: tuple[RelayTeam, ...] | None = None
     limits: RelayLimits = RelayLimits()
 
 
--- a/src/lycheefall/_relay/control_link.py
+++ b/src/lycheefall/_relay/control_link.py
@@ -265,7 +265,14 @@
     state.revision = message.revision
     state.publish_configuration(configuration)
     state.dispatch.offer(ApplyConfiguration(configuration))
-    log(Event.CONFIGURATION_IN_FORCE, revision=message.revision, replica=replica)
+    log(
+        Event.CONFIGURATION_IN_FORCE,
+        revision=message.revision,
+        replica=replica,
+        routes=len(configuration.routes),
+        # None if requests need no key.
+        teams=None if configuration.teams is None else len(configuration.teams),
+    )
     send_status_to_all(state)
     _fetch_file(state, state.links[replica])
 
--- a/src/lycheefall/_rules/identification.py
+++ b/src/lycheefall/_rules/identification.py
@@ -43,7 +43,7 @@
     routes: dict[str, dict[str, RelayRoute]] = {}
     for route in configuration.routes:
         routes.setdefault(route.host.lower(), {})[route.path_prefix] = route
-    teams = {key: team for team in configuration.teams for key in team.keys}
+    teams = {key: team for team in configuration.teams or () for key in team.keys}
     return Index(configuration, routes, teams)
 
 
@@ -55,9 +55,10 @@
     if route is None:
         return Unidentified.NO_ROUTE
     pool = _pool_of(route, draw)
-    if route.anonymous or not index.configuration.teams:
+    if route.anonymous or index.configuration.teams is None:
         return Identified(route, pool, None, _urgency(route.rank, route))
-    team = index.teams.get(key or "")
+    # An empty header is no key, even if a team has an empty one.
+    team = index.teams.get(key) if key else None
     if team is None:
         return Unidentified.UNKNOWN_KEY
     rank = route.rank if team.rank is None else team.rank
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -4,6 +4,7 @@
 from contextlib import AsyncExitStack
 
 import pytest
+from msgspec import structs
 
 from entry_harness import EntryHarness, Response, call, request, running_entry
 from lycheefall._core.relay import RequestKind
@@ -163,6 +164,16 @@
         assert response.status == status
         assert received_counts[0] == 0
 
+    async def test_last_team_taken_away(self) -> None:
+        """Guards against requests with any key that run once a configuration has no team left."""
+        async with upstream(respond_ok) as double, running_entry(BOOKING) as harness:
+            await announce(harness, double)
+            assert (await call(harness.port, request())).status == 200
+            await harness.configure(structs.replace(BOOKING, teams=()))
+            for key in ("k1", "never-known", None):
+                assert (await call(harness.port, request(key=key))).status == 401
+            assert len(double.received) == 1
+
     async def test_no_configuration(self) -> None:
         """Guards against 404 from an entry that has no routes yet."""
         response, _ = await call_entry(None, request(), respond_ok)
--- a/tests/test_identification.py
+++ b/tests/test_identification.py
@@ -1,6 +1,7 @@
 """Tests of matching requests to routes and teams."""
 
-from lycheefall._core.relay import LOWEST_RANK, RelayConfiguration
+from lycheefall._core.ids import TeamId
+from lycheefall._core.relay import LOWEST_RANK, RelayConfiguration, RelayTeam
 from lycheefall._rules.identification import Identified, Unidentified, build_index, identify
 from relay_values import POOL, SERVICE_POOL, configuration, route
 
@@ -60,6 +61,21 @@
         index = build_index(RelayConfiguration(routes=(route(),)))
         assert isinstance(identify(index, "h", "/a/x", None, 0.0), Identified)
 
+    def test_an_empty_list_of_teams_holds_no_key(self) -> None:
+        """Guards against routes that are open to everybody once the last team is taken away."""
+        routes = (route(), route("open", prefix="/open/", anonymous=True))
+        index = build_index(RelayConfiguration(routes=routes, teams=()))
+        for key in ("k1", "", None):
+            assert identify(index, "h", "/a/x", key, 0.0) is Unidentified.UNKNOWN_KEY
+        assert isinstance(identify(index, "h", "/open/x", None, 0.0), Identified)
+
+    def test_an_empty_key_is_no_key(self) -> None:
+        """Guards against a request without a key that matches an empty key of a team."""
+        teams = (RelayTeam(name=TeamId("t"), keys=("",)),)
+        index = build_index(RelayConfiguration(routes=(route(),), teams=teams))
+        for key in ("", None):
+            assert identify(index, "h", "/a/x", key, 0.0) is Unidentified.UNKNOWN_KEY
+
     def test_split_by_weight(self) -> None:
         """Guards against a pool of weight 0 that gets requests."""
         index = build_index(configuration(route(pools={POOL: 3.0, SERVICE_POOL: 1.0})))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -151,6 +151,15 @@
         with pytest.raises(LycheefallError):
             configuration_body.decode(body)
 
+    def test_absent_and_empty_tenants(self) -> None:
+        """Guards against an empty list of tenants that is read as no list, or null as either."""
+        without = json.loads(configuration_with())
+        del without["Tenants"]
+        assert configuration_body.decode(json.dumps(without).encode()).teams is None
+        assert configuration_body.decode(configuration_with(Tenants=[])).teams == ()
+        with pytest.raises(LycheefallError):
+            configuration_body.decode(configuration_with(Tenants=None))
+
     @given(st.integers(0, len(configuration_with()) - 1))
     def test_cut_anywhere(self, size: int) -> None:
         """Guards against a truncated configuration that is accepted."""
