Take an empty seal for a missing one

A 200 with an empty seal header was passed on to the caller as a success.

Cause: the entry asked whether the header is there, not whether it has a value.

is_sealed decides it in one place, for responses and for rate limits.

Measured: the new cases 'empty_seal' of two tests fail before the change.

--- a/src/lycheefall/_relay/exchange.py
+++ b/src/lycheefall/_relay/exchange.py
@@ -258,7 +258,7 @@
     exchange.answered_by = record
     relay.dispatch.offer(FirstByte(record.pool, record.upstream, relay.now() - sent_s))
     # Without the seal, the response may not come from the upstream itself.
-    if head.status < 300 and get_header(head.headers, names.seal) is None:
+    if head.status < 300 and not headers.is_sealed(names, head):
         raise ExchangeError(FailureCause.BROKEN, "the response has no seal header")
     if head.status == 200 and exchange.identified.route.kind is RequestKind.STREAMING:
         return await forward_stream(
--- a/src/lycheefall/_relay/headers.py
+++ b/src/lycheefall/_relay/headers.py
@@ -86,6 +86,11 @@
     return tuple(each for each in end_to_end(head.headers) if each[0].lower() != _LENGTH)
 
 
+def is_sealed(names: HeaderNames, head: ResponseHead) -> bool:
+    """Return whether a response has the seal of an upstream; an empty header is no seal."""
+    return bool((get_header(head.headers, names.seal) or b"").strip())
+
+
 def media_type(head: ResponseHead) -> bytes:
     """Return the media type of a response in lower case, without parameters."""
     value = get_header(head.headers, _MEDIA_TYPE) or b""
--- a/src/lycheefall/_relay/notices.py
+++ b/src/lycheefall/_relay/notices.py
@@ -3,7 +3,7 @@
 from lycheefall._core.dialect import HeaderNames
 from lycheefall._core.pipeline import Inbox
 from lycheefall._core.relay import UpstreamRecord
-from lycheefall._relay.headers import parse_decimal
+from lycheefall._relay.headers import is_sealed, parse_decimal
 from lycheefall._relay.messages import ToDispatch
 from lycheefall._rules.dispatch_messages import RateLimitStated, UpstreamClosed, UpstreamLeaving
 from lycheefall._wire.http_upstream import ResponseHead, get_header
@@ -29,7 +29,7 @@
     rate_limit = get_header(head.headers, names.rate_limit)
     rate_per_s = parse_decimal(rate_limit)
     # A rejection without a limit does not lift one, nor does a limit that can't be read.
-    is_lifted = rate_limit is None and get_header(head.headers, names.seal) is not None
+    is_lifted = rate_limit is None and is_sealed(names, head)
     if rate_per_s is not None or is_lifted:
         start = (record.pool, record.upstream, record.start_time_ms)
         dispatch.offer(RateLimitStated(*start, rate_per_s))
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -76,6 +76,12 @@
     await exchange.send(data)
 
 
+async def empty_seal(exchange: Exchange) -> None:
+    """Respond with a seal header that has no value."""
+    response = complete_response(exchange.received)
+    await exchange.send(response.replace(b"Server-Seal: s", b"Server-Seal: "))
+
+
 async def announce(harness: EntryHarness, *doubles: UpstreamDouble) -> None:
     """Announce upstreams to the entry; the first one is the least loaded because of its slots."""
     records = [
@@ -227,7 +233,8 @@
 
 class TestLookups:
     @pytest.mark.parametrize(
-        "first", [hang, reset, truncated, not_run, misdirected, failing, malformed, unsealed]
+        "first",
+        [hang, reset, truncated, not_run, misdirected, failing, malformed, unsealed, empty_seal],
     )
     async def test_retried_at_second_upstream(self, first: RequestHandler) -> None:
         """Guards against a lookup that fails because one upstream fails."""
@@ -251,7 +258,7 @@
 
 
 class TestBookings:
-    @pytest.mark.parametrize("first", [reset, truncated, malformed, unsealed])
+    @pytest.mark.parametrize("first", [reset, truncated, malformed, unsealed, empty_seal])
     async def test_never_run_twice(self, first: RequestHandler) -> None:
         """Guards against a second run, and against 503, which states that the first did not run."""
         response, received_counts = await call_entry(BOOKING, request(), first, respond_ok)
