Check all parts of a configuration that is kept

Cause: the file is kept as the operator's bytes, but only the values that the product uses were checked. msgspec skips unknown fields without a look at their text, and _traffic_split left Service out beside a split.

The whole body must now be UTF-8 text and JSON without repeated fields; every field that the pages name is decoded with its type; each named service must be known; an empty split, two services of one name, a prefix that can match nothing and a tenant name that fits into no header are refused. Announcements must be UTF-8 text. The product's own files refuse fields without effect.

--- a/src/lycheefall/_operate/configuration_checks.py
+++ b/src/lycheefall/_operate/configuration_checks.py
@@ -161,6 +161,10 @@
     if not is_chat and not route.service:
         detail = f"service: a {route.kind.value} route needs the name of a service"
         yield Fault(FieldLocation("routes", index, "service"), detail, FileFieldError)
+    for name in ("service", "path") if is_chat else ("models",):
+        if getattr(route, name):
+            detail = f"{name}: has no effect on a {route.kind.value} route"
+            yield Fault(FieldLocation("routes", index, name), detail, FileFieldError)
     if route.kind is RouteKind.BOOKING and route.idempotent:
         detail = "idempotent: a booking route must say idempotent = false"
         yield Fault(FieldLocation("routes", index, "idempotent"), detail, FileFieldError)
--- a/tests/test_configuration_file.py
+++ b/tests/test_configuration_file.py
@@ -91,6 +91,7 @@
             ('priority = "urgent"', 'priority = "u"', FileReferenceError, ("line 17 ", "'u'")),
             ('models = ["m"]', "", FileFieldError, ("line 12 ", "models")),
             ('models = ["m"]', "idempotent = false", FileFieldError, ("line 12 ", "models")),
+            ('models = ["m"]', 'models = ["m"]\npath = "x"', FileFieldError, ("line 17 ", "path")),
             ("[[priorities]]", "[priorities]", FileFieldError, ("line 3 ", "[[priorities]]")),
             ("[[priorities]]", "[[priority]]", FileFieldError, ("line 3 ", "priority")),
             ("replaces = 3", "replaces = 3\nspeed = 1", FileFieldError, ("line 2 ", "speed")),
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -131,6 +131,18 @@
                 ]
             ),
             configuration_with(Version="seven"),
+            configuration_with().replace(b"/healthz", b"/health\xff\xfe"),
+            configuration_with().replace(b'"New"', b'"\xed\xa0\x80"'),
+            configuration_with().replace(b'"New": [1]', b'"New": NaN'),
+            configuration_with().replace(b'"Version": 7', b'"Version": 6, "Version": 7'),
+            configuration_with().replace(b'"New": [1]', b'"New": {"a": 1, "a": 2}'),
+            configuration_with(Routes__0__Service="s3"),
+            configuration_with(Routes__1__TrafficSplit=[]),
+            configuration_with(Services=[{"Name": "s1"}, {"Name": "s2"}, {"Name": "s2"}]),
+            configuration_with(Services__1__HealthPath=["/healthz"]),
+            configuration_with(Routes__0__Sticky="yes"),
+            configuration_with(Routes__0__PathPrefix="a"),
+            configuration_with(Tenants__0__Name="t1\r\nX: y"),
         ],
         ids=[
             "truncated body",
@@ -144,6 +156,18 @@
             "timeout of 0",
             "API key of two tenants",
             "version not a number",
+            "no UTF-8 in a field that is not used",
+            "surrogate in the name of an unknown field",
+            "no number",
+            "repeated field",
+            "repeated field in an unknown one",
+            "unknown service beside a split",
+            "empty split beside a service",
+            "two services with one name",
+            "health path that is no text",
+            "flag that is none",
+            "prefix without slashes",
+            "tenant whose name fits into no header",
         ],
     )
     def test_invalid(self, body: bytes) -> None:
@@ -151,6 +175,11 @@
         with pytest.raises(LycheefallError):
             configuration_body.decode(body)
 
+    def test_service_beside_a_split(self) -> None:
+        """Guards against a valid configuration that is refused for a service beside a split."""
+        decoded = configuration_body.decode(configuration_with(Routes__0__Service="s2"))
+        assert [part.pool for part in decoded.routes[0].split] == ["s1", "s2"]
+
     def test_absent_and_empty_tenants(self) -> None:
         """Guards against an empty list of tenants that is read as no list, or null as either."""
         without = json.loads(configuration_with())
@@ -222,7 +251,16 @@
         with pytest.raises(LycheefallError):
             announcement_body.decode(UpstreamId("i-1"), body)
 
-    @pytest.mark.parametrize("body", [b"", b"\x80", b"{}", b"null"])
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"",
+            b"\x80",
+            b"{}",
+            b"null",
+            json.dumps(ANNOUNCEMENT).encode().replace(b'"v1"', b'"v\xff"'),
+        ],
+    )
     def test_undecodable_body(self, body: bytes) -> None:
         """Guards against a process that crashes on an undecodable body."""
         with pytest.raises(LycheefallError):
