Refuse what a stopping entry can't finish, and answer the rest

Cause: a stopping entry accepted requests by their own deadlines, though its grace ended earlier, and cancelled what was left at the end.

Entries record the durations of each route. A stopping one starts what fits into the rest of its grace, checked on arrival and again after the queue, and refuses the rest with 503 and Retry-After; without a known duration, requests that may not be repeated start only if their own deadline comes first. What is in progress at the end gets 504, or 503 if it was not sent.

--- a/src/lycheefall/_relay/exchange.py
+++ b/src/lycheefall/_relay/exchange.py
@@ -9,7 +9,7 @@
 from lycheefall._core.messages.relay import Crash
 from lycheefall._core.relay import RequestKind, UpstreamRecord
 from lycheefall._operate.exposition import ATTEMPTS
-from lycheefall._relay import connection_pool, headers, notices
+from lycheefall._relay import connection_pool, headers, notices, stopping
 from lycheefall._relay.exchange_log import log_attempt_ended, log_end, log_routed
 from lycheefall._relay.exchange_state import Exchange, Failure, NextStep, Relay, ReportEnd
 from lycheefall._relay.identify import fingerprint, identify_request
@@ -21,7 +21,7 @@
 )
 from lycheefall._relay.refusals import forward_response, give_up, time_out
 from lycheefall._relay.streams import GENERATED_DELIVERIES, check_not_ended, forward_stream
-from lycheefall._rules import byte_budget
+from lycheefall._rules import byte_budget, service_times
 from lycheefall._rules.byte_budget import Holding
 from lycheefall._rules.dispatch_messages import (
     AttemptEnded,
@@ -71,14 +71,17 @@
         if exchange is None:
             return
         outcome = "cancelled"
+        limit = stopping.limit(relay, exchange.deadline_s + DEADLINE_MARGIN_S)
+        relay.timeouts.add(limit)
         try:
-            async with asyncio.timeout_at(exchange.deadline_s + DEADLINE_MARGIN_S):
+            async with limit:
                 await _run_attempts(relay, exchange)
             outcome = str(exchange.status)
         except TimeoutError:
             outcome = "timeout"
             await time_out(relay, exchange)
         finally:
+            relay.timeouts.discard(limit)
             if exchange.failure is not None:
                 byte_budget.close(relay.response_bytes, exchange.failure.holding)
             relay.dispatch.offer(RequestEnded(exchange.number))
@@ -90,7 +93,19 @@
 async def _run_attempts(relay: Relay, exchange: Exchange) -> None:
     """Send the request to upstreams in turn until one responds."""
     while True:
+        refusal = stopping.refusal(relay, exchange)
+        if refusal is not None:
+            await give_up(relay, exchange, refusal)
+            return
         placement = await _request_placement(relay, exchange, exchange.deadline_s)
+        if isinstance(placement, Place):
+            # The request may have been queued for long.
+            refusal = stopping.refusal(relay, exchange)
+            if refusal is not None:
+                record = placement.record
+                cancelled = AttemptEnded(record.pool, record.upstream, Outcome.CANCELLED)
+                relay.dispatch.offer(cancelled)
+                placement = refusal
         if isinstance(placement, Refuse):
             await give_up(relay, exchange, placement)
             return
@@ -231,6 +246,9 @@
             AttemptEnded(record.pool, record.upstream, outcome, had_first_byte, stalled)
         )
         ATTEMPTS.labels(record.pool, outcome.value).inc()
+        if outcome is Outcome.ANSWERED:
+            route = exchange.identified.route.name
+            service_times.record(relay.service_times, route, took_s)
         if outcome is not Outcome.ANSWERED:
             log_attempt_ended(exchange, record, outcome, took_s, detail)
 
--- a/src/lycheefall/_relay/exchange_state.py
+++ b/src/lycheefall/_relay/exchange_state.py
@@ -1,6 +1,6 @@
 """Shared state of the requests of an entry, and the state of one request."""
 
-from asyncio import Future
+from asyncio import Future, Timeout
 from collections.abc import Callable, Iterator
 from enum import Enum
 from random import Random
@@ -18,6 +18,7 @@
 from lycheefall._rules.dispatch_messages import Outcome
 from lycheefall._rules.event_stream import EventBuffer
 from lycheefall._rules.identification import Identified, Index
+from lycheefall._rules.service_times import ServiceTimes
 from lycheefall._wire.http_server import CallerConnection, IncomingRequest
 from lycheefall._wire.http_upstream import ResponseHead
 
@@ -39,6 +40,11 @@
     now: Callable[[], float]
     request_numbers: Iterator[int]
     random: Random
+    service_times: ServiceTimes = field(default_factory=ServiceTimes)
+    # When the requests in progress end because the entry stops; None if it doesn't.
+    ends_s: float | None = None
+    # Of the requests in progress.
+    timeouts: set[Timeout] = field(default_factory=set)
     # Longest timeout that callers of a route have requested.
     longest_timeout_s: dict[RouteId, float] = field(default_factory=dict)
 
--- a/src/lycheefall/_relay/refusals.py
+++ b/src/lycheefall/_relay/refusals.py
@@ -7,11 +7,15 @@
 from lycheefall._wire.http_server import (
     CallerConnection,
     Headers,
+    is_response_started,
     send_local_response,
     send_response,
 )
 from lycheefall._wire.http_upstream import ResponseHead
 
+# Callers use another entry for their next attempt, so they need not wait.
+RETRY_AFTER_STOP_S = 0.1
+
 
 async def refuse(
     relay: Relay, caller: CallerConnection, status: int, reason: str, retry_after_s: float | None
@@ -50,12 +54,16 @@
 
 
 async def time_out(relay: Relay, exchange: Exchange) -> None:
-    """Respond to a request whose deadline has passed: 504 if it may have run, else 503."""
-    if exchange.has_stream_begun or exchange.caller.is_disconnected:
+    """Respond to a request whose time has passed: 504 if it may have run, else 503."""
+    if exchange.caller.is_disconnected or is_response_started(exchange.caller):
         return
     exchange.status = 504 if exchange.possible_runs > 0 else 503
-    log_refused(relay, exchange, "deadline exceeded", 0, None)
-    await refuse(relay, exchange.caller, exchange.status, "the time is over", None)
+    is_stopping = relay.ends_s is not None and relay.now() < exchange.deadline_s
+    reason = RefusalReason.STOPPING.value if is_stopping else "deadline exceeded"
+    may_return = is_stopping and not exchange.possible_runs
+    retry_after_s = RETRY_AFTER_STOP_S if may_return else None
+    log_refused(relay, exchange, reason, 0, retry_after_s)
+    await refuse(relay, exchange.caller, exchange.status, reason, retry_after_s)
 
 
 async def forward_response(exchange: Exchange, head: ResponseHead, body: bytes) -> None:
--- a/src/lycheefall/_relay/service.py
+++ b/src/lycheefall/_relay/service.py
@@ -14,7 +14,7 @@
 from lycheefall._core.process import new_incarnation, run_until
 from lycheefall._core.relay import EngineModel, UpstreamRecord
 from lycheefall._operate.exposition import run_exposition
-from lycheefall._relay import connection_pool, notices
+from lycheefall._relay import connection_pool, notices, stopping
 from lycheefall._relay.connection_pool import ConnectionPool
 from lycheefall._relay.control_link import (
     ControlLink,
@@ -62,7 +62,9 @@
 # longer than that.
 DIRECTORY_GRACE_S = 3.0
 # The process exits this long before the end of the grace period.
-STOP_MARGIN_S = 0.6
+STOP_MARGIN_S = 0.5
+# The requests in progress end this long before, so that their last responses are sent.
+LAST_RESPONSES_S = 0.1
 STOP_POLL_S = 0.05
 _SEED_BITS = 64
 
@@ -143,7 +145,7 @@
             _close_expired_connections(pooled_connections),
             _serve(settings, server, link, dispatcher),
             run_coordinator(coordinator),
-            _drain(settings, stop, done, server, link),
+            _drain(settings, stop, done, server, link, relay),
             *_optional_tasks(settings, link),
         )
     finally:
@@ -218,6 +220,7 @@
     done: asyncio.Event,
     server: HttpServer,
     link: ControlLink,
+    relay: Relay,
 ) -> None:
     """Drain after the stop event: leave the directory, then exit once no request is in progress."""
     await stop.wait()
@@ -225,6 +228,7 @@
     deadline_s = loop.time() + settings.grace_s - STOP_MARGIN_S
     close_s = min(deadline_s, loop.time() + DIRECTORY_GRACE_S)
     log(Event.PROCESS_STOPPING, role="entry", callers=len(server.callers))
+    stopping.begin(relay, deadline_s - LAST_RESPONSES_S)
     link.member_state = MemberState.DRAINING
     server.is_closing = True
     send_status_to_all(link)
--- a/src/lycheefall/_rules/dispatch_messages.py
+++ b/src/lycheefall/_rules/dispatch_messages.py
@@ -22,6 +22,8 @@
     UPSTREAMS_CLOSED = "upstreams-closed"
     # A part of the prompt may crash upstreams.
     PROMPT_SUSPECTED = "prompt-suspected"
+    # The entry stops before the upstream would have answered.
+    STOPPING = "stopping"
 
 
 class DispatchRequest(Struct, frozen=True, kw_only=True):
