Retry the cut of a log that a full disk has refused

Cause: the cleanup after a failed write was tried once, and the next write found a log of an unexpected size.

The storage remembers a possibly torn end and cuts it before the next write.

Measured: test_full_disk_refuses_to_cut_the_log fails before.

--- a/src/lycheefall/_control/storage.py
+++ b/src/lycheefall/_control/storage.py
@@ -1,5 +1,6 @@
 """Durable state of a replica: identity, log and snapshot in one data folder."""
 
+import contextlib
 import errno
 import fcntl
 import os
@@ -42,6 +43,8 @@
     log_bytes: int
     term: Term
     vote: ReplicaId | None
+    # Whether the log may end with a part of a frame whose write failed.
+    has_torn_tail: bool = False
 
 
 class LoadedState(Struct, frozen=True):
@@ -242,6 +245,7 @@
 
 def _save_batch(storage: Storage, items: tuple[Durable, ...]) -> None:
     data = frame(encode(_merge(storage, items)))
+    _cut_torn_tail(storage)
     size = os.fstat(storage.log_fd).st_size
     if size != storage.log_bytes:
         raise LogDamaged(f"{LOG_FILE} has {size} bytes instead of {storage.log_bytes}")
@@ -255,10 +259,20 @@
         _write_all(storage.write, storage.log_fd, data)
         os.fsync(storage.log_fd)
     except OSError:
-        os.ftruncate(storage.log_fd, storage.log_bytes)
+        storage.has_torn_tail = True
+        # A full disk may refuse this, too; it is repeated before the next write.
+        with contextlib.suppress(OSError):
+            _cut_torn_tail(storage)
         raise
 
 
+def _cut_torn_tail(storage: Storage) -> None:
+    """Remove what a failed write has left behind the last whole frame."""
+    if storage.has_torn_tail:
+        os.ftruncate(storage.log_fd, storage.log_bytes)
+        storage.has_torn_tail = False
+
+
 def _merge(storage: Storage, items: tuple[Durable, ...]) -> WriteBatch:
     """Merge all items into one batch.
 
@@ -282,6 +296,7 @@
     os.close(storage.log_fd)
     storage.log_fd = os.open(storage.folder / LOG_FILE, os.O_RDWR | os.O_APPEND)
     storage.log_bytes = len(data)
+    storage.has_torn_tail = False
 
 
 def _replace_file(path: Path, data: bytes, write: Write) -> None:
@@ -292,7 +307,8 @@
         _write_all(write, descriptor, data)
         os.fsync(descriptor)
     except OSError:
-        temporary.unlink()
+        with contextlib.suppress(OSError):
+            temporary.unlink()
         raise
     finally:
         os.close(descriptor)
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -249,6 +249,32 @@
         loaded = reopen(tmp_path)
         assert (terms(loaded), loaded.term, loaded.cut_bytes) == ([(1, 1), (2, 1)], 4, 0)
 
+    def test_full_disk_refuses_to_cut_the_log(self, tmp_path: Path) -> None:
+        """Guards against a replica that ends once there is room, as its log has an odd size."""
+        is_full = True
+
+        def write(descriptor: int, data: bytes) -> int:
+            if is_full:
+                os.write(descriptor, data[:7])
+                raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+            return os.write(descriptor, data)
+
+        def refuse(descriptor: int, length: int) -> None:
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
+        write_batches(tmp_path, entries(1, 1))
+        storage, _ = open_storage(tmp_path, NAME, write)
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(os, "ftruncate", refuse)
+            for _ in range(2):
+                with pytest.raises(DiskFull):
+                    save(storage, (entries(2, 2),))
+        is_full = False
+        save(storage, (entries(2, 2), SaveVote(Term(4), None)))
+        close_storage(storage)
+        loaded = reopen(tmp_path)
+        assert (terms(loaded), loaded.term, loaded.cut_bytes) == ([(1, 1), (2, 1)], 4, 0)
+
     def test_failed_snapshot_leaves_no_file(self, tmp_path: Path) -> None:
         """Guards against a temporary file that keeps the disk full after a failed write."""
 
