Return the slot that is assigned as its caller leaves

Cause: if the caller leaves in the iteration of the event loop in which the dispatcher assigns an upstream, the cancelled task never sees the placement. It withdrew a request that no longer waited, and nobody returned the slot.

A cancelled request now returns an assigned slot.

--- a/src/lycheefall/_relay/exchange.py
+++ b/src/lycheefall/_relay/exchange.py
@@ -102,9 +102,7 @@
             # The request may have been queued for long.
             refusal = stopping.refusal(relay, exchange)
             if refusal is not None:
-                record = placement.record
-                cancelled = AttemptEnded(record.pool, record.upstream, Outcome.CANCELLED)
-                relay.dispatch.offer(cancelled)
+                _release(relay, placement)
                 placement = refusal
         if isinstance(placement, Refuse):
             await give_up(relay, exchange, placement)
@@ -144,10 +142,21 @@
     try:
         return await placement
     except asyncio.CancelledError:
-        relay.dispatch.offer(Withdraw(exchange.number))
+        if placement.done() and not placement.cancelled():
+            # The decision came in the same iteration of the event loop.
+            _release(relay, placement.result())
+        else:
+            relay.dispatch.offer(Withdraw(exchange.number))
         raise
 
 
+def _release(relay: Relay, placement: Place | Refuse) -> None:
+    """Return the slot of a placement that is not used."""
+    if isinstance(placement, Place):
+        record = placement.record
+        relay.dispatch.offer(AttemptEnded(record.pool, record.upstream, Outcome.CANCELLED))
+
+
 async def _attempt(relay: Relay, exchange: Exchange, place: Place) -> NextStep | Place:
     """Send the request to one upstream and forward its response, unless it is revoked before."""
     task = asyncio.current_task()
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,6 +1,7 @@
 """Tests of requests through an entry to upstreams that fail in various ways."""
 
 import asyncio
+import contextlib
 from contextlib import AsyncExitStack
 
 import pytest
@@ -8,6 +9,10 @@
 
 from entry_harness import EntryHarness, Response, call, request, running_entry
 from lycheefall._core.relay import RequestKind
+from lycheefall._relay import dispatch
+from lycheefall._relay.dispatch import Dispatcher
+from lycheefall._rules import dispatching
+from lycheefall._rules.dispatch_messages import Output, Place
 from lycheefall._wire.http_server import HttpLimits
 from relay_values import configuration, record, route
 from upstream_double import (
@@ -428,6 +433,28 @@
 
 
 class TestCallers:
+    async def test_leaves_as_an_upstream_is_assigned(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against a slot that stays taken if its caller leaves at that moment."""
+        async with upstream(respond_ok) as double, running_entry(LOOKUP) as harness:
+            await announce(harness, double)
+            deliver = dispatch._deliver
+            placed: list[Place] = []
+
+            def deliver_and_cancel(state: Dispatcher, outputs: list[Output]) -> None:
+                deliver(state, outputs)
+                placed.extend(each for each in outputs if isinstance(each, Place))
+                for caller in harness.server.callers if outputs else ():
+                    if caller.handler_task is not None:
+                        caller.handler_task.cancel()
+
+            monkeypatch.setattr(dispatch, "_deliver", deliver_and_cancel)
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                await call(harness.port, request())
+            await asyncio.sleep(0.05)
+            assert len(placed) == 1
+            assert dispatching.in_flight(harness.dispatcher.dispatch_state) == {}
+            assert not double.received
+
     @pytest.mark.parametrize("config", [LOOKUP, STREAM])
     async def test_caller_disconnects(self, config: object) -> None:
         """Guards against an upstream that keeps working for a disconnected caller."""
