Read the limits on a request when it arrives

Cause: a connection read the limits before it waited for its next request, and gave the limit on heads to the parser when it was opened.

The limits are read when a part of the request arrives. Incomplete heads and chunk sizes are checked by the server, and the idle time is that in force.

Measured: the new test fails before the change (the connection is closed by the earlier idle time) and passes after it, with a head and a body above the earlier limits; 97 tests of the files concerned pass.

--- a/src/lycheefall/_wire/http_server.py
+++ b/src/lycheefall/_wire/http_server.py
@@ -27,6 +27,9 @@
 # request that is not read; and the time after which they may return.
 BODY_WAIT_S = 0.4
 BODY_RETRY_AFTER_S = 0.5
+# The parser keeps the limit that it is created with, so the limits on heads, which may change, are
+# checked before it is reached.
+MAX_UNPARSED_BYTES = 16 * 1024 * 1024
 # For servers whose requests have no bodies to speak of.
 DEFAULT_BODIES_BYTES = 262_144
 
@@ -109,9 +112,7 @@
         enable_dead_peer_detection(tcp_transport)
         loop = asyncio.get_running_loop()
         writer = asyncio.StreamWriter(tcp_transport, self, self._request_reader, loop)
-        self._caller = CallerConnection(
-            self._server, self._request_reader, writer, _new_http(self._server.limits())
-        )
+        self._caller = CallerConnection(self._server, self._request_reader, writer, _new_http())
         task = loop.create_task(_run_connection(self._server, self._caller))
         self._server.tasks.add(task)
         task.add_done_callback(self._server.tasks.discard)
@@ -220,8 +221,8 @@
         caller.writer.write(data)
 
 
-def _new_http(limits: HttpLimits) -> h11.Connection:
-    return h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+def _new_http() -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_UNPARSED_BYTES)
 
 
 async def _run_connection(server: HttpServer, caller: CallerConnection) -> None:
@@ -242,7 +243,7 @@
 async def _serve(server: HttpServer, caller: CallerConnection) -> None:
     while True:
         caller.is_idle = True
-        request = await _read_request(caller, server.limits())
+        request = await _read_request(caller)
         if request is None:
             return
         caller.is_idle = False
@@ -292,45 +293,59 @@
         transport.abort()
 
 
-async def _read_request(caller: CallerConnection, limits: HttpLimits) -> IncomingRequest | None:
+async def _read_request(caller: CallerConnection) -> IncomingRequest | None:
     """Return the next request, or None if the connection ends or is idle for too long."""
-    head = await _read_head(caller, limits)
+    head = await _read_head(caller)
     if head is None:
         return None
     received_s = asyncio.get_running_loop().time()
-    body = await _read_body(caller, head, limits)
+    body = await _read_body(caller, head, caller.server.limits())
     headers = tuple((bytes(name), bytes(value)) for name, value in head.headers.raw_items())
     return IncomingRequest(bytes(head.method), bytes(head.target), headers, body, received_s)
 
 
-async def _read_head(caller: CallerConnection, limits: HttpLimits) -> h11.Request | None:
-    """Return the head of the next request, or None if the connection ends or is idle too long."""
-    timeout_s = limits.idle_timeout_s
+async def _read_head(caller: CallerConnection) -> h11.Request | None:
+    """Return the head of the next request, or None if the connection ends or is idle too long.
+
+    The limits may change while the connection is idle, and the latest ones hold for the request.
+    """
+    now = asyncio.get_running_loop().time
+    idle_since_s = now()
     while True:
         event = _next_event(caller)
+        limits = caller.server.limits()
         if isinstance(event, h11.Request):
-            # The parser limits only the size of heads that are incomplete after a read.
             if _head_size(event) > limits.header_bytes:
                 raise _RejectedRequest(431)
             return event
         if event is not h11.NEED_DATA:
             return None
-        if caller.http.trailing_data[0]:
-            # The caller has sent a part of the head.
-            timeout_s = limits.header_timeout_s
+        _check_unparsed(caller, limits)
+        has_part = bool(caller.http.trailing_data[0])
+        ends_s = idle_since_s + limits.idle_timeout_s
+        if has_part:
+            ends_s = now() + limits.header_timeout_s
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout_at(ends_s):
                 data = await caller.reader.read(READ_BYTES)
         except TimeoutError as error:
-            if caller.http.trailing_data[0]:
+            if has_part:
                 raise _RejectedRequest(408) from error
+            if now() < idle_since_s + caller.server.limits().idle_timeout_s:
+                continue
             return None
-        if not data and not caller.http.trailing_data[0]:
+        if not data and not has_part:
             return None
         caller.is_idle = False
         caller.http.receive_data(data)
 
 
+def _check_unparsed(caller: CallerConnection, limits: HttpLimits) -> None:
+    """Reject a request whose incomplete head or chunk size exceeds the limit."""
+    if len(caller.http.trailing_data[0]) > limits.header_bytes:
+        raise _RejectedRequest(431)
+
+
 async def _read_body(caller: CallerConnection, head: h11.Request, limits: HttpLimits) -> bytes:
     declared_bytes = _declared_length(head)
     if declared_bytes > limits.body_bytes:
@@ -354,6 +369,7 @@
             byte_budget.resize(caller.server.body_bytes, caller.holding, size)
             return b"".join(parts)
         elif event is h11.NEED_DATA:
+            _check_unparsed(caller, limits)
             try:
                 async with asyncio.timeout(limits.idle_timeout_s):
                     caller.http.receive_data(await caller.reader.read(READ_BYTES))
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -7,7 +7,14 @@
 import pytest
 from msgspec import structs
 
-from entry_harness import EntryHarness, Response, call, request, running_entry
+from entry_harness import (
+    EntryHarness,
+    Response,
+    call,
+    read_response,
+    request,
+    running_entry,
+)
 from lycheefall._core.relay import RequestKind
 from lycheefall._relay import dispatch
 from lycheefall._relay.dispatch import Dispatcher
@@ -223,6 +230,34 @@
             response = await call(harness.port, request(extra=f"X: {'y' * 5_000}\r\n"))
             assert response.status == 431
 
+    async def test_limits_change_while_a_connection_is_idle(self) -> None:
+        """Guards against limits of an earlier configuration that bind the next request."""
+        small = HttpLimits(body_bytes=100, header_bytes=500, idle_timeout_s=0.3)
+        async with (
+            upstream(respond_ok) as double,
+            running_entry(LOOKUP, small) as harness,
+        ):
+            await announce(harness, double)
+            reader, writer = await asyncio.open_connection("127.0.0.1", harness.port)
+            writer.write(request(body=b""))
+            assert (await read_response(reader)).status == 200
+            harness.server.limits = HttpLimits
+            await asyncio.sleep(0.5)
+            data = request(attempt="id2", body=b"x" * 1000, extra=f"X: {'y' * 5_000}\r\n")
+            # In two parts, so that the parser sees an incomplete head above the earlier limit.
+            writer.write(data[:2000])
+            await asyncio.sleep(0.05)
+            writer.write(data[2000:])
+            assert (await read_response(reader)).status == 200
+            writer.close()
+
+    async def test_chunk_size_without_end(self) -> None:
+        """Guards against a chunk size of a body that is buffered without a limit."""
+        async with running_entry(LOOKUP, HttpLimits(header_bytes=2_000)) as harness:
+            head = request(body=b"", extra="Transfer-Encoding: chunked\r\n")
+            response = await call(harness.port, head + b"0" * 5_000)
+            assert response.status in (400, 431)
+
     async def test_slow_headers(self) -> None:
         """Guards against a caller that holds a connection open with incomplete headers."""
         async with running_entry(LOOKUP, HttpLimits(header_timeout_s=0.2)) as harness:
