Ignore a revocation that is pending when its attempt ends

Found while the diff was read: a stream that stalls and gets another upstream in the iteration of the event loop in which its prompt is blocked would start its next attempt with the callback of the ended one still pending. That callback would cancel the new attempt as if the caller had left.

Measured: no test shows this order of events; test_crashing_prompts.py and test_exchange.py pass.

--- a/src/lycheefall/_relay/exchange.py
+++ b/src/lycheefall/_relay/exchange.py
@@ -164,13 +164,15 @@
     cancellations = task.cancelling()
     revoked = exchange.revoked
     exchange.is_revocable = True
+    is_open = True
     is_cancelled = False
 
     def end_attempt(_: object) -> None:
         # A timeout would cancel one iteration of the event loop later, when output that arrives
         # meanwhile may already be on its way to the caller.
         nonlocal is_cancelled
-        if exchange.is_revocable:
+        # The callback may be pending when the attempt ends and the next one begins.
+        if is_open and exchange.is_revocable:
             is_cancelled = task.cancel()
 
     if revoked is not None:
@@ -181,7 +183,7 @@
         if not is_cancelled or task.uncancel() > cancellations:
             raise
     finally:
-        exchange.is_revocable = False
+        is_open = exchange.is_revocable = False
         if revoked is not None:
             revoked.remove_done_callback(end_attempt)
     # The upstream may have crashed on the prompt just before.
