Log what a planned stop cuts, and what it knew of it

A request that was cut at the end of the grace period had the same line as one whose own deadline had passed, so the log could not tell whether it came before or after the signal, what time it had left, or whether its output was lost at the exit. New line request_cut, and callers and unsent_bytes in process_stopped.

--- a/src/lycheefall/_relay/exchange_log.py
+++ b/src/lycheefall/_relay/exchange_log.py
@@ -9,7 +9,7 @@
 from lycheefall._relay.exchange_state import Exchange, Relay
 from lycheefall._rules.dispatch_messages import Outcome, PauseObserved, Place
 from lycheefall._rules.identification import Index, Unidentified
-from lycheefall._wire.http_server import IncomingRequest
+from lycheefall._wire.http_server import IncomingRequest, unsent_bytes
 from lycheefall._wire.http_upstream import get_header
 
 # Period in which a stream reports its longest pause to the dispatcher.
@@ -105,6 +105,24 @@
     )
 
 
+def log_cut(relay: Relay, exchange: Exchange) -> None:
+    """Log a request that a planned stop ends before its own deadline."""
+    if relay.stop is None:
+        return
+    log(
+        Event.REQUEST_CUT,
+        request=exchange.attempt_id.decode("latin-1"),
+        route=exchange.identified.route.name,
+        # Negative for a request that came before the signal.
+        received_s=round(exchange.request.received_s - relay.stop.began_s, 3),
+        left_s=round(exchange.deadline_s - relay.now(), 3),
+        sent=exchange.possible_runs,
+        stream_begun=exchange.has_stream_begun,
+        last_event=exchange.events.last_id,
+        unsent_bytes=unsent_bytes(exchange.caller),
+    )
+
+
 def log_without_configuration(relay: Relay, request: IncomingRequest, reason: str) -> None:
     """Log a request that arrived before the first configuration."""
     attempt = get_header(request.headers, relay.dialect.headers.attempt) or b""
--- a/src/lycheefall/_relay/exchange_state.py
+++ b/src/lycheefall/_relay/exchange_state.py
@@ -23,6 +23,13 @@
 from lycheefall._wire.http_upstream import ResponseHead
 
 
+class PlannedStop(Struct, frozen=True):
+    """When the stop signal came, and when the requests in progress end."""
+
+    began_s: float
+    ends_s: float
+
+
 class Relay(Struct, eq=False, kw_only=True):
     """Dependencies and state that the requests of an entry share."""
 
@@ -41,8 +48,8 @@
     request_numbers: Iterator[int]
     random: Random
     service_times: ServiceTimes = field(default_factory=ServiceTimes)
-    # When the requests in progress end because the entry stops; None if it doesn't.
-    ends_s: float | None = None
+    # None until the entry stops.
+    stop: PlannedStop | None = None
     # Of the requests in progress.
     timeouts: set[Timeout] = field(default_factory=set)
     # Longest timeout that callers of a route have requested.
--- a/src/lycheefall/_relay/refusals.py
+++ b/src/lycheefall/_relay/refusals.py
@@ -1,7 +1,7 @@
 """Responses that the entry generates: refusals, timeouts and the result of failed attempts."""
 
 from lycheefall._relay import headers
-from lycheefall._relay.exchange_log import log_refused, record_first_byte
+from lycheefall._relay.exchange_log import log_cut, log_refused, record_first_byte
 from lycheefall._relay.exchange_state import Exchange, Relay
 from lycheefall._rules.dispatch_messages import RefusalReason, Refuse
 from lycheefall._wire.http_server import (
@@ -55,10 +55,12 @@
 
 async def time_out(relay: Relay, exchange: Exchange) -> None:
     """Respond to a request whose time has passed: 504 if it may have run, else 503."""
+    is_stopping = relay.stop is not None and relay.now() < exchange.deadline_s
+    if is_stopping:
+        log_cut(relay, exchange)
     if exchange.caller.is_disconnected or is_response_started(exchange.caller):
         return
     exchange.status = 504 if exchange.possible_runs > 0 else 503
-    is_stopping = relay.ends_s is not None and relay.now() < exchange.deadline_s
     reason = RefusalReason.STOPPING.value if is_stopping else "deadline exceeded"
     may_return = is_stopping and not exchange.possible_runs
     retry_after_s = RETRY_AFTER_STOP_S if may_return else None
--- a/src/lycheefall/_relay/service.py
+++ b/src/lycheefall/_relay/service.py
@@ -54,6 +54,7 @@
     close_server,
     open_server,
     send_local_response,
+    unsent_bytes,
 )
 
 INBOX_MESSAGES = 20_000
@@ -149,9 +150,11 @@
             *_optional_tasks(settings, link),
         )
     finally:
+        unsent = sum(unsent_bytes(each) for each in server.callers)
+        callers = len(server.callers)
         await close_server(server)
         connection_pool.close_all(pooled_connections)
-        log(Event.PROCESS_STOPPED, role="entry")
+        log(Event.PROCESS_STOPPED, role="entry", callers=callers, unsent_bytes=unsent)
 
 
 def _report_pass(
--- a/src/lycheefall/_relay/stopping.py
+++ b/src/lycheefall/_relay/stopping.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from lycheefall._relay.exchange_state import Exchange, Relay
+from lycheefall._relay.exchange_state import Exchange, PlannedStop, Relay
 from lycheefall._relay.refusals import RETRY_AFTER_STOP_S
 from lycheefall._rules import service_times
 from lycheefall._rules.dispatch_messages import RefusalReason, Refuse
@@ -10,7 +10,7 @@
 
 def begin(relay: Relay, ends_s: float) -> None:
     """Have the requests in progress, and those that follow, end at a time."""
-    relay.ends_s = ends_s
+    relay.stop = PlannedStop(relay.now(), ends_s)
     for timeout in relay.timeouts:
         if not timeout.expired():
             timeout.reschedule(_earlier(timeout.when(), ends_s))
@@ -18,16 +18,18 @@
 
 def limit(relay: Relay, deadline_s: float) -> asyncio.Timeout:
     """Return the timeout of a request, which ends earlier if the entry stops before."""
-    return asyncio.timeout_at(_earlier(relay.ends_s, deadline_s))
+    return asyncio.timeout_at(
+        deadline_s if relay.stop is None else _earlier(relay.stop.ends_s, deadline_s)
+    )
 
 
 def refusal(relay: Relay, exchange: Exchange) -> Refuse | None:
     """Return the refusal of an attempt that would not end before the entry stops, or None."""
-    if relay.ends_s is None or exchange.has_stream_begun:
+    if relay.stop is None or exchange.has_stream_begun:
         return None
     fits = service_times.fits(
         service_times.expected_s(relay.service_times, exchange.identified.route.name),
-        relay.ends_s - relay.now(),
+        relay.stop.ends_s - relay.now(),
         exchange.deadline_s - relay.now(),
         is_repeatable=exchange.is_repeatable,
     )
--- a/src/lycheefall/_wire/http_server.py
+++ b/src/lycheefall/_wire/http_server.py
@@ -210,6 +210,11 @@
     return caller.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
 
 
+def unsent_bytes(caller: CallerConnection) -> int:
+    """Return the bytes of responses that the process still holds for a caller."""
+    return caller.writer.transport.get_write_buffer_size()
+
+
 def _head(caller: CallerConnection, status: int, reason: bytes, headers: Headers) -> h11.Response:
     extra: Headers = ((b"Connection", b"close"),) if caller.server.is_closing else ()
     return h11.Response(status_code=status, reason=reason, headers=[*headers, *extra])
