Start only requests that end before a stopping entry does

Cause: a stopping entry accepted what fitted by the time that 95 in 100 of the route's latest requests had taken. That is no bound on the next request. The class of fault is a promise made on an estimate, where the process enforces a limit itself: the request's deadline, the earlier one of the caller's and the route's.

Now a request starts only if its deadline is before the end of the entry, so each one that runs gets its own full time. The dispatcher decides it, in one place for requests that arrive, are retried or are queued; queued ones that no longer fit are refused at the signal instead of when their turn comes. A request that was assigned before the signal and whose connection is still being opened is checked once more before it is sent.

--- a/src/lycheefall/_relay/dispatch.py
+++ b/src/lycheefall/_relay/dispatch.py
@@ -46,6 +46,7 @@
     Place,
     RateLimitStated,
     Refuse,
+    StopBegan,
     UpstreamClosed,
     UpstreamLeaving,
     Withdraw,
@@ -187,6 +188,8 @@
                     pool=message.pool,
                     rate_per_s=message.rate_per_s,
                 )
+        case StopBegan():
+            return dispatching.begin_stop(dispatch_state, message)
         case RequestEnded(number):
             state.ungenerated.pop(number, None)
             dispatching.release_team(dispatch_state, number)
--- a/src/lycheefall/_relay/exchange.py
+++ b/src/lycheefall/_relay/exchange.py
@@ -21,7 +21,7 @@
 )
 from lycheefall._relay.refusals import forward_response, give_up, time_out
 from lycheefall._relay.streams import GENERATED_DELIVERIES, check_not_ended, forward_stream
-from lycheefall._rules import byte_budget, service_times
+from lycheefall._rules import byte_budget
 from lycheefall._rules.byte_budget import Holding
 from lycheefall._rules.dispatch_messages import (
     AttemptEnded,
@@ -93,17 +93,7 @@
 async def _run_attempts(relay: Relay, exchange: Exchange) -> None:
     """Send the request to upstreams in turn until one responds."""
     while True:
-        refusal = stopping.refusal(relay, exchange)
-        if refusal is not None:
-            await give_up(relay, exchange, refusal)
-            return
         placement = await _request_placement(relay, exchange, exchange.deadline_s)
-        if isinstance(placement, Place):
-            # The request may have been queued for long.
-            refusal = stopping.refusal(relay, exchange)
-            if refusal is not None:
-                _release(relay, placement)
-                placement = refusal
         if isinstance(placement, Refuse):
             await give_up(relay, exchange, placement)
             return
@@ -136,6 +126,7 @@
         deadline_s=deadline_s,
         tried=tuple(each.upstream for each in exchange.tried),
         is_retry=exchange.attempts_sent > 0,
+        has_response_begun=exchange.has_stream_begun,
         prompt_parts=exchange.prompt_parts,
     )
     await relay.dispatch.put(RequestPlacement(request, placement, exchange.revoked))
@@ -209,6 +200,10 @@
     except asyncio.CancelledError:
         report_end(_outcome_of_cancellation(exchange), "")
         raise
+    if not stopping.may_send(relay, exchange):
+        discard(connection)
+        report_end(Outcome.CANCELLED, "the entry stops")
+        return NextStep.TRY_ELSEWHERE
     exchange.holding = Holding(end=lambda: discard(connection))
     try:
         return await _send_and_receive(relay, exchange, record, connection, report_end)
@@ -257,9 +252,6 @@
             AttemptEnded(record.pool, record.upstream, outcome, had_first_byte, stalled)
         )
         ATTEMPTS.labels(record.pool, outcome.value).inc()
-        if outcome is Outcome.ANSWERED:
-            route = exchange.identified.route.name
-            service_times.record(relay.service_times, route, took_s)
         if outcome is not Outcome.ANSWERED:
             log_attempt_ended(exchange, record, outcome, took_s, detail)
 
--- a/src/lycheefall/_relay/exchange_state.py
+++ b/src/lycheefall/_relay/exchange_state.py
@@ -18,7 +18,6 @@
 from lycheefall._rules.dispatch_messages import Outcome
 from lycheefall._rules.event_stream import EventBuffer
 from lycheefall._rules.identification import Identified, Index
-from lycheefall._rules.service_times import ServiceTimes
 from lycheefall._wire.http_server import CallerConnection, IncomingRequest
 from lycheefall._wire.http_upstream import ResponseHead
 
@@ -47,7 +46,6 @@
     now: Callable[[], float]
     request_numbers: Iterator[int]
     random: Random
-    service_times: ServiceTimes = field(default_factory=ServiceTimes)
     # None until the entry stops.
     stop: PlannedStop | None = None
     # Of the requests in progress.
--- a/src/lycheefall/_relay/messages.py
+++ b/src/lycheefall/_relay/messages.py
@@ -15,6 +15,7 @@
     Place,
     RateLimitStated,
     Refuse,
+    StopBegan,
     UpstreamClosed,
     UpstreamLeaving,
     Withdraw,
@@ -88,6 +89,7 @@
     | UpstreamLeaving
     | UpstreamClosed
     | RateLimitStated
+    | StopBegan
     | RequestEnded
     | ApplyConfiguration
     | ReplicaUpdate
--- a/src/lycheefall/_relay/refusals.py
+++ b/src/lycheefall/_relay/refusals.py
@@ -3,6 +3,7 @@
 from lycheefall._relay import headers
 from lycheefall._relay.exchange_log import log_cut, log_refused, record_first_byte
 from lycheefall._relay.exchange_state import Exchange, Relay
+from lycheefall._rules import planned_stop
 from lycheefall._rules.dispatch_messages import RefusalReason, Refuse
 from lycheefall._wire.http_server import (
     CallerConnection,
@@ -13,9 +14,6 @@
 )
 from lycheefall._wire.http_upstream import ResponseHead
 
-# Callers use another entry for their next attempt, so they need not wait.
-RETRY_AFTER_STOP_S = 0.1
-
 
 async def refuse(
     relay: Relay, caller: CallerConnection, status: int, reason: str, retry_after_s: float | None
@@ -63,7 +61,7 @@
     exchange.status = 504 if exchange.possible_runs > 0 else 503
     reason = RefusalReason.STOPPING.value if is_stopping else "deadline exceeded"
     may_return = is_stopping and not exchange.possible_runs
-    retry_after_s = RETRY_AFTER_STOP_S if may_return else None
+    retry_after_s = planned_stop.RETRY_AFTER_S if may_return else None
     log_refused(relay, exchange, reason, 0, retry_after_s)
     await refuse(relay, exchange.caller, exchange.status, reason, retry_after_s)
 
--- a/src/lycheefall/_relay/service.py
+++ b/src/lycheefall/_relay/service.py
@@ -231,7 +231,7 @@
     deadline_s = loop.time() + settings.grace_s - STOP_MARGIN_S
     close_s = min(deadline_s, loop.time() + DIRECTORY_GRACE_S)
     log(Event.PROCESS_STOPPING, role="entry", callers=len(server.callers))
-    stopping.begin(relay, deadline_s - LAST_RESPONSES_S)
+    await stopping.begin(relay, deadline_s - LAST_RESPONSES_S)
     link.member_state = MemberState.DRAINING
     server.is_closing = True
     send_status_to_all(link)
--- a/src/lycheefall/_rules/dispatch_messages.py
+++ b/src/lycheefall/_rules/dispatch_messages.py
@@ -22,7 +22,7 @@
     UPSTREAMS_CLOSED = "upstreams-closed"
     # A part of the prompt may crash upstreams.
     PROMPT_SUSPECTED = "prompt-suspected"
-    # The entry stops before the upstream would have answered.
+    # The entry stops before the deadline of the request.
     STOPPING = "stopping"
 
 
@@ -43,6 +43,8 @@
     # Upstreams of earlier attempts, which are not selected again.
     tried: tuple[UpstreamId, ...] = ()
     is_retry: bool = False
+    # Whether the caller has received a part of the response, which no refusal can replace.
+    has_response_begun: bool = False
     # Parts of the prompt that other requests share.
     prompt_parts: tuple[PromptPart, ...] = ()
 
@@ -140,6 +142,12 @@
     rate_per_s: float | None
 
 
+class StopBegan(Struct, frozen=True):
+    """The entry stops and ends all requests at this time."""
+
+    ends_s: float
+
+
 class Withdraw(Struct, frozen=True):
     """The caller of a queued request disconnected."""
 
--- a/src/lycheefall/_rules/dispatch_state.py
+++ b/src/lycheefall/_rules/dispatch_state.py
@@ -47,6 +47,8 @@
     peer_loads: dict[InstanceId, PeerLoads] = field(default_factory=dict)
     # By reporting replica.
     slow_ranks: dict[InstanceId, SlowRanks] = field(default_factory=dict)
+    # When the entry ends all requests; None until it stops.
+    ends_s: float | None = None
     # Pool and team of each placed request, by request number.
     team_by_request: dict[int, tuple[PoolId, TeamId | None]] = field(default_factory=dict)
 
--- a/src/lycheefall/_rules/dispatching.py
+++ b/src/lycheefall/_rules/dispatching.py
@@ -21,6 +21,7 @@
     decaying_counts,
     dispatch_peers,
     group_pauses,
+    planned_stop,
     rate_limits,
     record_table,
     retry_budget,
@@ -38,6 +39,7 @@
     Place,
     RefusalReason,
     Refuse,
+    StopBegan,
     Withdraw,
 )
 from lycheefall._rules.dispatch_state import DispatchState, pool_of
@@ -103,6 +105,8 @@
     upstreams.
     """
     pool = pool_of(state, message.pool)
+    if not _may_start(state, message):
+        return [_refuse_late(state, message)]
     entries = len(state.peers) + 1
     retry_budget.refill(pool.retries, state.retry_bounds, entries, now_s)
     if message.is_retry:
@@ -140,6 +144,16 @@
     return removed
 
 
+def begin_stop(state: DispatchState, message: StopBegan) -> list[Output]:
+    """Start only requests that end before the entry does, and refuse the queued ones that don't."""
+    state.ends_s = message.ends_s
+    late: list[DispatchRequest] = []
+    for pool in state.pools.values():
+        late += [each for each in pool.waiting if not _may_start(state, each)]
+        pool.waiting = [each for each in pool.waiting if _may_start(state, each)]
+    return [_refuse_late(state, each) for each in late]
+
+
 def withdraw(state: DispatchState, message: Withdraw) -> None:
     """Remove a request from the queue."""
     for pool in state.pools.values():
@@ -309,6 +323,16 @@
     return Refuse(message.number, reason, round(wait_s * jitter, 2), len(pool.waiting))
 
 
+def _may_start(state: DispatchState, message: DispatchRequest) -> bool:
+    return message.has_response_begun or planned_stop.may_start(message.deadline_s, state.ends_s)
+
+
+def _refuse_late(state: DispatchState, message: DispatchRequest) -> Refuse:
+    waiting = len(pool_of(state, message.pool).waiting)
+    retry_after_s = planned_stop.RETRY_AFTER_S
+    return Refuse(message.number, RefusalReason.STOPPING, retry_after_s, waiting)
+
+
 def _is_leaving(state: DispatchState, record: UpstreamRecord) -> bool:
     return upstream_notices.start_of(record) in pool_of(state, record.pool).notices.leaving
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from contextlib import AsyncExitStack
+from typing import Any
 
 import pytest
 from msgspec import structs
@@ -16,11 +17,12 @@
     running_entry,
 )
 from lycheefall._core.relay import RequestKind
-from lycheefall._relay import dispatch
+from lycheefall._relay import connection_pool, dispatch, stopping
 from lycheefall._relay.dispatch import Dispatcher
 from lycheefall._rules import dispatching
 from lycheefall._rules.dispatch_messages import Output, Place
 from lycheefall._wire.http_server import HttpLimits
+from lycheefall._wire.http_upstream import UpstreamConnection
 from relay_values import configuration, record, route
 from upstream_double import (
     LAST_CHUNK,
@@ -560,6 +562,37 @@
             await asyncio.gather(*calls, return_exceptions=True)
 
 
+class TestPlannedStop:
+    @pytest.mark.parametrize("ends_after_s", [1.0, 4.0])
+    async def test_signal_while_connecting(
+        self, monkeypatch: pytest.MonkeyPatch, ends_after_s: float
+    ) -> None:
+        """Guards against a request that is sent after the signal though it may outlive the entry.
+
+        Its upstream was assigned before the signal.
+        """
+        async with upstream(respond_ok) as first, running_entry(LOOKUP) as harness:
+            await announce(harness, first)
+            acquire = connection_pool.acquire
+
+            async def stop_and_acquire(*arguments: Any) -> UpstreamConnection:
+                if harness.relay.stop is None:
+                    ends_s = asyncio.get_running_loop().time() + ends_after_s
+                    await stopping.begin(harness.relay, ends_s)
+                return await acquire(*arguments)
+
+            monkeypatch.setattr(connection_pool, "acquire", stop_and_acquire)
+            response = await call(harness.port, request(deadline_ms=3000))
+            fits = ends_after_s > 2.0
+            assert response.status == (200 if fits else 503)
+            assert len(first.received) == (1 if fits else 0)
+            assert not any(
+                stats.own_in_flight
+                for pool in harness.dispatcher.dispatch_state.pools.values()
+                for stats in pool.upstreams.by_id.values()
+            )
+
+
 class TestCrashes:
     async def test_lost_responses_are_not_crashes(self) -> None:
         """Guards against a lookup that stays refused after three upstreams lost a response."""
