Stay until complete responses have left the process

Cause: a response counts as sent when drain() returns, and up to 64 KB may then be in the process. A connection left the set of open ones with its task, so an entry that stops saw none, and exited. Connections now leave it when they are closed, after their output. Requests may take until 0.3 s before the end of the grace (0.6 s before), and what is left to send gets until 0.1 s before it.

The same look at connections found another cut: a body whose head arrived in one read with the previous request left its connection marked as idle, and a stop closed it.

--- a/src/lycheefall/_relay/service.py
+++ b/src/lycheefall/_relay/service.py
@@ -62,10 +62,10 @@
 # Callers cache the addresses of the directory for 2 s, so an entry that stops keeps listening for
 # longer than that.
 DIRECTORY_GRACE_S = 3.0
-# The process exits this long before the end of the grace period.
-STOP_MARGIN_S = 0.5
-# The requests in progress end this long before, so that their last responses are sent.
-LAST_RESPONSES_S = 0.1
+# The requests in progress end this long before the end of the grace period.
+REQUESTS_MARGIN_S = 0.3
+# The process exits this long before it, or as soon as all responses are sent.
+EXIT_MARGIN_S = 0.1
 STOP_POLL_S = 0.05
 _SEED_BITS = 64
 
@@ -225,17 +225,17 @@
     link: ControlLink,
     relay: Relay,
 ) -> None:
-    """Drain after the stop event: leave the directory, then exit once no request is in progress."""
+    """Drain after the stop event: leave the directory, then exit once all responses are sent."""
     await stop.wait()
     loop = asyncio.get_running_loop()
-    deadline_s = loop.time() + settings.grace_s - STOP_MARGIN_S
-    close_s = min(deadline_s, loop.time() + DIRECTORY_GRACE_S)
+    killed_s = loop.time() + settings.grace_s
+    close_s = min(killed_s - REQUESTS_MARGIN_S, loop.time() + DIRECTORY_GRACE_S)
     log(Event.PROCESS_STOPPING, role="entry", callers=len(server.callers))
-    await stopping.begin(relay, deadline_s - LAST_RESPONSES_S)
+    await stopping.begin(relay, killed_s - REQUESTS_MARGIN_S)
     link.member_state = MemberState.DRAINING
     server.is_closing = True
     send_status_to_all(link)
-    while loop.time() < deadline_s:
+    while loop.time() < killed_s - EXIT_MARGIN_S:
         await asyncio.sleep(STOP_POLL_S)
         if loop.time() < close_s:
             continue
--- a/src/lycheefall/_wire/http_server.py
+++ b/src/lycheefall/_wire/http_server.py
@@ -82,6 +82,7 @@
     has_released_body: asyncio.Event = field(default_factory=asyncio.Event)
     # If set, each response has the header `Connection: close`.
     is_closing: bool = False
+    # Connections that are open; one that is being closed stays until its output is sent.
     callers: set[CallerConnection] = field(default_factory=set)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     listener: asyncio.Server | None = None
@@ -113,6 +114,7 @@
         loop = asyncio.get_running_loop()
         writer = asyncio.StreamWriter(tcp_transport, self, self._request_reader, loop)
         self._caller = CallerConnection(self._server, self._request_reader, writer, _new_http())
+        self._server.callers.add(self._caller)
         task = loop.create_task(_run_connection(self._server, self._caller))
         self._server.tasks.add(task)
         task.add_done_callback(self._server.tasks.discard)
@@ -123,6 +125,8 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self._on_disconnect()
+        if self._caller is not None:
+            self._server.callers.discard(self._caller)
         super().connection_lost(error)
 
     def _on_disconnect(self) -> None:
@@ -231,7 +235,6 @@
 
 
 async def _run_connection(server: HttpServer, caller: CallerConnection) -> None:
-    server.callers.add(caller)
     try:
         await _serve(server, caller)
     except _RejectedRequest as rejected:
@@ -240,7 +243,6 @@
         # The caller disconnected or is too slow to receive its response.
         _abort(caller)
     finally:
-        server.callers.discard(caller)
         _release_body(server, caller)
         caller.writer.close()
 
@@ -322,6 +324,8 @@
         if isinstance(event, h11.Request):
             if _head_size(event) > limits.header_bytes:
                 raise _RejectedRequest(431)
+            # Its head may have arrived together with the previous request.
+            caller.is_idle = False
             return event
         if event is not h11.NEED_DATA:
             return None
