--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -592,6 +592,29 @@
                 for stats in pool.upstreams.by_id.values()
             )
 
+    @pytest.mark.parametrize("sends_head_first", [False, True])
+    async def test_silent_upstream(self, sends_head_first: bool) -> None:
+        """Guards against a run that is given up for another one that the stop doesn't allow."""
+
+        async def respond_late(exchange: Exchange) -> None:
+            stream = stream_head(exchange.received) + chunk(event(0)) + LAST_CHUNK
+            sent_first = len(stream_head(exchange.received)) if sends_head_first else 0
+            await exchange.send(stream[:sent_first])
+            await asyncio.sleep(1.2)
+            await exchange.send(stream[sent_first:])
+
+        async with AsyncExitStack() as stack:
+            doubles = [await stack.enter_async_context(upstream(respond_late)) for _ in range(2)]
+            harness = await stack.enter_async_context(running_entry(STREAM))
+            await announce(harness, *doubles)
+            answer = asyncio.create_task(call(harness.port, request(deadline_ms=4000)))
+            await asyncio.sleep(0.2)
+            await stopping.begin(harness.relay, asyncio.get_running_loop().time() + 2.0)
+            response = await answer
+            assert (response.status, response.body) == (200, event(0))
+            assert response.is_complete
+            assert sum(len(each.received) for each in doubles) == 1
+
 
 class TestCrashes:
     async def test_lost_responses_are_not_crashes(self) -> None:
