Keep the runs of silent upstreams in a planned stop

What callers saw: a lookup or resumable stream from before the signal got 502 when its upstream stayed silent for the time after which another attempt is due, though the upstream answered within the grace.

Cause: the run was ended for another attempt, which a stop doesn't send. The placement of a stalled stream has a short deadline of its own, so the dispatcher assigned an upstream that was then not used.

An entry that stops and starts no other attempt now goes on waiting. test_silent_upstream fails before the change.

--- a/src/lycheefall/_relay/exchange.py
+++ b/src/lycheefall/_relay/exchange.py
@@ -272,8 +272,7 @@
     exchange.attempts_sent += 1
     exchange.possible_runs += 1
     try:
-        async with asyncio.timeout_at(_first_byte_deadline_s(exchange, sent_s)):
-            head = await read_head(connection)
+        head = await _receive_head(relay, exchange, connection, sent_s)
     except TimeoutError:
         discard(connection)
         report_end(Outcome.TIMED_OUT, "no response before the deadline")
@@ -301,6 +300,21 @@
     return await _forward_response(relay, exchange, record, connection, head, report_end)
 
 
+async def _receive_head(
+    relay: Relay, exchange: Exchange, connection: UpstreamConnection, sent_s: float
+) -> ResponseHead:
+    """Return the head of the response; raise TimeoutError if it is time for another attempt."""
+    try:
+        async with asyncio.timeout_at(_first_byte_deadline_s(exchange, sent_s)):
+            return await read_head(connection)
+    except TimeoutError:
+        if stopping.may_send(relay, exchange):
+            raise
+    # No other attempt would be sent, so this one has the rest of the time.
+    async with asyncio.timeout_at(exchange.deadline_s):
+        return await read_head(connection)
+
+
 async def _forward_response(
     relay: Relay,
     exchange: Exchange,
--- a/src/lycheefall/_relay/streams.py
+++ b/src/lycheefall/_relay/streams.py
@@ -6,7 +6,7 @@
 from lycheefall._core.events import Event
 from lycheefall._core.log import log
 from lycheefall._core.relay import UpstreamRecord
-from lycheefall._relay import connection_pool, headers
+from lycheefall._relay import connection_pool, headers, stopping
 from lycheefall._relay.exchange_log import record_first_byte, record_pause
 from lycheefall._relay.exchange_state import Exchange, NextStep, Relay, ReportEnd
 from lycheefall._relay.messages import PromptGenerated
@@ -66,7 +66,7 @@
                 data = await read_data(connection)
         except TimeoutError:
             place = None
-            if exchange.may_repeat:
+            if exchange.may_repeat and stopping.may_send(relay, exchange):
                 place = await _request_other_upstream(relay, exchange, request_placement)
             if place is None:
                 may_resume = False
