--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from contextlib import AsyncExitStack
+from random import Random
 from typing import Any
 
 import pytest
@@ -16,11 +17,14 @@
     request,
     running_entry,
 )
+from lycheefall._core.ids import Fingerprint, PromptPart, UpstreamId
+from lycheefall._core.messages.relay import Crash
 from lycheefall._core.relay import RequestKind
 from lycheefall._relay import connection_pool, dispatch, stopping
 from lycheefall._relay.dispatch import Dispatcher
-from lycheefall._rules import dispatching
+from lycheefall._rules import dispatching, prompt_guard
 from lycheefall._rules.dispatch_messages import Output, Place
+from lycheefall._rules.prompt_blocks import FIRST_BLOCK_S
 from lycheefall._wire.http_server import HttpLimits
 from lycheefall._wire.http_upstream import UpstreamConnection
 from relay_values import configuration, record, route
@@ -615,6 +619,21 @@
             assert response.is_complete
             assert sum(len(each.received) for each in doubles) == 1
 
+    async def test_refused_request_starts_no_trial(self) -> None:
+        """Guards against other entries that wait for the trial of a request that isn't sent."""
+        async with upstream(respond_ok) as double, running_entry(LOOKUP) as harness:
+            await announce(harness, double)
+            now_s = asyncio.get_running_loop().time()
+            guard = harness.dispatcher.prompts
+            crash = Crash(Fingerprint("f"), UpstreamId("u9"), 1, (PromptPart("dead"),))
+            prompt_guard.on_crash(guard, crash, now_s)
+            prompt_guard.refresh(guard, now_s - 3 * FIRST_BLOCK_S, Random(1))
+            await stopping.begin(harness.relay, now_s + 1.0)
+            prompt = "Prefix-Hash: dead:800,beef:20\r\n"
+            response = await call(harness.port, request(extra=prompt))
+            assert (response.status, response.body) == (503, b'{"Error":"stopping"}')
+            assert harness.relay.dispatch_snapshot().part_trials == ()
+
 
 class TestCrashes:
     async def test_lost_responses_are_not_crashes(self) -> None:
