Start no trial with a request that a planned stop refuses

What callers saw: refusals for a suspected part of a prompt at other entries, while an entry stopped. Cause: the stopping entry began and reported a trial before it looked at the deadline of the request, and then refused the request. test_refused_request_starts_no_trial fails before the change.

--- a/src/lycheefall/_relay/dispatch.py
+++ b/src/lycheefall/_relay/dispatch.py
@@ -153,7 +153,8 @@
             blocked_s = prompt_guard.blocked_for_s(state.prompts, request.prompt_parts, now_s)
             if blocked_s > 0.0:
                 return [dispatching.refuse_prompt(dispatch_state, request, blocked_s)]
-            if prompt_guard.start_trial(state.prompts, request.prompt_parts, now_s):
+            may_start = dispatching.may_start(dispatch_state, request)
+            if may_start and prompt_guard.start_trial(state.prompts, request.prompt_parts, now_s):
                 log(Event.PROMPT_PART_TRIED, parts=request.prompt_parts)
                 state.report_evidence()
             return dispatching.on_request(dispatch_state, request, now_s)
--- a/src/lycheefall/_rules/dispatching.py
+++ b/src/lycheefall/_rules/dispatching.py
@@ -105,7 +105,7 @@
     upstreams.
     """
     pool = pool_of(state, message.pool)
-    if not _may_start(state, message):
+    if not may_start(state, message):
         return [_refuse_late(state, message)]
     entries = len(state.peers) + 1
     retry_budget.refill(pool.retries, state.retry_bounds, entries, now_s)
@@ -144,13 +144,18 @@
     return removed
 
 
+def may_start(state: DispatchState, message: DispatchRequest) -> bool:
+    """Return whether a request ends before the entry stops, or continues a begun response."""
+    return message.has_response_begun or planned_stop.may_start(message.deadline_s, state.ends_s)
+
+
 def begin_stop(state: DispatchState, message: StopBegan) -> list[Output]:
     """Start only requests that end before the entry does, and refuse the queued ones that don't."""
     state.ends_s = message.ends_s
     late: list[DispatchRequest] = []
     for pool in state.pools.values():
-        late += [each for each in pool.waiting if not _may_start(state, each)]
-        pool.waiting = [each for each in pool.waiting if _may_start(state, each)]
+        late += [each for each in pool.waiting if not may_start(state, each)]
+        pool.waiting = [each for each in pool.waiting if may_start(state, each)]
     return [_refuse_late(state, each) for each in late]
 
 
@@ -323,10 +328,6 @@
     return Refuse(message.number, reason, round(wait_s * jitter, 2), len(pool.waiting))
 
 
-def _may_start(state: DispatchState, message: DispatchRequest) -> bool:
-    return message.has_response_begun or planned_stop.may_start(message.deadline_s, state.ends_s)
-
-
 def _refuse_late(state: DispatchState, message: DispatchRequest) -> Refuse:
     waiting = len(pool_of(state, message.pool).waiting)
     retry_after_s = planned_stop.RETRY_AFTER_S
