--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -21,9 +21,10 @@
 from lycheefall._core.messages.relay import Crash
 from lycheefall._core.relay import RequestKind
 from lycheefall._relay import connection_pool, dispatch, stopping
+from lycheefall._relay import exchange as exchange_module
 from lycheefall._relay.dispatch import Dispatcher
 from lycheefall._rules import dispatching, prompt_guard
-from lycheefall._rules.dispatch_messages import Output, Place
+from lycheefall._rules.dispatch_messages import Output, Place, Refuse
 from lycheefall._rules.prompt_blocks import FIRST_BLOCK_S
 from lycheefall._wire.http_server import HttpLimits
 from lycheefall._wire.http_upstream import UpstreamConnection
@@ -619,6 +620,36 @@
             assert response.is_complete
             assert sum(len(each.received) for each in doubles) == 1
 
+    async def test_signal_while_a_stall_is_queued(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against a run that is given up for an upstream that the signal forbids."""
+
+        async def pause(exchange: Exchange) -> None:
+            await exchange.send(stream_head(exchange.received))
+            await asyncio.sleep(1.2)
+            await exchange.send(chunk(event(0)) + LAST_CHUNK)
+
+        async with (
+            upstream(pause) as first,
+            upstream(respond_ok) as second,
+            running_entry(STREAM) as harness,
+        ):
+            await announce(harness, first, second)
+            request_placement = exchange_module._request_placement
+
+            async def place_and_stop(*arguments: Any) -> Place | Refuse:
+                placement = await request_placement(*arguments)
+                if first.received:
+                    ends_s = asyncio.get_running_loop().time() + 2.0
+                    await stopping.begin(harness.relay, ends_s)
+                return placement
+
+            monkeypatch.setattr(exchange_module, "_request_placement", place_and_stop)
+            response = await call(harness.port, request(deadline_ms=4000))
+            assert (response.status, response.body) == (200, event(0))
+            assert second.received == []
+            await asyncio.sleep(0.05)
+            assert dispatching.in_flight(harness.dispatcher.dispatch_state) == {}
+
     async def test_refused_request_starts_no_trial(self) -> None:
         """Guards against other entries that wait for the trial of a request that isn't sent."""
         async with upstream(respond_ok) as double, running_entry(LOOKUP) as harness:
