--- a/src/lycheefall/_relay/streams.py
+++ b/src/lycheefall/_relay/streams.py
@@ -12,7 +12,7 @@
 from lycheefall._relay.messages import PromptGenerated
 from lycheefall._rules import byte_budget, event_stream
 from lycheefall._rules.byte_budget import Holding
-from lycheefall._rules.dispatch_messages import Outcome, Place, Refuse
+from lycheefall._rules.dispatch_messages import AttemptEnded, Outcome, Place, Refuse
 from lycheefall._wire.http_server import finish_response, send_data, start_response
 from lycheefall._wire.http_upstream import (
     ExchangeError,
@@ -114,6 +114,11 @@
     )
     if isinstance(placement, Refuse):
         return None
+    if not stopping.may_send(relay, exchange):
+        # The signal came while the request was queued.
+        record = placement.record
+        relay.dispatch.offer(AttemptEnded(record.pool, record.upstream, Outcome.CANCELLED))
+        return None
     log(
         Event.STREAM_RESUMED,
         request=exchange.attempt_id.decode("latin-1"),
