Show that a request runs on a connection that is being closed

The entry closes a connection as idle while a request is received on it and a part of the previous response is not sent yet: the request runs, and no answer can follow.

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -109,6 +109,27 @@
             assert await reader.read() == b""
             assert handled == []
 
+    async def test_request_that_crosses_the_close_behind_output(self) -> None:
+        """Guards against a request that runs on a connection that closes after its output."""
+        handled: list[IncomingRequest] = []
+
+        async def handle(received: IncomingRequest, caller: CallerConnection) -> None:
+            handled.append(received)
+            caller.writer.transport.set_write_buffer_limits(high=2 * len(LARGE_BODY))
+            await send_local_response(caller, 200, (), LARGE_BODY)
+
+        async with connected_server(handle) as (server, reader, writer):
+            (caller,) = server.callers
+            writer.write(request())
+            await asyncio.sleep(0.1)
+            assert caller.is_idle
+            caller.reader.feed_data(request(attempt="id2"))
+            close_idle_connections(server)
+            await asyncio.sleep(0.01)
+            assert len(handled) == 1
+            assert (await read_response(reader)).is_complete
+            assert await reader.read() == b""
+
     async def test_body_after_an_earlier_request(self) -> None:
         """Guards against a connection that is closed as idle while a body arrives on it."""
 
