--- a/src/lycheefall/_wire/http_server.py
+++ b/src/lycheefall/_wire/http_server.py
@@ -251,7 +251,8 @@
     while True:
         caller.is_idle = True
         request = await _read_request(caller)
-        if request is None:
+        # A connection that was closed as idle may still have had a request in its buffer.
+        if request is None or caller.writer.is_closing():
             return
         caller.is_idle = False
         await _run_handler(server, caller, request)
