--- a/src/lycheefall/_relay/streams.py
+++ b/src/lycheefall/_relay/streams.py
@@ -6,13 +6,13 @@
 from lycheefall._core.events import Event
 from lycheefall._core.log import log
 from lycheefall._core.relay import UpstreamRecord
-from lycheefall._relay import connection_pool, headers
+from lycheefall._relay import connection_pool, headers, stopping
 from lycheefall._relay.exchange_log import record_first_byte, record_pause
 from lycheefall._relay.exchange_state import Exchange, NextStep, Relay, ReportEnd
 from lycheefall._relay.messages import PromptGenerated
 from lycheefall._rules import byte_budget, event_stream
 from lycheefall._rules.byte_budget import Holding
-from lycheefall._rules.dispatch_messages import Outcome, Place, Refuse
+from lycheefall._rules.dispatch_messages import AttemptEnded, Outcome, Place, Refuse
 from lycheefall._wire.http_server import finish_response, send_data, start_response
 from lycheefall._wire.http_upstream import (
     ExchangeError,
@@ -66,7 +66,7 @@
                 data = await read_data(connection)
         except TimeoutError:
             place = None
-            if exchange.may_repeat:
+            if exchange.may_repeat and stopping.may_send(relay, exchange):
                 place = await _request_other_upstream(relay, exchange, request_placement)
             if place is None:
                 may_resume = False
@@ -114,6 +114,11 @@
     )
     if isinstance(placement, Refuse):
         return None
+    if not stopping.may_send(relay, exchange):
+        # The signal came while the request was queued.
+        record = placement.record
+        relay.dispatch.offer(AttemptEnded(record.pool, record.upstream, Outcome.CANCELLED))
+        return None
     log(
         Event.STREAM_RESUMED,
         request=exchange.attempt_id.decode("latin-1"),
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from contextlib import AsyncExitStack
+from random import Random
 from typing import Any
 
 import pytest
@@ -16,11 +17,15 @@
     request,
     running_entry,
 )
+from lycheefall._core.ids import Fingerprint, PromptPart, UpstreamId
+from lycheefall._core.messages.relay import Crash
 from lycheefall._core.relay import RequestKind
 from lycheefall._relay import connection_pool, dispatch, stopping
+from lycheefall._relay import exchange as exchange_module
 from lycheefall._relay.dispatch import Dispatcher
-from lycheefall._rules import dispatching
-from lycheefall._rules.dispatch_messages import Output, Place
+from lycheefall._rules import dispatching, prompt_guard
+from lycheefall._rules.dispatch_messages import Output, Place, Refuse
+from lycheefall._rules.prompt_blocks import FIRST_BLOCK_S
 from lycheefall._wire.http_server import HttpLimits
 from lycheefall._wire.http_upstream import UpstreamConnection
 from relay_values import configuration, record, route
@@ -592,6 +597,74 @@
                 for stats in pool.upstreams.by_id.values()
             )
 
+    @pytest.mark.parametrize("sends_head_first", [False, True])
+    async def test_silent_upstream(self, sends_head_first: bool) -> None:
+        """Guards against a run that is given up for another one that the stop doesn't allow."""
+
+        async def respond_late(exchange: Exchange) -> None:
+            stream = stream_head(exchange.received) + chunk(event(0)) + LAST_CHUNK
+            sent_first = len(stream_head(exchange.received)) if sends_head_first else 0
+            await exchange.send(stream[:sent_first])
+            await asyncio.sleep(1.2)
+            await exchange.send(stream[sent_first:])
+
+        async with AsyncExitStack() as stack:
+            doubles = [await stack.enter_async_context(upstream(respond_late)) for _ in range(2)]
+            harness = await stack.enter_async_context(running_entry(STREAM))
+            await announce(harness, *doubles)
+            answer = asyncio.create_task(call(harness.port, request(deadline_ms=4000)))
+            await asyncio.sleep(0.2)
+            await stopping.begin(harness.relay, asyncio.get_running_loop().time() + 2.0)
+            response = await answer
+            assert (response.status, response.body) == (200, event(0))
+            assert response.is_complete
+            assert sum(len(each.received) for each in doubles) == 1
+
+    async def test_signal_while_a_stall_is_queued(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against a run that is given up for an upstream that the signal forbids."""
+
+        async def pause(exchange: Exchange) -> None:
+            await exchange.send(stream_head(exchange.received))
+            await asyncio.sleep(1.2)
+            await exchange.send(chunk(event(0)) + LAST_CHUNK)
+
+        async with (
+            upstream(pause) as first,
+            upstream(respond_ok) as second,
+            running_entry(STREAM) as harness,
+        ):
+            await announce(harness, first, second)
+            request_placement = exchange_module._request_placement
+
+            async def place_and_stop(*arguments: Any) -> Place | Refuse:
+                placement = await request_placement(*arguments)
+                if first.received:
+                    ends_s = asyncio.get_running_loop().time() + 2.0
+                    await stopping.begin(harness.relay, ends_s)
+                return placement
+
+            monkeypatch.setattr(exchange_module, "_request_placement", place_and_stop)
+            response = await call(harness.port, request(deadline_ms=4000))
+            assert (response.status, response.body) == (200, event(0))
+            assert second.received == []
+            await asyncio.sleep(0.05)
+            assert dispatching.in_flight(harness.dispatcher.dispatch_state) == {}
+
+    async def test_refused_request_starts_no_trial(self) -> None:
+        """Guards against other entries that wait for the trial of a request that isn't sent."""
+        async with upstream(respond_ok) as double, running_entry(LOOKUP) as harness:
+            await announce(harness, double)
+            now_s = asyncio.get_running_loop().time()
+            guard = harness.dispatcher.prompts
+            crash = Crash(Fingerprint("f"), UpstreamId("u9"), 1, (PromptPart("dead"),))
+            prompt_guard.on_crash(guard, crash, now_s)
+            prompt_guard.refresh(guard, now_s - 3 * FIRST_BLOCK_S, Random(1))
+            await stopping.begin(harness.relay, now_s + 1.0)
+            prompt = "Prefix-Hash: dead:800,beef:20\r\n"
+            response = await call(harness.port, request(extra=prompt))
+            assert (response.status, response.body) == (503, b'{"Error":"stopping"}')
+            assert harness.relay.dispatch_snapshot().part_trials == ()
+
 
 class TestCrashes:
     async def test_lost_responses_are_not_crashes(self) -> None:
