Give up a slow attempt only for one that is likely to be sooner

Cause: the decision to give up an attempt did not ask whether another may begin. Now the running attempt goes on while the dispatcher is asked for a replacement, for a response that has not begun as for a stream that stalls (_relay/replacement.py).

--- a/src/lycheefall/_relay/exchange.py
+++ b/src/lycheefall/_relay/exchange.py
@@ -16,21 +16,20 @@
 from lycheefall._relay.messages import (
     PromptGenerated,
     RequestEnded,
-    RequestPlacement,
     SuspectedCrash,
 )
+from lycheefall._relay.placement import request_placement
 from lycheefall._relay.refusals import forward_response, give_up, time_out
+from lycheefall._relay.replacement import Stall, progress_or_place
 from lycheefall._relay.streams import GENERATED_DELIVERIES, check_not_ended, forward_stream
 from lycheefall._rules import byte_budget
 from lycheefall._rules.byte_budget import Holding
 from lycheefall._rules.dispatch_messages import (
     AttemptEnded,
-    DispatchRequest,
     FirstByte,
     Outcome,
     Place,
     Refuse,
-    Withdraw,
 )
 from lycheefall._wire.http_server import CallerConnection, IncomingRequest, RequestHandler
 from lycheefall._wire.http_upstream import (
@@ -47,10 +46,9 @@
     skip_body,
 )
 
-# Timeout for the first byte of a repeatable request, as a multiple of the route's target; after it
-# the request is sent to another upstream.
-FIRST_BYTE_TIMEOUT_RATIO = 3.0
-# Fraction of the remaining time that one attempt of a repeatable request may take before the next.
+# Time without the first byte of a repeatable request after which another upstream is considered, as
+# a multiple of the route's target and as a fraction of the remaining time.
+FIRST_BYTE_STALL_RATIO = 3.0
 ATTEMPT_TIME_RATIO = 0.45
 # An exchange is cancelled this long after its deadline, so that a refusal or an attempt that times
 # out at the deadline is handled first, with its own outcome and response.
@@ -93,7 +91,7 @@
 async def _run_attempts(relay: Relay, exchange: Exchange) -> None:
     """Send the request to upstreams in turn until one responds."""
     while True:
-        placement = await _request_placement(relay, exchange, exchange.deadline_s)
+        placement = await request_placement(relay, exchange, exchange.deadline_s)
         if isinstance(placement, Refuse):
             await give_up(relay, exchange, placement)
             return
@@ -106,48 +104,6 @@
             return
 
 
-async def _request_placement(relay: Relay, exchange: Exchange, deadline_s: float) -> Place | Refuse:
-    """Return the upstream that the dispatcher assigns, or its refusal; the request may queue."""
-    placement: asyncio.Future[Place | Refuse] = asyncio.get_running_loop().create_future()
-    # A stalled stream asks for another upstream within an attempt, which remains revocable.
-    if exchange.revoked is None or exchange.revoked.done():
-        exchange.revoked = asyncio.get_running_loop().create_future()
-    # A stream that has begun counts as newly arrived: its caller is waiting mid-response.
-    arrived_s = relay.now() if exchange.has_stream_begun else exchange.request.received_s
-    is_late = exchange.is_caller_retry and not exchange.has_stream_begun
-    request = DispatchRequest(
-        number=exchange.number,
-        pool=exchange.identified.pool,
-        kind=exchange.identified.route.kind,
-        urgency=exchange.identified.urgency,
-        team=exchange.identified.team,
-        arrived_s=arrived_s,
-        target_s=arrived_s + (0.0 if is_late else exchange.identified.route.target_s),
-        deadline_s=deadline_s,
-        tried=tuple(each.upstream for each in exchange.tried),
-        is_retry=exchange.attempts_sent > 0,
-        has_response_begun=exchange.has_stream_begun,
-        prompt_parts=exchange.prompt_parts,
-    )
-    await relay.dispatch.put(RequestPlacement(request, placement, exchange.revoked))
-    try:
-        return await placement
-    except asyncio.CancelledError:
-        if placement.done() and not placement.cancelled():
-            # The decision came in the same iteration of the event loop.
-            _release(relay, placement.result())
-        else:
-            relay.dispatch.offer(Withdraw(exchange.number))
-        raise
-
-
-def _release(relay: Relay, placement: Place | Refuse) -> None:
-    """Return the slot of a placement that is not used."""
-    if isinstance(placement, Place):
-        record = placement.record
-        relay.dispatch.offer(AttemptEnded(record.pool, record.upstream, Outcome.CANCELLED))
-
-
 async def _attempt(relay: Relay, exchange: Exchange, place: Place) -> NextStep | Place:
     """Send the request to one upstream and forward its response, unless it is revoked before."""
     task = asyncio.current_task()
@@ -272,15 +228,17 @@
     exchange.attempts_sent += 1
     exchange.possible_runs += 1
     try:
-        async with asyncio.timeout_at(_first_byte_deadline_s(exchange, sent_s)):
-            head = await read_head(connection)
+        async with asyncio.timeout_at(exchange.deadline_s):
+            head = await _head_or_place(relay, exchange, connection, sent_s)
     except TimeoutError:
         discard(connection)
         report_end(Outcome.TIMED_OUT, "no response before the deadline")
-        if relay.now() >= exchange.deadline_s:
-            await time_out(relay, exchange)
-            return NextStep.DONE
-        return _next_after_failure(exchange)
+        await time_out(relay, exchange)
+        return NextStep.DONE
+    if isinstance(head, Place):
+        discard(connection)
+        report_end(Outcome.TIMED_OUT, "no response yet, and another upstream is sooner")
+        return head
     notices.report(relay.dialect.headers, relay.dispatch, record, head)
     # 421: the server at this address is not the expected upstream.
     if head.status == 421 or get_header(head.headers, names.not_run) is not None:
@@ -295,9 +253,7 @@
     if head.status < 300 and not headers.is_sealed(names, head):
         raise ExchangeError(FailureCause.BROKEN, "the response has no seal header")
     if head.status == 200 and exchange.identified.route.kind is RequestKind.STREAMING:
-        return await forward_stream(
-            relay, exchange, record, connection, head, report_end, _request_placement
-        )
+        return await forward_stream(relay, exchange, record, connection, head, report_end)
     return await _forward_response(relay, exchange, record, connection, head, report_end)
 
 
@@ -362,13 +318,16 @@
     return min(_LAST_PRIORITY, _FIRST_PRIORITY + _PRIORITY_STEP * rank)
 
 
-def _first_byte_deadline_s(exchange: Exchange, sent_s: float) -> float:
-    """Return the time by which a response must begin, or the request is sent elsewhere."""
+async def _head_or_place(
+    relay: Relay, exchange: Exchange, connection: UpstreamConnection, sent_s: float
+) -> ResponseHead | Place:
+    """Return the head of the response, or the upstream that replaces one without a response."""
     if not exchange.may_repeat:
-        return exchange.deadline_s
-    target_limit_s = exchange.identified.route.target_s * FIRST_BYTE_TIMEOUT_RATIO
+        return await read_head(connection)
+    stall_limit_s = exchange.identified.route.target_s * FIRST_BYTE_STALL_RATIO
     attempt_limit_s = (exchange.deadline_s - sent_s) * ATTEMPT_TIME_RATIO
-    return min(exchange.deadline_s, sent_s + min(target_limit_s, attempt_limit_s))
+    stall = Stall(sent_s, sent_s + min(stall_limit_s, attempt_limit_s))
+    return await progress_or_place(relay, exchange, stall, read_head(connection))
 
 
 def _next_after_failure(exchange: Exchange) -> NextStep:
--- a/src/lycheefall/_relay/streams.py
+++ b/src/lycheefall/_relay/streams.py
@@ -1,7 +1,6 @@
 """Forward the events of a stream as they arrive, and resume a stalled one at another upstream."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
 
 from lycheefall._core.events import Event
 from lycheefall._core.log import log
@@ -10,9 +9,10 @@
 from lycheefall._relay.exchange_log import record_first_byte, record_pause
 from lycheefall._relay.exchange_state import Exchange, NextStep, Relay, ReportEnd
 from lycheefall._relay.messages import PromptGenerated
+from lycheefall._relay.replacement import Stall, progress_or_place
 from lycheefall._rules import byte_budget, event_stream
 from lycheefall._rules.byte_budget import Holding
-from lycheefall._rules.dispatch_messages import Outcome, Place, Refuse
+from lycheefall._rules.dispatch_messages import Outcome, Place
 from lycheefall._wire.http_server import finish_response, send_data, start_response
 from lycheefall._wire.http_upstream import (
     ExchangeError,
@@ -27,14 +27,9 @@
 # A stream without an event for this long is resumed at another upstream if one is available.
 # Callers give up after 2 s, and a new run needs a few hundred milliseconds to its first event.
 STREAM_STALL_S = 0.8
-# Maximum time that a stalled stream is queued for another upstream.
-RESUME_WAIT_S = 0.4
 # An upstream that crashes on a prompt does so before it delivers events twice.
 GENERATED_DELIVERIES = 2
 
-# Takes the deadline of the placement, in seconds, as its last argument.
-PlacementRequester = Callable[[Relay, Exchange, float], Awaitable[Place | Refuse]]
-
 
 async def forward_stream(
     relay: Relay,
@@ -43,7 +38,6 @@
     connection: UpstreamConnection,
     head: ResponseHead,
     report_end: ReportEnd,
-    request_placement: PlacementRequester,
 ) -> NextStep | Place:
     """Forward complete events; return another placement if the stream must be resumed.
 
@@ -57,23 +51,15 @@
     event_stream.discard_partial(exchange.events)
     holding = exchange.holding
     assert holding is not None
-    may_resume = True
     # Only whole events count as progress: a faulty upstream may send a byte now and then.
-    stalled_at_s = relay.now() + STREAM_STALL_S
+    stall = Stall(relay.now(), relay.now() + STREAM_STALL_S)
     while True:
-        try:
-            async with asyncio.timeout_at(stalled_at_s if may_resume else None):
-                data = await read_data(connection)
-        except TimeoutError:
-            place = None
-            if exchange.may_repeat:
-                place = await _request_other_upstream(relay, exchange, request_placement)
-            if place is None:
-                may_resume = False
-                continue
+        data = await _next_data(relay, exchange, connection, stall)
+        if isinstance(data, Place):
             discard(connection)
-            report_end(Outcome.TIMED_OUT, "the stream stalled")
-            return place
+            report_end(Outcome.TIMED_OUT, "the stream stalled, and another upstream is sooner")
+            _log_resumed(exchange, data)
+            return data
         if data is None:
             break
         events = event_stream.feed(exchange.events, data)
@@ -85,7 +71,7 @@
         if events:
             await _send_events(relay, exchange, head, events)
             byte_budget.resize(relay.response_bytes, holding, partial_bytes)
-            stalled_at_s = relay.now() + STREAM_STALL_S
+            stall = Stall(relay.now(), relay.now() + STREAM_STALL_S)
     check_not_ended(holding)
     if exchange.events.partial:
         raise ExchangeError(FailureCause.BROKEN, "the stream ended within an event")
@@ -105,22 +91,27 @@
         raise ExchangeError(FailureCause.TOO_LARGE, "the response was ended for its size")
 
 
-async def _request_other_upstream(
-    relay: Relay, exchange: Exchange, request_placement: PlacementRequester
-) -> Place | None:
-    """Return another upstream for a stalled stream, or None if none is available in time."""
-    placement = await request_placement(
-        relay, exchange, min(exchange.deadline_s, relay.now() + RESUME_WAIT_S)
-    )
-    if isinstance(placement, Refuse):
-        return None
+async def _next_data(
+    relay: Relay, exchange: Exchange, connection: UpstreamConnection, stall: Stall
+) -> bytes | Place | None:
+    """Return the next part of the stream, None at its end, or the upstream that continues it."""
+    if not exchange.may_repeat:
+        return await read_data(connection)
+    # A task for each part would cost more than the part.
+    try:
+        async with asyncio.timeout_at(stall.check_s):
+            return await read_data(connection)
+    except TimeoutError:
+        return await progress_or_place(relay, exchange, stall, read_data(connection))
+
+
+def _log_resumed(exchange: Exchange, placement: Place) -> None:
     log(
         Event.STREAM_RESUMED,
         request=exchange.attempt_id.decode("latin-1"),
         upstream=placement.record.upstream,
         after_event=exchange.events.last_id,
     )
-    return placement
 
 
 async def _send_events(relay: Relay, exchange: Exchange, head: ResponseHead, events: bytes) -> None:
--- a/src/lycheefall/_rules/dispatch_messages.py
+++ b/src/lycheefall/_rules/dispatch_messages.py
@@ -18,6 +18,8 @@
     EXPIRED = "expired"
     NO_RETRY_LEFT = "no-retry-left"
     ALL_TRIED = "all-tried"
+    # An attempt is running, and no other upstream is likely to respond sooner.
+    NO_SOONER_UPSTREAM = "no-sooner-upstream"
     # All upstreams asked for a time without requests that is too long to wait for.
     UPSTREAMS_CLOSED = "upstreams-closed"
     # A part of the prompt may crash upstreams.
@@ -43,6 +45,8 @@
     # Upstreams of earlier attempts, which are not selected again.
     tried: tuple[UpstreamId, ...] = ()
     is_retry: bool = False
+    # Time without progress of a running attempt that this one would replace; 0 if none is running.
+    stalled_s: float = 0.0
     # Whether the caller has received a part of the response, which no refusal can replace.
     has_response_begun: bool = False
     # Parts of the prompt that other requests share.
--- a/src/lycheefall/_rules/dispatching.py
+++ b/src/lycheefall/_rules/dispatching.py
@@ -112,6 +112,8 @@
     if message.is_retry:
         if all(each in message.tried for each in pool.upstreams.by_id):
             return [_refuse(state, message, RefusalReason.ALL_TRIED, now_s)]
+        if message.stalled_s and not _is_another_sooner(pool, message, now_s):
+            return [_refuse(state, message, RefusalReason.NO_SOONER_UPSTREAM, now_s)]
         if not retry_budget.try_consume(pool.retries):
             return [_refuse(state, message, RefusalReason.NO_RETRY_LEFT, now_s)]
     else:
@@ -323,6 +325,16 @@
     return Refuse(message.number, reason, round(wait_s * jitter, 2), len(pool.waiting))
 
 
+def _is_another_sooner(pool: PoolState, message: DispatchRequest, now_s: float) -> bool:
+    """Return whether an untried upstream usually responds within the time already waited."""
+    return any(
+        upstream_selection.is_usable(stats, now_s)
+        and upstream_selection.expected_delay_s(pool.upstreams, stats, now_s) < message.stalled_s
+        for upstream, stats in pool.upstreams.by_id.items()
+        if upstream not in message.tried
+    )
+
+
 def _may_start(state: DispatchState, message: DispatchRequest) -> bool:
     return message.has_response_begun or planned_stop.may_start(message.deadline_s, state.ends_s)
 
--- a/src/lycheefall/_rules/upstream_selection.py
+++ b/src/lycheefall/_rules/upstream_selection.py
@@ -114,6 +114,11 @@
     return float(1.0 + (stats.slowness - 1.0) * 0.5 ** (age_s / _SLOWNESS_HALF_LIFE_S))
 
 
+def expected_delay_s(upstreams: PoolUpstreams, stats: UpstreamStats, now_s: float) -> float:
+    """Return the usual delay of an upstream to the first byte, or 0 before the first answer."""
+    return upstreams.delay_s * slowness(stats, now_s)
+
+
 def suspend(stats: UpstreamStats, now_s: float) -> float:
     """Suspend an upstream with exponential backoff; return its duration in seconds."""
     duration_s = float(min(MAX_SUSPENDED_S, SUSPENDED_S * 2.0**stats.suspensions))
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -71,7 +71,9 @@
 
 @asynccontextmanager
 async def running_entry(
-    configuration: RelayConfiguration | None, limits: HttpLimits | None = None
+    configuration: RelayConfiguration | None,
+    limits: HttpLimits | None = None,
+    retry_allowance: float = 1000.0,
 ) -> AsyncIterator[EntryHarness]:
     """Run an entry; without a configuration, `configure` applies one later."""
     loop = asyncio.get_running_loop()
@@ -80,7 +82,7 @@
         dispatch_state=DispatchState(
             instance=InstanceId("e1"),
             data_centre=DataCentreId("dc1"),
-            retry_bounds=RetryBounds(0.2, 10.0, 1000.0),
+            retry_bounds=RetryBounds(0.2, 10.0, retry_allowance),
             random=Random(1),
         )
     )
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -615,3 +615,20 @@
         refusals = dispatching.begin_stop(state, StopBegan(self.ENDS_S))
         assert [each.number for each in refusals] == [2]
         assert state.pools[POOL].waiting == [fitting]
+
+
+class TestReplacements:
+    @pytest.mark.parametrize(("usual_s", "is_sooner"), [(0.05, True), (1.6, False)])
+    def test_only_by_a_sooner_upstream(self, usual_s: float, is_sooner: bool) -> None:
+        """Guards against a running attempt that is given up for one that takes as long."""
+        state = dispatcher(record("u1"), record("u2"))
+        pool = pool_of(state, POOL)
+        pool.upstreams.delay_s = usual_s
+        request = make_request(1, is_retry=True, tried=(UpstreamId("u1"),), stalled_s=0.6)
+        (output,) = dispatching.on_request(state, request, 0.0)
+        if is_sooner:
+            assert isinstance(output, Place)
+        else:
+            assert isinstance(output, Refuse)
+            assert output.reason is RefusalReason.NO_SOONER_UPSTREAM
+            assert pool.retries.tokens == 1.0
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -16,6 +16,7 @@
     request,
     running_entry,
 )
+from lycheefall._core.ids import PoolId
 from lycheefall._core.relay import RequestKind
 from lycheefall._relay import connection_pool, dispatch, stopping
 from lycheefall._relay.dispatch import Dispatcher
@@ -299,6 +300,52 @@
         assert received_counts == [1, 1]
 
 
+class TestSlowAttempts:
+    @staticmethod
+    def respond_after(delay_s: float) -> RequestHandler:
+        async def respond(exchange: Exchange) -> None:
+            await asyncio.sleep(delay_s)
+            await respond_ok(exchange)
+
+        return respond
+
+    async def test_no_retry_left(self) -> None:
+        """Guards against an attempt that is given up though no other may begin."""
+        async with AsyncExitStack() as stack:
+            doubles = [
+                await stack.enter_async_context(upstream(self.respond_after(1.2))) for _ in "ab"
+            ]
+            harness = await stack.enter_async_context(running_entry(LOOKUP, retry_allowance=0.0))
+            await announce(harness, *doubles)
+            assert (await call(harness.port, request())).status == 200
+            assert sum(len(each.received) for each in doubles) == 1
+
+    async def test_slow_service(self) -> None:
+        """Guards against work that is done twice because all upstreams need longer than usual."""
+        async with AsyncExitStack() as stack:
+            doubles = [
+                await stack.enter_async_context(upstream(self.respond_after(1.0))) for _ in "ab"
+            ]
+            harness = await stack.enter_async_context(running_entry(LOOKUP))
+            await announce(harness, *doubles)
+            pool = harness.dispatcher.dispatch_state.pools[PoolId("engines")]
+            pool.upstreams.delay_s = 1.0
+            assert (await call(harness.port, request())).status == 200
+            assert sum(len(each.received) for each in doubles) == 1
+
+    async def test_response_while_another_upstream_is_looked_for(self) -> None:
+        """Guards against a slot that stays taken if the response comes first."""
+        async with upstream(self.respond_after(0.8)) as first, running_entry(LOOKUP) as harness:
+            other = record("u9", address="127.0.0.1:1", slots=1)
+            await announce(harness, first)
+            await harness.announce(other)
+            state = harness.dispatcher.dispatch_state
+            state.pools[PoolId("engines")].upstreams.by_id[other.upstream].own_in_flight = 1
+            assert (await call(harness.port, request())).status == 200
+            await asyncio.sleep(0.05)
+            assert dispatching.in_flight(state) == {other.upstream: 1}
+
+
 class TestBookings:
     @pytest.mark.parametrize("first", [reset, truncated, malformed, unsealed, empty_seal])
     async def test_never_run_twice(self, first: RequestHandler) -> None:
