--- a/src/lycheefall/_relay/service.py
+++ b/src/lycheefall/_relay/service.py
@@ -231,10 +231,10 @@
     killed_s = loop.time() + settings.grace_s
     close_s = min(killed_s - REQUESTS_MARGIN_S, loop.time() + DIRECTORY_GRACE_S)
     log(Event.PROCESS_STOPPING, role="entry", callers=len(server.callers))
-    await stopping.begin(relay, killed_s - REQUESTS_MARGIN_S)
     link.member_state = MemberState.DRAINING
     server.is_closing = True
     send_status_to_all(link)
+    await stopping.begin(relay, killed_s - REQUESTS_MARGIN_S)
     while loop.time() < killed_s - EXIT_MARGIN_S:
         await asyncio.sleep(STOP_POLL_S)
         if loop.time() < close_s:
