Answer the calls that a stopping control replica has read

What callers saw: calls to control in progress when SIGTERM came (a file, an announcement) ended without an answer, and open connections were reset. With an entry that holds up acknowledgements, 5 of 5 calls at the leader were lost, and 4 of 5 at each of the two followers, which had redirected the file before.

`run_registry` ended all its tasks at the stop event, those that answer among them.

Now the replica stops accepting connections at the signal, answers 503 to calls that follow on open ones (the directory, which needs no wait, is still served), and ends once no call is in progress. Until then it votes, replicates and serves the entries as before. A call ends within 3.7 s by its own limits, so the process ends within 4 s, or 0.3 s before the end of a shorter grace. Without calls in progress it exits after one poll of 0.05 s. The loop that waits for connections is shared with the entry.

--- a/src/lycheefall/_registry/http_api.py
+++ b/src/lycheefall/_registry/http_api.py
@@ -21,6 +21,7 @@
     DirectoryQuery,
     ToRegistrar,
 )
+from lycheefall._registry.registrar import MAX_WAIT_FOR_ENTRIES_S
 from lycheefall._registry.state_client import NotLeader, StateClient, read_file, store_file
 from lycheefall._wire.file_compression import compress_file, decompress_file
 from lycheefall._wire.http_server import (
@@ -37,6 +38,8 @@
 # Operators time out after 1 s, or later for large files, and retry at another replica.
 STORE_TIMEOUT_S = 3.0
 READ_TIMEOUT_S = 0.9
+# The longest call stores a file and then waits for the entries.
+LONGEST_CALL_S = STORE_TIMEOUT_S + MAX_WAIT_FOR_ENTRIES_S
 _JSON: Headers = ((b"Content-Type", b"application/json"),)
 
 
@@ -61,6 +64,8 @@
     registrar: Inbox[ToRegistrar]
     # Returns the revision of the newest file that is committed and applied at this replica.
     applied_revision: Callable[[], Revision]
+    # Returns whether the process was told to stop.
+    is_stopping: Callable[[], bool]
 
 
 def handler(respond: Respond) -> RequestHandler:
@@ -79,6 +84,9 @@
     upstream_prefix = endpoints.upstreams.encode()
 
     async def respond(request: IncomingRequest) -> Reply:
+        if context.is_stopping():
+            # Such a call could take longer than the process has left; another replica takes it.
+            return _error_reply(context, 503, "the replica is stopping")
         path = request.target.partition(b"?")[0]
         if path == endpoints.file.encode():
             return await _file_request(context, request)
--- a/src/lycheefall/_registry/service.py
+++ b/src/lycheefall/_registry/service.py
@@ -4,7 +4,7 @@
 """
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from concurrent.futures import ThreadPoolExecutor
 from functools import partial
 from random import SystemRandom
@@ -26,7 +26,13 @@
 from lycheefall._core.messages.relay import PeerUpdate, ToRelay
 from lycheefall._core.pipeline import Inbox, tick
 from lycheefall._core.process import new_incarnation, run_until
-from lycheefall._registry.http_api import ApiContext, control_api, directory_api, handler
+from lycheefall._registry.http_api import (
+    LONGEST_CALL_S,
+    ApiContext,
+    control_api,
+    directory_api,
+    handler,
+)
 from lycheefall._registry.messages import FromEntry, RegistrarTick, ToRegistrar
 from lycheefall._registry.registrar import REGISTRAR_TICK_PERIOD_S, Registrar, run_registrar
 from lycheefall._registry.settings import (
@@ -35,13 +41,22 @@
     RegistrySettings,
 )
 from lycheefall._registry.state_client import StateClient, resolve
-from lycheefall._rules import byte_budget
+from lycheefall._rules import byte_budget, planned_stop
 from lycheefall._rules.byte_budget import ByteBudget
 from lycheefall._rules.consensus.state import Consensus, Tick
 from lycheefall._rules.consensus.step import initial
 from lycheefall._rules.replicated import machine
 from lycheefall._wire.codec import DecodeError, encode
-from lycheefall._wire.http_server import HttpLimits, HttpServer, close_server, open_server
+from lycheefall._wire.http_server import (
+    HttpLimits,
+    HttpServer,
+    close_server,
+    finish_requests,
+    has_requests,
+    open_server,
+    stop_accepting,
+    unsent_bytes,
+)
 from lycheefall._wire.relay_codec import decode_to_registry
 from lycheefall._wire.zmq_sockets import RouterSocket
 
@@ -95,14 +110,16 @@
     state_client = StateClient(new_incarnation(), inboxes.step)
     registrar = Registrar(instance=settings.instance, file=applied.machine.newest_file)
     entry_socket = _open_entry_socket(settings, registrar_inbox)
-    servers = _http_servers(settings, state_client, registrar_inbox, applied)
+    servers = _http_servers(settings, state_client, registrar_inbox, applied, stop.is_set)
+    done = asyncio.Event()
     peer_links.open_links(peers, settings.peer_listen, partial(_receive_from_peer, inboxes))
     for server, address in servers:
         await open_server(server, address)
     log(Event.PROCESS_STARTED, role="control", instance=settings.instance)
     try:
         await run_until(
-            stop,
+            done,
+            _drain(settings, stop, done, [server for server, _ in servers]),
             run_step(
                 consensus,
                 inboxes.step,
@@ -134,11 +151,32 @@
             *_metrics_tasks(settings),
         )
     finally:
-        log(Event.PROCESS_STOPPING, role="control")
+        callers = [caller for server, _ in servers for caller in server.callers]
+        unsent = sum(map(unsent_bytes, callers))
         for server, _ in servers:
             await close_server(server)
         entry_socket.close()
         peer_links.close_links(peers)
+        log(Event.PROCESS_STOPPED, role="control", callers=len(callers), unsent_bytes=unsent)
+
+
+async def _drain(
+    settings: RegistrySettings, stop: asyncio.Event, done: asyncio.Event, servers: list[HttpServer]
+) -> None:
+    """Exit after the stop event once the calls in progress are answered.
+
+    The other filters go on meanwhile, because a call may need a commit or the entries. Open
+    connections are kept until then, so that their callers get 503 instead of a reset.
+    """
+    await stop.wait()
+    stopped_s = asyncio.get_running_loop().time()
+    callers = sum(len(server.callers) for server in servers)
+    log(Event.PROCESS_STOPPING, role="control", callers=callers)
+    ends_s = planned_stop.control_ends_s(stopped_s, settings.grace_s, LONGEST_CALL_S)
+    for server in servers:
+        stop_accepting(server)
+    await finish_requests(servers, lambda: not any(map(has_requests, servers)), ends_s)
+    done.set()
 
 
 def _metrics_tasks(settings: RegistrySettings) -> tuple[Coroutine[None, None, None], ...]:
@@ -241,6 +279,7 @@
     state_client: StateClient,
     registrar: Inbox[ToRegistrar],
     applied: ApplyState,
+    is_stopping: Callable[[], bool],
 ) -> list[tuple[HttpServer, Address]]:
     context = ApiContext(
         control_listen=settings.control_listen,
@@ -248,6 +287,7 @@
         state_client=state_client,
         registrar=registrar,
         applied_revision=lambda: applied.machine.newest_file.number,
+        is_stopping=is_stopping,
     )
     servers: list[tuple[HttpServer, Address]] = []
     apis = [(settings.control_listen, control_api(context))]
--- a/src/lycheefall/_registry/settings.py
+++ b/src/lycheefall/_registry/settings.py
@@ -51,5 +51,7 @@
     peer_address: Callable[[InstanceId], Address]
     # Memory of the process, beyond which it is killed.
     memory_bytes: float
+    # Time from SIGTERM until the process is killed.
+    grace_s: float
     dialect: Dialect
     timing: Timing = REGISTRY_TIMING
--- a/src/lycheefall/_relay/service.py
+++ b/src/lycheefall/_relay/service.py
@@ -50,8 +50,8 @@
     HttpLimits,
     HttpServer,
     IncomingRequest,
-    close_idle_connections,
     close_server,
+    finish_requests,
     open_server,
     send_local_response,
     unsent_bytes,
@@ -66,7 +66,6 @@
 REQUESTS_MARGIN_S = 0.3
 # The process exits this long before it, or as soon as all responses are sent.
 EXIT_MARGIN_S = 0.1
-STOP_POLL_S = 0.05
 _SEED_BITS = 64
 
 
@@ -233,17 +232,8 @@
     log(Event.PROCESS_STOPPING, role="entry", callers=len(server.callers))
     await stopping.begin(relay, killed_s - REQUESTS_MARGIN_S)
     link.member_state = MemberState.DRAINING
-    server.is_closing = True
     send_status_to_all(link)
-    while loop.time() < killed_s - EXIT_MARGIN_S:
-        await asyncio.sleep(STOP_POLL_S)
-        if loop.time() < close_s:
-            continue
-        if server.listener is not None:
-            server.listener.close()
-        close_idle_connections(server)
-        if not server.callers:
-            break
+    await finish_requests((server,), lambda: loop.time() >= close_s, killed_s - EXIT_MARGIN_S)
     done.set()
 
 
--- a/src/lycheefall/_wire/http_server.py
+++ b/src/lycheefall/_wire/http_server.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 server for callers; one task owns each connection."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from typing import cast
 
 import h11
@@ -30,6 +30,8 @@
 # The parser keeps the limit that it is created with, so the limits on heads, which may change, are
 # checked before it is reached.
 MAX_UNPARSED_BYTES = 16 * 1024 * 1024
+# Period at which a process that stops looks for connections that have become idle.
+CLOSE_POLL_S = 0.05
 # For servers whose requests have no bodies to speak of.
 DEFAULT_BODIES_BYTES = 262_144
 
@@ -157,6 +159,40 @@
             caller.writer.close()
 
 
+def stop_accepting(server: HttpServer) -> None:
+    """Accept no connections, and close each open one with its next response."""
+    server.is_closing = True
+    if server.listener is not None:
+        server.listener.close()
+
+
+def has_requests(server: HttpServer) -> bool:
+    """Return whether a request is in progress."""
+    return any(not caller.is_idle for caller in server.callers)
+
+
+async def finish_requests(
+    servers: Collection[HttpServer], may_close: Callable[[], bool], ends_s: float
+) -> None:
+    """Wait until all connections are closed, or until a time.
+
+    Each response closes its connection. While connections may be closed, none are accepted and idle
+    ones are closed, after at least one period in which requests that arrive are answered.
+    """
+    now = asyncio.get_running_loop().time
+    for server in servers:
+        server.is_closing = True
+    while now() < ends_s:
+        await asyncio.sleep(CLOSE_POLL_S)
+        if not may_close():
+            continue
+        for server in servers:
+            stop_accepting(server)
+            close_idle_connections(server)
+        if not any(server.callers for server in servers):
+            return
+
+
 async def close_server(server: HttpServer) -> None:
     """Stop listening and close all connections."""
     if server.listener is not None:
