--- a/tests/processes/test_platform_processes.py
+++ b/tests/processes/test_platform_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import shutil
 import signal
 from pathlib import Path
@@ -11,7 +12,9 @@
 from entry_harness import Response, read_response, request
 from processes.platform_harness import (
     READINESS_PORT,
+    START_TIMEOUT_S,
     AnnouncedUpstream,
+    Machine,
     PlatformCluster,
     announced_upstream,
     http,
@@ -336,6 +339,30 @@
             assert cluster.machines["entry0"].process.returncode is None
             assert (await cluster.read_file(cluster.machines["control0"])) == cluster.file
 
+    @pytest.mark.parametrize("role", ["control", "entry"])
+    async def test_hangup_signal_during_start(self, tmp_path: Path, role: str) -> None:
+        """Guards against SIGHUP ending a process that is still importing its modules."""
+        ip = ".".join(["127", "78", *(str(random.SystemRandom().randint(1, 254)) for _ in "ab")])
+        machine = Machine(role, role, ip, tmp_path)
+        # The seeds are the replicas of the cluster, which need not run.
+        seed = Machine("seed", "control", "127.78.0.1", tmp_path)
+        cluster = PlatformCluster({"seed": seed, role: machine})
+        await cluster.start(role, is_first_start=True)
+        process = machine.process
+        assert process is not None
+        try:
+            async with asyncio.timeout(START_TIMEOUT_S):
+                while "asyncio" not in Path(f"/proc/{process.pid}/maps").read_text():
+                    await asyncio.sleep(0.001)
+            cluster.signal(role, signal.SIGHUP)
+            async with asyncio.timeout(START_TIMEOUT_S):
+                while not any(each["event"] == "process_started" for each in cluster.events(role)):
+                    assert process.returncode is None
+                    await asyncio.sleep(0.05)
+        finally:
+            if process.returncode is None:
+                await cluster.kill(role)
+
 
 async def wait_until_known(cluster: PlatformCluster, announced: AnnouncedUpstream) -> None:
     """Wait until all entries know an upstream."""
