Keep a connection whose request is read but not parsed

Cause: a connection stopped being idle when its task took the data that was read. Between the read and that task, in one iteration of the event loop, a stop could close it as idle, and a request that the process had read got no answer.

Now the read itself ends the idle state. The test that feeds a request behind the protocol, test_request_that_crosses_the_close, still holds: such a request does not run.

test_request_that_was_read_before_the_close fails before the change and passes after it; 124 tests of the files near pass. It was not seen between processes.

--- a/src/lycheefall/_wire/http_server.py
+++ b/src/lycheefall/_wire/http_server.py
@@ -121,6 +121,12 @@
         self._server.tasks.add(task)
         task.add_done_callback(self._server.tasks.discard)
 
+    def data_received(self, data: bytes) -> None:
+        if self._caller is not None:
+            # The task of the connection takes the data in a later iteration of the event loop.
+            self._caller.is_idle = False
+        super().data_received(data)
+
     def eof_received(self) -> bool | None:
         self._on_disconnect()
         return super().eof_received()
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -109,6 +109,24 @@
             assert await reader.read() == b""
             assert handled == []
 
+    async def test_request_that_was_read_before_the_close(self) -> None:
+        """Guards against closing a connection as idle whose request is read but not parsed yet.
+
+        The close may run in the same iteration of the event loop, before the connection's task.
+        """
+
+        async def handle(_: IncomingRequest, caller: CallerConnection) -> None:
+            await send_local_response(caller, 200)
+
+        async with connected_server(handle) as (server, reader, _):
+            (caller,) = server.callers
+            await asyncio.sleep(0.01)
+            protocol = caller.writer.transport.get_protocol()
+            assert isinstance(protocol, asyncio.Protocol)
+            protocol.data_received(request())
+            close_idle_connections(server)
+            assert (await read_response(reader)).status == 200
+
     async def test_body_after_an_earlier_request(self) -> None:
         """Guards against a connection that is closed as idle while a body arrives on it."""
 
