Serve requests that queue for a pool that is removed

What callers saw: in a trial with 27 requests in progress, of which 6 queued, a configuration without their service left those 6 waiting 1.1 to 2.3 s more for a 503 "expired", while its upstream was there and had answered the other 21.

Cause: a configuration drops the upstreams of all pools that it doesn't name at once, also those that queued requests of an earlier configuration wait for. A removed route, key or a shorter timeout has no such effect: a request keeps what it was accepted with.

Now a pool that was removed counts until no request queues for it; a request that comes to it later is refused at once, as before.

--- a/src/lycheefall/_rules/dispatching.py
+++ b/src/lycheefall/_rules/dispatching.py
@@ -72,8 +72,10 @@
 
 def update_upstreams(state: DispatchState, table: RecordTable) -> None:
     """Replace the known upstreams by the usable ones of a record table."""
-    # Without a configuration all pools count.
-    pools = state.pool_settings.keys() or None
+    # Without a configuration all pools count. A pool that was removed counts until its queued
+    # requests, which an earlier configuration allowed, are placed.
+    queued = {name for name, pool in state.pools.items() if pool.waiting}
+    pools = state.pool_settings.keys() | queued if state.pool_settings else None
     usable = {
         record.upstream: record
         for record in record_table.usable(table, pools)
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -10,7 +10,7 @@
 import pytest
 from msgspec.structs import replace
 
-from lycheefall._core.ids import DataCentreId, GroupId, InstanceId, TeamId, UpstreamId
+from lycheefall._core.ids import DataCentreId, GroupId, InstanceId, PoolId, TeamId, UpstreamId
 from lycheefall._core.messages.relay import SlowRank
 from lycheefall._core.relay import (
     GroupHealth,
@@ -572,6 +572,27 @@
         assert all(isinstance(each[0], Place) for each in outputs)
 
 
+class TestRemovedPools:
+    def test_queued_requests(self) -> None:
+        """Guards against refusing requests of a pool that was removed while they queued."""
+        upstreams = (record("u1"), record("u2", pool=PoolId("unknown")))
+        state = dispatcher(*upstreams)
+        for number in range(3):
+            dispatching.on_request(state, make_request(number), 0.0)
+        changed = configuration(number=2)
+        changed = replace(changed, pools=changed.pools[1:])
+        dispatching.apply_configuration(state, changed)
+        set_upstreams(state, *upstreams)
+        assert not any(each.upstreams.by_id for name, each in state.pools.items() if name != POOL)
+        (placed,) = dispatching.on_attempt_ended(state, end("u1"), 0.1)
+        assert isinstance(placed, Place)
+        assert placed.number == 2
+        set_upstreams(state, *upstreams)
+        (refused,) = dispatching.on_request(state, make_request(3), 0.1)
+        assert isinstance(refused, Refuse)
+        assert refused.reason is RefusalReason.NO_UPSTREAM
+
+
 class TestPlannedStop:
     ENDS_S = 7.0
 
