Keep an entry running whose settings name no replica

What callers saw: nothing of it in the record.

Cause: the entry selects the replica that distributes the loads with min() over its connections, of which there are none.

Now there is no such replica until the settings name one; they are reread as before. TestSeeds fails before the change and passes after it.

--- a/src/lycheefall/_relay/control_link.py
+++ b/src/lycheefall/_relay/control_link.py
@@ -103,8 +103,8 @@
             while state.now() < until_s - LOADS_PERIOD_S:
                 if await _wait_for_evidence(state, LOADS_PERIOD_S):
                     send_status_to_all(state)
-                else:
-                    _send_status_to(state, _load_distributor(state))
+                elif (distributor := _load_distributor(state)) is not None:
+                    _send_status_to(state, distributor)
             await _wait_for_evidence(state, max(0.0, until_s - state.now()))
     finally:
         for link in state.links.values():
@@ -127,9 +127,12 @@
         _send_status_to(state, replica)
 
 
-def _load_distributor(state: ControlLink) -> InstanceId:
-    """Return the replica that distributes the loads; all entries select the same one."""
-    return min(state.reachable, default=min(state.links))
+def _load_distributor(state: ControlLink) -> InstanceId | None:
+    """Return the replica that distributes the loads; all entries select the same one.
+
+    There is none while the settings name no replica.
+    """
+    return min(state.reachable or state.links, default=None)
 
 
 def _send_status_to(state: ControlLink, replica: InstanceId) -> None:
--- a/tests/test_control_link.py
+++ b/tests/test_control_link.py
@@ -124,3 +124,18 @@
             assert len(entry.sent[VOTERS[1]].messages) > before
         link_task.cancel()
         await asyncio.gather(link_task, return_exceptions=True)
+
+
+class TestSeeds:
+    @pytest.mark.looptime
+    async def test_none(self) -> None:
+        """Guards against an entry that ends because its settings name no replica yet."""
+        entry = Entry()
+        entry.link.now = asyncio.get_running_loop().time
+        entry.link.links.clear()
+        entry.link.seeds = tuple
+        link_task = asyncio.create_task(run_control_link(entry.link))
+        await asyncio.sleep(1.0)
+        assert not link_task.done()
+        link_task.cancel()
+        await asyncio.gather(link_task, return_exceptions=True)
