--- a/tests/processes/platform_harness.py
+++ b/tests/processes/platform_harness.py
@@ -237,6 +237,8 @@
     double: UpstreamDouble
     cluster: PlatformCluster
     state: str = "ready"
+    # Further fields of the announcements, such as the group of a rank.
+    fields: dict[str, Any] = field(default_factory=dict)
     sequence: int = 0
     start_time_ms: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
 
@@ -251,6 +253,7 @@
             "State": self.state,
             "Sequence": self.sequence,
             "born": self.start_time_ms,
+            **self.fields,
         }
         for machine in random.sample(
             self.cluster.with_role("control"), len(self.cluster.with_role("control"))
@@ -270,11 +273,15 @@
 
 @asynccontextmanager
 async def announced_upstream(
-    cluster: PlatformCluster, name: str, pool: str, answer: RequestHandler
+    cluster: PlatformCluster,
+    name: str,
+    pool: str,
+    answer: RequestHandler,
+    fields: dict[str, Any] | None = None,
 ) -> AsyncIterator[AnnouncedUpstream]:
     """Run an upstream that announces itself periodically."""
     async with upstream(answer) as double:
-        announced = AnnouncedUpstream(name, pool, double, cluster)
+        announced = AnnouncedUpstream(name, pool, double, cluster, fields=fields or {})
         announcer = asyncio.create_task(announced.run())
         try:
             yield announced
