Show that a group stops for good when its coordinator misses the renewal of its lease

Cause: a coordinator steps down by its own clock, 2 s after it sent its last confirmed renewal. The log counts from the renewal that it applied last. In between the log grants AcquireLease of the same holder with the same fencing number; the coordinator ignores a grant that is not higher than its own number, asks again every 0.1 s, and each attempt extends the lease. No coordinator gets a usable lease: ranks run to their last permitted step and stop. The simulation didn't show it because it gives every request a new number.

--- a/tests/group_simulation.py
+++ b/tests/group_simulation.py
@@ -18,7 +18,8 @@
     WeightsLoaded,
 )
 from lycheefall._rules import group_state, group_steps, rank_steps
-from lycheefall._rules.replicated import epochs
+from lycheefall._rules.replicated import epochs, leases
+from lycheefall._rules.replicated.leases import Leases
 
 GROUP = GroupId("assistant-models/0")
 RANKS = 2
@@ -54,6 +55,9 @@
     log: epochs.EpochsState = field(default_factory=epochs.initial)
     # Fencing number of the last granted lease.
     lease: int = 0
+    # The leases of the log; None grants the lease to every requester, so that two coordinators can
+    # hold it at once.
+    log_leases: Leases | None = None
     network: list[InFlightMessage] = field(default_factory=list)
     # Messages that are taken from the network, to be delivered later or a second time.
     delayed: list[InFlightMessage] = field(default_factory=list)
@@ -161,7 +165,12 @@
         self.network.append(InFlightMessage(receiver, answered, message_in_flight.run))
 
     def _lease(self, message: object) -> LeaseResult:
-        """Grant the lease to every requester, so that two coordinators can hold it at once."""
+        """Grant the lease to every requester, or to one at a time as the log does."""
+        if self.log_leases is not None:
+            assert isinstance(message, AcquireLease | RenewLease)
+            _, granted = leases.apply(self.log_leases, message, round(self.now_s * 1000))
+            assert isinstance(granted, LeaseResult)
+            return granted
         code = ResultCode.OK
         if isinstance(message, AcquireLease):
             self.lease += 1
--- a/tests/test_group_steps.py
+++ b/tests/test_group_steps.py
@@ -1,5 +1,7 @@
 """Tests of the protocol of map epochs."""
 
+from random import Random
+
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -13,6 +15,7 @@
 from lycheefall._rules import group_state
 from lycheefall._rules.group_state import Phase, ProposePlacement
 from lycheefall._rules.rank_steps import ReportDue
+from lycheefall._rules.replicated import leases
 
 names = st.sampled_from(["a", "b"])
 ranks = st.integers(0, RANKS - 1)
@@ -264,3 +267,72 @@
         simulation.enter(0, 100)
         check_progress(simulation, "b", 6)
         assert simulation.log.groups[GROUP].commits
+
+
+class TestLeaseOfTheLog:
+    """Coordinators with the leases of the log, which only one of them holds at a time."""
+
+    def start(self, fence: FenceMode) -> GroupSimulation:
+        """Return a simulation in which coordinator a has rolled out the first map."""
+        simulation = GroupSimulation(fence, log_leases=leases.initial())
+        simulation.run_rounds("a", 8)
+        simulation.coordinate("a", ProposePlacement(PLACEMENTS[0]))
+        simulation.run_rounds("a", 3)
+        return simulation
+
+    @pytest.mark.parametrize("fence", FenceMode)
+    def test_lost_result_of_a_renewal(self, fence: FenceMode) -> None:
+        """Guards against a group that stops for good because its holder can't use its own lease.
+
+        The log had renewed the lease, but the coordinator did not learn of it and stepped down. It
+        acquired the lease again while that lasted, and ignored the grant, which has the same
+        fencing number. Each attempt extended the lease, so no other coordinator got it either.
+        """
+        simulation = self.start(fence)
+        self.lose_results(simulation, "a")
+        simulation.now_s += 1.4
+        for _ in range(20):
+            simulation.now_s += 0.1
+            simulation.coordinate("a", group_state.Tick())
+            simulation.coordinate("b", group_state.Tick())
+            simulation.deliver_next()
+        check_progress(simulation, "a", 5)
+
+    @pytest.mark.parametrize("fence", FenceMode)
+    def test_any_order_of_faults(self, fence: FenceMode) -> None:
+        """Guards against a group that stops for good after coordinators end or lose their lease."""
+        for seed in range(150):
+            simulation = self.start(fence)
+            random = Random(seed)
+            for _ in range(random.randrange(4, 30)):
+                self.play_event(simulation, random)
+            check_progress(simulation, "a", 5)
+
+    def play_event(self, simulation: GroupSimulation, random: Random) -> None:
+        """Play one event or fault of coordinator a or b."""
+        name = random.choice("ab")
+        match random.randrange(8):
+            case 0 | 1:
+                simulation.run_rounds(name, random.randint(1, 6), period_s=0.2)
+            case 2:
+                simulation.coordinate(name, ProposePlacement(PLACEMENTS[random.randrange(8)]))
+            case 3:
+                simulation.deliver_next(random.randint(1, 12))
+            case 4:
+                simulation.enter(random.randrange(RANKS), random.choice([1, 5, 70]))
+            case 5:
+                self.lose_results(simulation, name)
+                simulation.now_s += random.choice([1.2, 1.9])
+            case 6:
+                simulation.now_s += random.choice([0.1, 0.6])
+            case 7:
+                simulation.restart_coordinator(name)
+
+    def lose_results(self, simulation: GroupSimulation, name: str) -> None:
+        """Let the log apply the commands of a coordinator, and lose their results."""
+        simulation.now_s += 0.6
+        simulation.coordinate(name, group_state.Tick())
+        for command in [f for f in simulation.network if f.receiver == f"log-{name}"]:
+            simulation.network.remove(command)
+            simulation.deliver(command)
+        simulation.network = [f for f in simulation.network if f.receiver != name]
