End a lease that a coordinator gave up before it acquires it again

Change: a coordinator without a phase that gets its own old grant ends the lease in the log (a renewal of 1 ms, as entries do for suspects) and acquires it with a higher number.

--- a/src/lycheefall/_rules/group_state.py
+++ b/src/lycheefall/_rules/group_state.py
@@ -38,6 +38,8 @@
 FIRST_FENCING = FencingNumber(1)
 LEASE_S = 2.0
 RENEW_AFTER_S = 0.5
+# Remaining duration of a lease that its holder ends; the log takes no duration of 0.
+ENDED_LEASE_S = 0.001
 # Steps that a rank may run ahead of the group's last report: 3 s at 50 ms per step.
 PERMIT_STEPS = 64
 PREPARE_TIMEOUT_S = 60.0
--- a/src/lycheefall/_rules/group_steps.py
+++ b/src/lycheefall/_rules/group_steps.py
@@ -34,6 +34,7 @@
     ToRank,
 )
 from lycheefall._rules.group_state import (
+    ENDED_LEASE_S,
     FIRST_FENCING,
     LEASE_S,
     NO_EPOCH,
@@ -137,9 +138,12 @@
     state: CoordinatorState, result: LeaseResult, sent_s: float
 ) -> list[CoordinatorOutput]:
     granted = result.code is ResultCode.OK and result.holder == state.holder
-    # A resent request may have been granted again, which makes the first fencing number stale.
-    if not granted or result.fencing <= state.fencing:
+    if not granted or result.fencing < state.fencing:
         return []
+    if result.fencing == state.fencing:
+        # A resent request in a later phase; or the log still holds the lease that this coordinator
+        # gave up. Commits of that time may be on their way, so it needs a higher fencing number.
+        return [] if state.phase is not Phase.LEASE else [_end_lease(state)]
     _step_down(state)
     state.fencing = result.fencing
     _extend_lease(state, sent_s)
@@ -163,6 +167,12 @@
     return []
 
 
+def _end_lease(state: CoordinatorState) -> CoordinatorOutput:
+    """Return a command that ends this coordinator's lease in the log."""
+    name = lease_name(state.group)
+    return ProposeCommand(RenewLease(name, state.holder, state.fencing, ENDED_LEASE_S))
+
+
 def _extend_lease(state: CoordinatorState, sent_s: float) -> None:
     state.lease_until_s = max(state.lease_until_s, sent_s + LEASE_S)
     state.renew_at_s = max(state.renew_at_s, sent_s + RENEW_AFTER_S)
