Log who holds the lease of a group, and keep the logs of a group that stands still

Change: lines group_lease_acquired and group_lease_lost; a wait that fails in the tests of group processes shows the last step of each rank, the end of each log and the load of the machine.

--- a/src/lycheefall/_control/group_coordinator.py
+++ b/src/lycheefall/_control/group_coordinator.py
@@ -23,6 +23,7 @@
     CoordinatorOutput,
     CoordinatorState,
     LogLine,
+    Phase,
     ProposeCommand,
     ProposePlacement,
     SendToRank,
@@ -88,8 +89,14 @@
         message = ProposePlacement(message.plan.placement)
     if isinstance(message, RankReport):
         group_load.observe(state.load, message)
+    had_lease = state.protocol.phase is not Phase.LEASE
     state.protocol, protocol_outputs = step(state.protocol, message, now_s)
     results += protocol_outputs
+    has_lease = state.protocol.phase is not Phase.LEASE
+    if has_lease != had_lease:
+        event = Event.GROUP_LEASE_ACQUIRED if has_lease else Event.GROUP_LEASE_LOST
+        epoch = current_epoch(state.protocol)
+        results.append(LogLine(event, epoch, state.protocol.reached))
     if isinstance(message, Tick):
         results += _request_plan(state, now_s)
     return state, results
--- a/src/lycheefall/_core/events.py
+++ b/src/lycheefall/_core/events.py
@@ -80,6 +80,8 @@
     RANK_ORDERED = 7005
     PASSES_LONGER = 7006
     RANK_SILENT = 7007
+    GROUP_LEASE_ACQUIRED = 7008
+    GROUP_LEASE_LOST = 7009
 
 
 class Level(Enum):
@@ -120,6 +122,7 @@
     Event.EPOCH_ABORTED: Level.WARNING,
     Event.STEP_REFUSED: Level.ERROR,
     Event.RANK_SILENT: Level.WARNING,
+    Event.GROUP_LEASE_LOST: Level.WARNING,
 }
 
 
--- a/tests/processes/rank_group.py
+++ b/tests/processes/rank_group.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+import time
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -17,6 +18,8 @@
 RANKS = 4
 EXPERTS = 16
 LOG_POLL_INTERVAL_S = 0.001
+# Lines of each log in the message of a wait that fails.
+LOG_LINES_SHOWN = 30
 # The rank that is connected to control through forwarders.
 FORWARDED_RANK = 1
 GROUP = "assistant-pool/0"
@@ -165,6 +168,22 @@
         """Return the number of steps that every rank has entered."""
         return min(len(self.read_steps(rank)) for rank in range(RANKS))
 
+    def describe(self) -> str:
+        """Return what shows whether ranks wait for control, for a rank or for the processor.
+
+        It has the last step of each rank, the end of each log, and the load of the machine. A log
+        has `group_lease_lost` and `group_lease_acquired` of each coordinator.
+        """
+        lines = [f"load averages {os.getloadavg()} on {os.cpu_count()} cores"]
+        for rank in range(RANKS):
+            history = self.read_steps(rank)
+            lines.append(f"rank {rank}: {history[-1] if history else 'no step'}")
+        for path in sorted(self.folder.glob("*.log")):
+            age_s = time.time() - path.stat().st_mtime
+            lines.append(f"{path.name}, written {age_s:.1f} s ago:")
+            lines += path.read_text(errors="replace").splitlines()[-LOG_LINES_SHOWN:]
+        return "\n".join(lines)
+
     def epoch(self) -> int:
         """Return the lowest epoch with which any rank entered its last step."""
         histories = [self.read_steps(rank) for rank in range(RANKS)]
--- a/tests/processes/test_group_processes.py
+++ b/tests/processes/test_group_processes.py
@@ -31,16 +31,22 @@
 
 async def wait_for_steps(group: RankGroup, number: int, timeout_s: float) -> None:
     """Wait until every rank has entered this many steps."""
-    async with asyncio.timeout(timeout_s):
-        while group.entered_steps() < number:
-            await asyncio.sleep(0.05)
+    try:
+        async with asyncio.timeout(timeout_s):
+            while group.entered_steps() < number:
+                await asyncio.sleep(0.05)
+    except TimeoutError as error:
+        raise TimeoutError(group.describe()) from error
 
 
 async def wait_for_epoch(group: RankGroup, epoch: int, timeout_s: float) -> None:
     """Wait until the ranks use this epoch or a later one."""
-    async with asyncio.timeout(timeout_s):
-        while group.epoch() < epoch:
-            await asyncio.sleep(0.05)
+    try:
+        async with asyncio.timeout(timeout_s):
+            while group.epoch() < epoch:
+                await asyncio.sleep(0.05)
+    except TimeoutError as error:
+        raise TimeoutError(group.describe()) from error
 
 
 async def apply_groups(control: Cluster, fence: FenceMode) -> None:
