Show that a coordinator without callers exits within a switch of maps

Cause: a stopping entry exits once it has no callers, 3 s after its signal, and its exit cancels rollouts. If orders get lost meanwhile and all entries stop, none completes the switch.

--- a/tests/processes/rank_servers.py
+++ b/tests/processes/rank_servers.py
@@ -65,6 +65,8 @@
     before_order: OrderHook = lambda rank, order: True
     after_order: OrderHook = lambda rank, order: True
     popular: frozenset[int] = frozenset(range(0, EXPERTS, RANKS))
+    # Entries to which callers send no further streams.
+    without_callers: set[str] = field(default_factory=set)
     counts: list[int] = field(default_factory=lambda: [0] * EXPERTS)
     # When each pass was first seen.
     pass_times_s: list[float] = field(default_factory=list)
--- a/tests/processes/test_coordinator_stop.py
+++ b/tests/processes/test_coordinator_stop.py
@@ -25,6 +25,10 @@
 pytestmark = pytest.mark.processes
 
 CALLERS = 24
+# Longer than the streams in progress take.
+STREAMS_END_S = 3.0
+# Longer than an entry without callers runs after its signal, and shorter than its grace.
+ORDERS_LOST_S = 4.0
 # The streams of a group are late if it stands still for longer than this.
 LONGEST_PAUSE_S = 2.0
 ROLLOUT_TIMEOUT_S = 20.0
@@ -73,7 +77,9 @@
         await cluster.change_file(**FILE)
         servers = await stack.enter_async_context(running_ranks(cluster))
         await cluster.wait_until_ready()
-        callers = [asyncio.create_task(run_caller(cluster, number)) for number in range(CALLERS)]
+        callers = [
+            asyncio.create_task(run_caller(cluster, servers, number)) for number in range(CALLERS)
+        ]
         try:
             coordinator = await poll_until(lambda: find_coordinator(cluster), ROLLOUT_TIMEOUT_S)
             await servers.wait_for_switch()
@@ -84,14 +90,16 @@
             await asyncio.gather(*callers, return_exceptions=True)
 
 
-async def run_caller(cluster: PlatformCluster, number: int) -> None:
-    """Ask for one stream after the other, at any entry, until cancelled."""
+async def run_caller(cluster: PlatformCluster, servers: RankServers, number: int) -> None:
+    """Ask for one stream after the other, at any entry that has callers, until cancelled."""
     random = Random(number)
     turn = 0
     while True:
         turn += 1
-        entry = random.choice(cluster.with_role("entry"))
-        host, _, port = entry.caller_address.partition(":")
+        entries = [
+            each for each in cluster.with_role("entry") if each.name not in servers.without_callers
+        ]
+        host, _, port = random.choice(entries).caller_address.partition(":")
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             reader, writer = await asyncio.open_connection(host, int(port))
             try:
@@ -195,3 +203,23 @@
             at_s = asyncio.get_running_loop().time()
             await asyncio.sleep(2 * LONGEST_PAUSE_S)
             assert servers.longest_pause_s(at_s) < LONGEST_PAUSE_S
+
+    async def test_all_entries_stop_while_orders_get_lost(self, tmp_path: Path) -> None:
+        """Guards against a coordinator that exits within a switch because it has no callers.
+
+        The other entry stops as well, so none takes over while its streams wait for the group.
+        """
+        async with busy_group(tmp_path) as (cluster, servers, name):
+            servers.without_callers.add(name)
+            await asyncio.sleep(STREAMS_END_S)
+            is_lost = asyncio.Event()
+            is_lost.set()
+            await stop_coordinator(cluster, servers, name, Moment.HELD, signal.SIGTERM, is_lost)
+            for machine in cluster.with_role("entry"):
+                cluster.signal(machine.name, signal.SIGTERM)
+            await asyncio.sleep(ORDERS_LOST_S)
+            is_lost.clear()
+            at_s = asyncio.get_running_loop().time()
+            await asyncio.sleep(LONGEST_PAUSE_S)
+            assert servers.longest_pause_s(at_s) < LONGEST_PAUSE_S / 2
+            await cluster.wait_for_exit(name, EXIT_TIMEOUT_S - ORDERS_LOST_S)
