Exit only after the changes of maps that a stopping entry coordinates

Change: the drain waits for rollouts and for the release of held groups, as long as the grace lasts. A rollout that has not held its group yet still ends without a hold.

--- a/src/lycheefall/_relay/map_coordinator.py
+++ b/src/lycheefall/_relay/map_coordinator.py
@@ -6,10 +6,11 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from functools import partial
 from math import ceil
 from random import Random
+from typing import Any, TypeVar
 
 from msgspec import Struct, field
 
@@ -93,6 +94,8 @@
 FAILURE_BACKOFF_S = 1.0
 
 
+T = TypeVar("T")
+
 # Plans by the map in force and the paces of the ranks.
 Plans = dict[tuple[ExpertMap, tuple[float, ...]], Plan]
 
@@ -116,7 +119,8 @@
     pass_durations: dict[GroupId, PassDurations] = field(default_factory=dict)
     # Pause target of the streams of a pool.
     pause_target_s: dict[PoolId, float] = field(default_factory=dict)
-    rollouts: "set[asyncio.Task[None]]" = field(default_factory=set)
+    # Changes of maps in progress; a stopping entry waits for them.
+    rollouts: "set[asyncio.Task[Any]]" = field(default_factory=set)
 
 
 async def run_coordinator(state: Coordinator) -> None:
@@ -282,9 +286,15 @@
     if not is_better or not state.may_coordinate():
         return
     group.is_changing = True
-    task = asyncio.create_task(_roll_out(state, pool, group, found, ratio_before))
+    _start(state, _roll_out(state, pool, group, found, ratio_before))
+
+
+def _start(state: Coordinator, change: Coroutine[None, None, T]) -> "asyncio.Task[T]":
+    """Run a change of maps as a task that a stopping entry waits for."""
+    task = asyncio.create_task(change)
     state.rollouts.add(task)
     task.add_done_callback(state.rollouts.discard)
+    return task
 
 
 async def _plan(
@@ -438,8 +448,11 @@
         return
     highest = max(max(each.map_version, each.prepared, each.armed) for each in statuses)
     version = map_rollout.next_version(max(group.highest_version, highest), state.random)
-    result = await map_rollout.complete_abandoned_switch(
-        ranks, statuses, group.active_map, version, held_for_s
+    result = await _start(
+        state,
+        map_rollout.complete_abandoned_switch(
+            ranks, statuses, group.active_map, version, held_for_s
+        ),
     )
     if result is not None:
         group.active_map = None
--- a/src/lycheefall/_relay/service.py
+++ b/src/lycheefall/_relay/service.py
@@ -146,7 +146,7 @@
             _close_expired_connections(pooled_connections),
             _serve(settings, server, link, dispatcher),
             run_coordinator(coordinator),
-            _drain(settings, stop, done, server, link, relay),
+            _drain(settings, stop, done, server, link, relay, coordinator),
             *_optional_tasks(settings, link),
         )
     finally:
@@ -224,8 +224,12 @@
     server: HttpServer,
     link: ControlLink,
     relay: Relay,
+    coordinator: Coordinator,
 ) -> None:
-    """Drain after the stop event: leave the directory, then exit once all responses are sent."""
+    """Drain after the stop event: leave the directory, then exit once all responses are sent.
+
+    Changes of maps end before as well: until another entry notices, a held group serves nobody.
+    """
     await stop.wait()
     loop = asyncio.get_running_loop()
     killed_s = loop.time() + settings.grace_s
@@ -242,7 +246,7 @@
         if server.listener is not None:
             server.listener.close()
         close_idle_connections(server)
-        if not server.callers:
+        if not server.callers and not coordinator.rollouts:
             break
     done.set()
 
