--- a/tests/processes/test_group_processes.py
+++ b/tests/processes/test_group_processes.py
@@ -27,6 +27,8 @@
 START_TIMEOUT_S = 15.0
 RECOVERY_TIMEOUT_S = 15.0
 STEPS_AFTER_FAULTS = 100
+# Pauses of coordinators, each about as long as a lease.
+PAUSES = 8
 
 
 async def wait_for_steps(group: RankGroup, number: int, timeout_s: float) -> None:
@@ -144,3 +146,28 @@
         histories = [group.read_steps(rank) for rank in range(RANKS)]
         assert not find_violations(histories)
         print(f"seed {seed}: {group.entered_steps()} steps, {group.epoch()} epochs")
+
+
+class TestLease:
+    async def test_pauses_about_the_length_of_a_lease(self, tmp_path: Path) -> None:
+        """Guards against a coordinator that keeps a lease that it can't use, so the group stops."""
+        options = {"settings": {"toml": True, "plan_period_s": 0.2}, "log_files": True}
+        rng = random.Random(3)
+        async with cluster(tmp_path, **options) as control:
+            group = RankGroup(tmp_path, control.clients(), FenceMode.REFUSES, 3)
+            try:
+                await group.open_links()
+                group.start_all()
+                await apply_groups(control, FenceMode.REFUSES)
+                await wait_for_steps(group, 20, START_TIMEOUT_S)
+                for _ in range(PAUSES):
+                    name = find_coordinator(control)
+                    control.pause(name)
+                    await asyncio.sleep(rng.uniform(1.5, 2.1))
+                    control.resume(name)
+                    reached = group.entered_steps()
+                    await wait_for_steps(group, reached + STEPS_AFTER_FAULTS, RECOVERY_TIMEOUT_S)
+            finally:
+                group.close()
+                await group.close_links()
+        assert not find_violations([group.read_steps(rank) for rank in range(RANKS)])
