--- a/src/lycheefall/_core/events.py
+++ b/src/lycheefall/_core/events.py
@@ -81,6 +81,8 @@
     RANK_ORDERED = 7005
     PASSES_LONGER = 7006
     RANK_SILENT = 7007
+    GROUP_LEASE_ACQUIRED = 7008
+    GROUP_LEASE_LOST = 7009
 
 
 class Level(Enum):
@@ -121,6 +123,7 @@
     Event.EPOCH_ABORTED: Level.WARNING,
     Event.STEP_REFUSED: Level.ERROR,
     Event.RANK_SILENT: Level.WARNING,
+    Event.GROUP_LEASE_LOST: Level.WARNING,
 }
 
 
--- a/src/lycheefall/_relay/service.py
+++ b/src/lycheefall/_relay/service.py
@@ -145,7 +145,7 @@
             _close_expired_connections(pooled_connections),
             _serve(settings, server, link, dispatcher),
             run_coordinator(coordinator),
-            _drain(settings, stop, done, server, link, relay),
+            _drain(settings, stop, done, server, link, relay, coordinator),
             *_optional_tasks(settings, link),
         )
     finally:
@@ -223,8 +223,12 @@
     server: HttpServer,
     link: ControlLink,
     relay: Relay,
+    coordinator: Coordinator,
 ) -> None:
-    """Drain after the stop event: leave the directory, then exit once all responses are sent."""
+    """Drain after the stop event: leave the directory, then exit once all responses are sent.
+
+    Changes of maps end before as well: until another entry notices, a held group serves nobody.
+    """
     await stop.wait()
     loop = asyncio.get_running_loop()
     killed_s = loop.time() + settings.grace_s
@@ -236,9 +240,17 @@
     server.is_closing = True
     await stopping.begin(relay, killed_s - REQUESTS_MARGIN_S)
     await finish_requests((server,), lambda: loop.time() >= close_s, killed_s - EXIT_MARGIN_S)
+    await _finish_rollouts(coordinator, killed_s - EXIT_MARGIN_S)
     done.set()
 
 
+async def _finish_rollouts(coordinator: Coordinator, ends_s: float) -> None:
+    """Wait for the changes of maps in progress, or until a time."""
+    now = asyncio.get_running_loop().time
+    while coordinator.rollouts and now() < ends_s:
+        await asyncio.wait(coordinator.rollouts, timeout=ends_s - now())
+
+
 async def _close_expired_connections(pooled_connections: ConnectionPool) -> None:
     while True:
         await asyncio.sleep(IDLE_CHECK_PERIOD_S)
