Count streams without their last chunk as cut off in the load report

Change: a stream counts as answered only if the response has ended as well.

The other callers of tests (entry_harness.read_response, callers.py, chats.py) were read: an end without the last chunk is is_complete=False there, or a ClientPayloadError of aiohttp.

--- a/src/lycheefall/_load/streams.py
+++ b/src/lycheefall/_load/streams.py
@@ -44,7 +44,9 @@
     times: list[float] = field(default_factory=list)
     code: int = NO_CODE
     run: str = ""
+    # Whether the last event, and the end of the response after it, were received.
     is_done: bool = False
+    has_ended: bool = False
 
 
 async def read_stream(
@@ -63,6 +65,7 @@
             is_first = _process_line(state, line, loop.time()) and len(state.times) == 1
             if is_first:
                 on_first_token()
+        state.has_ended = True
     return _build_answer(state, request, answer)
 
 
@@ -96,7 +99,7 @@
 
 def _build_answer(state: StreamState, request: HttpRequest, answer: Answer) -> Answer:
     ending = check_text(request, "".join(state.texts))
-    if ending is Ending.ANSWERED and not state.is_done:
+    if ending is Ending.ANSWERED and not (state.is_done and state.has_ended):
         ending = Ending.CUT_OFF
     return msgspec.structs.replace(
         answer,
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -16,6 +16,7 @@
 from lycheefall._fakes.engine import EngineSettings, run_engine
 from lycheefall._fakes.service import ServiceSettings, run_service
 from lycheefall._fakes.serving import Fault
+from lycheefall._fakes.tokens import expected_tokens
 from lycheefall._load.arrivals import Arrival, generate_arrivals
 from lycheefall._load.baseline import BaselineSettings, run_baseline
 from lycheefall._load.outcome import Ending
@@ -88,6 +89,24 @@
     return lambda ready: run_service(ServiceSettings(listen=LISTEN, **settings), ready)
 
 
+def serve(handle: Callable[[web.Request], Awaitable[web.StreamResponse]]) -> Start:
+    async def run(ready: Callable[[Address], None]) -> None:
+        async def list_entries(_: web.Request) -> web.Response:
+            return web.json_response({"addresses": [address], "ttl_s": 60.0})
+
+        app = web.Application()
+        app.router.add_get("/v1/entries", list_entries)
+        app.router.add_post("/{path:.*}", handle)
+        runner = web.AppRunner(app)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        address = "{}:{}".format(*runner.addresses[0])
+        ready(Address(address))
+        await asyncio.Event().wait()
+
+    return run
+
+
 def arrival_key(arrival: Arrival) -> tuple[float, str, int]:
     return arrival.at_s, arrival.team, arrival.prefix
 
@@ -193,16 +212,30 @@
             await response.write(b'data: {"choices":[{"delta":{"content":""}}]}\n\n')
             return response
 
-        async def serve(ready: Callable[[Address], None]) -> None:
-            app = web.Application()
-            app.router.add_post("/{path:.*}", serve_truncated_stream)
-            runner = web.AppRunner(app)
-            await runner.setup()
-            await web.TCPSite(runner, "127.0.0.1", 0).start()
-            ready(Address("{}:{}".format(*runner.addresses[0])))
-            await asyncio.Event().wait()
+        report = await load_through_baseline(build_scenario("chat"), serve(serve_truncated_stream))
+        assert report.endings == {"cut-off": report.requests}
+
+    async def test_stream_without_last_chunk_is_cut_off(self) -> None:
+        """Guards against the end of a connection that is taken for the end of a stream."""
+
+        async def serve_all_but_the_last_chunk(request: web.Request) -> web.StreamResponse:
+            body = await request.json()
+            text = "".join(expected_tokens(body["messages"][0]["content"], body["max_tokens"]))
+            response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+            await response.prepare(request)
+            event = {"choices": [{"delta": {"content": text}}]}
+            await response.write(b"data: %s\n\ndata: [DONE]\n\n" % msgspec.json.encode(event))
+            assert request.transport is not None
+            request.transport.close()
+            return response
 
-        report = await load_through_baseline(build_scenario("chat"), serve)
+        scenario = build_scenario("chat")
+        address, task = await start_server(serve(serve_all_but_the_last_chunk))
+        try:
+            report = await run_load(scenario, [address])
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
         assert report.endings == {"cut-off": report.requests}
 
     async def test_bound_on_requests_in_flight(self) -> None:
