Test a planned stop beside the crash of a rank, and resumption in the grace

Two groups of two ranks, one entry with SIGTERM, streams of 5 s from before it:

- a rank crashes 0.5 s after the signal, and the other rank of its group stalls for 0.5 s and breaks its streams off: only the non-resumable streams of that group end early; the resumable ones end whole at the other group;
- each resumable stream is reset once at event 20: all end whole, and so does one that was sent 0.5 s after the signal.

No change of the code was needed.

--- a/tests/processes/platform_harness.py
+++ b/tests/processes/platform_harness.py
@@ -237,6 +237,8 @@
     double: UpstreamDouble
     cluster: PlatformCluster
     state: str = "ready"
+    # Name, epoch, rank and state of its group, for a rank.
+    group: dict[str, Any] | None = None
     sequence: int = 0
     start_time_ms: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
 
@@ -249,6 +251,7 @@
             "Zone": "dc1",
             "Slots": 6,
             "State": self.state,
+            "group": self.group,
             "Sequence": self.sequence,
             "born": self.start_time_ms,
         }
