--- a/tests/processes/test_platform_soak.py
+++ b/tests/processes/test_platform_soak.py
@@ -33,6 +33,8 @@
 
 # Seeds of earlier failures, each with its cause.
 REGRESSIONS: tuple[int, ...] = (
+    # Streams that were sent in a planned stop ran, and were cut at the end of the grace period.
+    1,
     # An entry was killed between the head and the body of a booking's answer.
     1502,
 )
@@ -46,8 +48,7 @@
 SINGLE_ROUTE = ROUTES[0] | {"Name": "single", "PathPrefix": "/single/", "Resumable": False}
 STREAM_KINDS = ("stream", "single")
 NON_IDEMPOTENT_KINDS = ("booking", "single")
-# Of the platform: the grace period of the harness, the part of it in which a request from before
-# the signal may be cut, and the time from a fault in which requests may suffer from it.
+# The grace period, the begin of its last sixth, and the time for which a kill excuses requests.
 GRACE_S = 8.0
 LAST_SIXTH_S = GRACE_S * 5 / 6
 FAULT_WINDOW_S = 3.0
@@ -144,10 +145,7 @@
 async def run_caller(
     cluster: PlatformCluster, history: History, number: int, random: Random
 ) -> None:
-    """Send requests one after the other, reusing a connection until it fails.
-
-    A caller goes on using its connection after `Connection: close`, until the entry closes it.
-    """
+    """Send requests on one connection until the entry closes it, also after `Connection: close`."""
     loop = asyncio.get_running_loop()
     connection: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
     for turn in range(1_000_000):
