Start only requests that end before a draining entry does

A chat with a timeout of 20 s was started by an entry with 4.5 s left.

Now the queue refuses such requests with 3008, not run, at once, and queued ones at the signal; a booking gets 4004, since only a claim shows whether an earlier request with its key ran. A call that the queue had admitted and that has not run is refused instead of tried again, and a claim that is granted after the signal is given up before it is answered with 3008. A call that may have run still goes on. The rule is may_start of planned_stop.py.

The fleet's entries drain for 25 s instead of 20: the chats of the rolling restarts have a timeout of 20 s, so those that arrive after the signal now need an entry that lasts longer than that.

--- a/src/lycheefall/_core/messages/entry.py
+++ b/src/lycheefall/_core/messages/entry.py
@@ -257,6 +257,12 @@
     """Trigger the time-based processing of a filter."""
 
 
+class StopBegan(Struct, frozen=True):
+    """The entry stops: it ends all requests at this time."""
+
+    ends_s: float
+
+
 class ProposeBookingCommand(Struct, frozen=True):
     """Propose a command for a booking to control."""
 
@@ -324,7 +330,7 @@
 
 
 ReplyPart = ReplyTokens | ReplyEnd
-ToQueue = Submit | Abandon | CallEnded | Capacity | ConfigurationChanged | Tick
+ToQueue = Submit | Abandon | CallEnded | Capacity | ConfigurationChanged | StopBegan | Tick
 ToDispatch = (
     Run
     | Abandon
@@ -344,6 +350,7 @@
     | Repick
     | ToLink
     | BookingAnswered
+    | StopBegan
     | Tick
 )
 FromQueue = Run | Abandon | ReplyEnd
@@ -355,6 +362,7 @@
     | BookingLinkLost
     | EntriesChanged
     | BookingCommandResult
+    | StopBegan
     | Tick
 )
 FromBooking = DispatchClaimed | Repick | ToLink | BookingAnswered | ProposeBookingCommand
--- a/src/lycheefall/_entry/queue.py
+++ b/src/lycheefall/_entry/queue.py
@@ -2,6 +2,7 @@
 
 from msgspec import Struct, field
 
+from lycheefall._core.codes import ResultCode
 from lycheefall._core.configuration import Configuration
 from lycheefall._core.ids import PoolId, RequestId, TeamId
 from lycheefall._core.messages.entry import (
@@ -12,13 +13,14 @@
     ConfigurationChanged,
     FromQueue,
     Run,
+    StopBegan,
     Submit,
     Tick,
     ToQueue,
 )
-from lycheefall._rules import admission
+from lycheefall._rules import admission, planned_stop
 from lycheefall._rules.admission import AdmissionOutcome, AdmissionRequest, AdmissionState, Admitted
-from lycheefall._rules.refusals import refuse
+from lycheefall._rules.refusals import STOPPING_DETAIL, refuse
 from lycheefall._rules.shares import ClassPolicy, class_of, policies_of
 
 # Pools that a route can use; routes with the same pools share a queue.
@@ -34,6 +36,8 @@
     slots: dict[PoolId, int] = field(default_factory=dict)
     weights: dict[TeamId, float] = field(default_factory=dict)
     waiting: dict[RequestId, CallerRequest] = field(default_factory=dict)
+    # When the entry ends all requests; None until it stops.
+    ends_s: float | None = None
 
 
 def step_queue(
@@ -52,12 +56,16 @@
             return state, []
         case ConfigurationChanged():
             return state, _configure(state, message.configuration)
+        case StopBegan():
+            return state, _begin_stop(state, message, now_s)
         case Tick():
             batches = [_admit_waiting(state, pools, now_s) for pools in state.queues]
             return state, [each for batch in batches for each in batch]
 
 
 def _submit(state: QueueState, caller_request: CallerRequest, now_s: float) -> list[FromQueue]:
+    if not planned_stop.may_start(caller_request.deadline_s, state.ends_s):
+        return [refuse(caller_request, ResultCode.SHUTTING_DOWN, STOPPING_DETAIL)]
     pools = caller_request.route.pools
     queue = _queue_for(state, pools)
     state.waiting[caller_request.request] = caller_request
@@ -87,6 +95,19 @@
     return []
 
 
+def _begin_stop(state: QueueState, began: StopBegan, now_s: float) -> list[FromQueue]:
+    """Refuse the queued requests that may not end before the entry does."""
+    state.ends_s = began.ends_s
+    late = [
+        each
+        for each in state.waiting.values()
+        if not planned_stop.may_start(each.deadline_s, state.ends_s)
+    ]
+    for each in late:
+        _abandon(state, Abandon(each.request), now_s)
+    return [refuse(each, ResultCode.SHUTTING_DOWN, STOPPING_DETAIL) for each in late]
+
+
 def _admit_waiting(state: QueueState, pools: Pools, now_s: float) -> list[FromQueue]:
     slots = sum(state.slots.get(pool, 0) for pool in pools)
     _, outcomes = admission.admit(state.queues[pools], slots, now_s)
--- a/src/lycheefall/_entry/service.py
+++ b/src/lycheefall/_entry/service.py
@@ -39,6 +39,7 @@
     ScheduleHedge,
     SendHedge,
     StartBooking,
+    StopBegan,
     Submit,
     SuspectEnded,
     Tick,
@@ -83,6 +84,8 @@
 # Other entries may list a draining entry for this long: control reports the change within a poll
 # period, or once a silent connection to control has been replaced.
 DIRECTORY_STALENESS_S = 1.5
+# The last requests end this long before the end of the drain, which leaves time for their answers.
+ANSWERS_MARGIN_S = 0.5
 # Control elects a new leader within 2 s of losing one; proposals are retried until then.
 PROPOSAL_TIMEOUT_S = 4.0
 
@@ -229,6 +232,14 @@
             self.announce(MemberState.READY)
         log(Event.CONFIGURATION_IN_FORCE, revision=configuration.revision)
 
+    async def begin_stop(self, ends_s: float) -> None:
+        """Start only requests that end before `ends_s`."""
+        self.acceptor.draining = True
+        self.announce(MemberState.DRAINING)
+        await self.queue.put(StopBegan(ends_s))
+        await self.dispatch.put(StopBegan(ends_s))
+        await self.bookings.put(StopBegan(ends_s))
+
     def announce(self, state: MemberState) -> None:
         """Announce this entry in the given state."""
         settings = self.settings
@@ -339,10 +350,10 @@
     """Leave the directory, serve callers that cached the address, then finish open requests."""
     await stop.wait()
     log(Event.PROCESS_STOPPING, role="entry")
-    pipeline.acceptor.draining = True
-    pipeline.announce(MemberState.DRAINING)
+    drained_s = asyncio.get_running_loop().time() + pipeline.settings.drain_s
+    await pipeline.begin_stop(drained_s - ANSWERS_MARGIN_S)
     try:
-        async with asyncio.timeout(pipeline.settings.drain_s):
+        async with asyncio.timeout_at(drained_s):
             await asyncio.sleep(DIRECTORY_STALENESS_S + _directory_ttl_s(pipeline))
             for site in list(runner.sites):
                 await site.stop()
--- a/src/lycheefall/_rules/booking_messages.py
+++ b/src/lycheefall/_rules/booking_messages.py
@@ -116,11 +116,26 @@
     entries: frozenset[Incarnation]
 
 
+class Stopping(Struct, frozen=True):
+    """The entry stops and ends all requests at this time."""
+
+    ends_s: float
+
+
 class Abandoned(Struct, frozen=True):
     """The caller disconnected and may retry at another entry, so no new attempt may start here."""
 
 
 Effect = SendCommand | SendDispatch | SendResolve | PickUpstream | Answer | Ended
 Message = (
-    CommandReplied | Picked | LinkLost | Abandoned | Wake | Started | Refused | Finished | Resolved
+    CommandReplied
+    | Picked
+    | LinkLost
+    | Abandoned
+    | Stopping
+    | Wake
+    | Started
+    | Refused
+    | Finished
+    | Resolved
 )
--- a/src/lycheefall/_rules/bookings.py
+++ b/src/lycheefall/_rules/bookings.py
@@ -22,6 +22,7 @@
     Repick,
     ReplyEnd,
     StartBooking,
+    StopBegan,
     Tick,
     ToBooking,
     ToLink,
@@ -41,6 +42,7 @@
     SendCommand,
     SendDispatch,
     SendResolve,
+    Stopping,
     Target,
     Wake,
 )
@@ -64,6 +66,8 @@
     holder: Incarnation
     flows: dict[RequestId, Flow] = field(default_factory=dict)
     entries: frozenset[Incarnation] = frozenset()
+    # When the entry ends all requests; None until it stops.
+    ends_s: float | None = None
 
 
 def step_bookings(
@@ -89,6 +93,9 @@
             return state, _step(state, message.request, Abandoned(), now_s)
         case BookingLinkLost():
             return state, _step_all(state, LinkLost(message.upstream), now_s)
+        case StopBegan():
+            state.ends_s = message.ends_s
+            return state, _step_all(state, Stopping(message.ends_s), now_s)
         case Tick():
             return state, _step_all(state, Wake(state.entries), now_s)
 
@@ -106,7 +113,7 @@
         caller_request.deadline_s,
     )
     target = Target(started.upstream, started.incarnation)
-    flow, effects = claim_flow.start(booking, target)
+    flow, effects = claim_flow.start(booking, target, state.ends_s)
     state.flows[caller_request.request] = flow
     return _to_messages(state, flow, effects)
 
--- a/src/lycheefall/_rules/call_attempts.py
+++ b/src/lycheefall/_rules/call_attempts.py
@@ -4,7 +4,7 @@
 from lycheefall._core.ids import AttemptNumber, UpstreamId
 from lycheefall._core.messages.dispatch import Cancel, Refused
 from lycheefall._core.messages.entry import FromDispatch, ToLink
-from lycheefall._rules import hedge_calls, retries, streams, suspect_calls
+from lycheefall._rules import hedge_calls, planned_stop, retries, streams, suspect_calls
 from lycheefall._rules.call_state import (
     LOST_UPSTREAM_GRACE_S,
     OTHER_UPSTREAMS_AFTER_S,
@@ -21,6 +21,7 @@
 from lycheefall._rules.call_streams import begin_stream
 from lycheefall._rules.known_upstreams import apply_refusal, is_slot_refusal
 from lycheefall._rules.parking import due_calls, park
+from lycheefall._rules.refusals import STOPPING_DETAIL
 from lycheefall._rules.retries import RetryAdvice
 
 # Attempts of a call, not counting those that were refused because no slot was free.
@@ -32,6 +33,10 @@
     state: CallsState, call: Call, fallback_code: ResultCode, now_s: float
 ) -> list[FromDispatch]:
     """Start the next attempt, park the call if no upstream can take it, or end it with a code."""
+    if not call.may_have_run and not planned_stop.may_start(
+        call.caller_request.deadline_s, state.ends_s
+    ):
+        return end_call(state, call, ResultCode.SHUTTING_DOWN, STOPPING_DETAIL, now_s)
     if call.caller_request.fingerprint in state.refused:
         code = fallback_code if call.may_have_run else ResultCode.FINGERPRINT_REFUSED
         return end_call(state, call, code, REFUSED_DETAIL, now_s)
--- a/src/lycheefall/_rules/call_state.py
+++ b/src/lycheefall/_rules/call_state.py
@@ -128,6 +128,8 @@
     # Upstreams that are ready and connected, and the times at which others were lost.
     usable: set[UpstreamId] = field(default_factory=set)
     lost_s: dict[UpstreamId, float] = field(default_factory=dict)
+    # When the entry ends all requests; None until it stops.
+    ends_s: float | None = None
     calls: dict[RequestId, Call] = field(default_factory=dict)
     # Calls that no upstream could take yet, in the order in which they were parked.
     parked: dict[RequestId, Call] = field(default_factory=dict)
--- a/src/lycheefall/_rules/calls.py
+++ b/src/lycheefall/_rules/calls.py
@@ -32,6 +32,7 @@
     Repick,
     ReplyTokens,
     Run,
+    StopBegan,
     Tick,
     ToDispatch,
     ToLink,
@@ -129,6 +130,10 @@
             return state, [message]
         case BookingAnswered():
             return state, on_booking_answered(state, message, now_s)
+        case StopBegan():
+            state.ends_s = message.ends_s
+            # Parked calls are refused at the next tick.
+            return state, []
         case Tick():
             suspect_calls.expire(state, now_s)
             results = (
--- a/src/lycheefall/_rules/claim_flow.py
+++ b/src/lycheefall/_rules/claim_flow.py
@@ -18,6 +18,7 @@
     RecordOutcome,
 )
 from lycheefall._core.messages.dispatch import ClaimToken, Finished, Refused, Resolve, Resolved
+from lycheefall._rules import planned_stop
 from lycheefall._rules.booking_messages import (
     Abandoned,
     Answer,
@@ -32,6 +33,7 @@
     SendCommand,
     SendDispatch,
     SendResolve,
+    Stopping,
     Target,
     Wake,
 )
@@ -48,9 +50,11 @@
 RECORD_GRACE_S = 30.0
 
 
-def start(booking: Booking, target: Target) -> tuple[Flow, list[Effect]]:
+def start(
+    booking: Booking, target: Target, ends_s: float | None = None
+) -> tuple[Flow, list[Effect]]:
     """Start a flow with a claim for the chosen upstream."""
-    flow = Flow(booking, target)
+    flow = Flow(booking, target, ends_s)
     return flow, [_send_claim(flow)]
 
 
@@ -71,6 +75,9 @@
             return flow, _on_resolved(flow, message, now_s)
         case LinkLost():
             return flow, _on_link_lost(flow, message)
+        case Stopping():
+            flow.ends_s = message.ends_s
+            return flow, []
         case Abandoned():
             flow.answered = True
             return flow, _end(flow) if flow.stage is Stage.JOINED else []
@@ -102,8 +109,9 @@
 def _granted(flow: Flow, result: ClaimResult, now_s: float) -> list[Effect]:
     """Dispatch the attempt that control granted, unless the caller no longer waits for it."""
     flow.claim = result
-    if flow.answered or now_s >= flow.booking.deadline_s:
-        return _give_up(flow, ResultCode.EXPIRED_BEFORE_START)
+    refusal = _refusal(flow, now_s)
+    if refusal is not None:
+        return _give_up(flow, refusal)
     flow.stage = Stage.RUNNING
     flow.dispatched = result.attempt
     flow.link_lost = False
@@ -144,8 +152,9 @@
     if flow.stage is not Stage.PICKING or flow.claim is None:
         return []
     flow.awaits_pick = False
-    if flow.answered or now_s >= flow.booking.deadline_s:
-        return _give_up(flow, ResultCode.EXPIRED_BEFORE_START)
+    refusal = _refusal(flow, now_s)
+    if refusal is not None:
+        return _give_up(flow, refusal)
     if picked.target is None:
         return _wait_for_upstream(flow, picked.code, now_s)
     flow.stage = Stage.REASSIGNING
@@ -180,12 +189,22 @@
 
 def _pick_after_release(flow: Flow, now_s: float) -> list[Effect]:
     """Choose another upstream after a proof that the claimed attempt will not run."""
-    if flow.answered or now_s >= flow.booking.deadline_s:
-        return _give_up(flow, ResultCode.EXPIRED_BEFORE_START)
+    refusal = _refusal(flow, now_s)
+    if refusal is not None:
+        return _give_up(flow, refusal)
     flow.stage = Stage.PICKING
     return _pick(flow)
 
 
+def _refusal(flow: Flow, now_s: float) -> ResultCode | None:
+    """Return why the flow starts no further attempt, or None if it may."""
+    if flow.answered or now_s >= flow.booking.deadline_s:
+        return ResultCode.EXPIRED_BEFORE_START
+    if not planned_stop.may_start(flow.booking.deadline_s, flow.ends_s):
+        return ResultCode.SHUTTING_DOWN
+    return None
+
+
 def _give_up(flow: Flow, code: ResultCode) -> list[Effect]:
     """Release the claim without another attempt, and then answer with a "not run" code."""
     if flow.claim is None:
--- a/src/lycheefall/_rules/claim_flow_state.py
+++ b/src/lycheefall/_rules/claim_flow_state.py
@@ -37,6 +37,8 @@
     booking: Booking
     # Upstream that each claim of this flow names; the upstream may be NO_UPSTREAM.
     first_target: Target
+    # When the entry ends all requests; None until it stops.
+    ends_s: float | None = None
     stage: Stage = Stage.CLAIMING
     # The claim as control last returned it.
     claim: ClaimResult | None = None
--- a/src/lycheefall/_rules/refusals.py
+++ b/src/lycheefall/_rules/refusals.py
@@ -4,6 +4,8 @@
 from lycheefall._core.enums import RunState
 from lycheefall._core.messages.entry import CallerRequest, ReplyEnd
 
+STOPPING_DETAIL = "the entry stops before the deadline of the request; use another entry"
+
 
 def code_before_claim(code: ResultCode, has_key: bool) -> ResultCode:
     """Return the result code of a refusal that is decided before a claim.
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -123,6 +123,9 @@
     services: int = 1
     entries: int = 4
     replicas: int = 3
+    # Drain timeout of the entries. Requests with the longest timeout of the configuration that
+    # arrive while callers may still know the address end before it.
+    drain_s: float = 25.0
     # Extra flags of the fakes, by process name.
     fake_flags: dict[str, list[str]] = field(default_factory=dict)
     # Pools of the agents, by the kind of their upstream.
@@ -213,7 +216,8 @@
         flags += ["--data-centre", data_centre_of(f"entry-{number}")]
         flags += ["--control", self._control_for(f"entry-{number}")]
         flags += ["--listen", self.addresses[f"entry-{number}"]]
-        flags += ["--announce-listen", self.addresses[f"announce-{number}"], "--drain-s", "20"]
+        flags += ["--announce-listen", self.addresses[f"announce-{number}"]]
+        flags += ["--drain-s", str(self.drain_s)]
         if number >= self.replicas:
             return flags
         flags += ["--with-control", "--control-listen", self.addresses[f"client-{number}"]]
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -24,6 +24,7 @@
     ReplyEnd,
     ReplyTokens,
     Run,
+    StopBegan,
     Tick,
     ToLink,
     UpstreamHeartbeat,
@@ -205,3 +206,32 @@
             entry.send(FromAgent(f"u{number}", pong), 0.25)  # type: ignore[arg-type]
         sent = [each.message for each in entry.send(Tick(), 0.25) if isinstance(each, ToLink)]
         assert [each.request for each in sent] == ["urgent"]
+
+
+class TestPlannedStop:
+    ENDS_S = 10.0
+
+    def test_refused_attempt(self) -> None:
+        """Guards against another attempt that may be cut off, and against "unknown" without one."""
+        entry = Entry()
+        link = entry.dispatched(entry.send(Run(request())))
+        entry.send(StopBegan(self.ENDS_S))
+        refused = Refused("r", 1, ResultCode.UPSTREAM_DRAINING)  # type: ignore[arg-type]
+        end = entry.send(FromAgent(link.upstream, refused), 1.0)[0]
+        assert isinstance(end, ReplyEnd)
+        assert end.code is ResultCode.SHUTTING_DOWN
+
+    def test_lost_attempt(self) -> None:
+        """Guards against a stream that is given up while the entry can still resume it."""
+        entry = Entry()
+        first = entry.dispatched(entry.send(Run(request()))).upstream
+        entry.send(FromAgent(first, Frame("r", 1, 0, ANSWER[:2])))  # type: ignore[arg-type]
+        entry.send(StopBegan(self.ENDS_S))
+        lost = Finished("r", 1, ResultCode.UPSTREAM_LOST)  # type: ignore[arg-type]
+        assert entry.dispatched(entry.send(FromAgent(first, lost), 1.0)).upstream != first
+
+    def test_fits(self) -> None:
+        """Guards against the refusal of a request that ends before its entry."""
+        entry = Entry()
+        entry.send(StopBegan(self.ENDS_S))
+        entry.dispatched(entry.send(Run(request(deadline_s=self.ENDS_S))))
--- a/tests/test_claim_flow.py
+++ b/tests/test_claim_flow.py
@@ -406,3 +406,17 @@
         simulation.choices.append(bm.Target("u2", "u2.0"))  # type: ignore[arg-type]
         simulation.settle(1)
         assert simulation.answers[retry].code is Code.OK
+
+    def test_claim_granted_in_a_planned_stop(self) -> None:
+        """Guards against a booking that is sent by an entry that may end before it."""
+        simulation = Simulation()
+        first = self.begin(simulation, "e1")
+        simulation.send(first, bm.Stopping(RUN_S - 1.0))
+        simulation.command(0, confirmed=True)
+        assert not simulation.network
+        simulation.settle(1)
+        assert simulation.answers[first].code is Code.SHUTTING_DOWN
+        retry = self.begin(simulation, "e2", "u2")
+        simulation.choices.append(bm.Target("u2", "u2.0"))  # type: ignore[arg-type]
+        simulation.settle(1)
+        assert simulation.answers[retry].code is Code.OK
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -13,6 +13,7 @@
     OperationKey,
     ReplyEnd,
     Run,
+    StopBegan,
     Submit,
     Tick,
     ToQueue,
@@ -82,3 +83,15 @@
         (end,) = run(state, Tick(), now_s=0.6)
         assert isinstance(end, ReplyEnd)
         assert end.code is ResultCode.CLAIM_UNCONFIRMED
+
+    def test_planned_stop(self) -> None:
+        """Guards against requests that an entry starts, or leaves queued, beyond its own end."""
+        state = ready(slots=0)
+        run(state, Submit(request("late", deadline_s=8.0)), Submit(request("fits", deadline_s=7.0)))
+        (end,) = run(state, StopBegan(7.0))
+        assert isinstance(end, ReplyEnd)
+        assert (end.request, end.code) == (RequestId("late"), ResultCode.SHUTTING_DOWN)
+        (end,) = run(state, Submit(request("later", deadline_s=7.1)))
+        assert isinstance(end, ReplyEnd)
+        assert end.code is ResultCode.SHUTTING_DOWN
+        assert run(state, Capacity(POOL, 2), Tick()) == [Run(request("fits", deadline_s=7.0))]
