Answer what is in flight when an entry's drain ends

What callers saw: streams, chats, lookups and bookings in flight at the end of drain_s got no answer. The entry waited on for their handlers, which could get no reply any more, and then closed the connections: none of the four callers of the test had an answer or an error within 30 s, with a drain of 4 s.

Cause: the end of the drain stopped the filters without ending their requests. It was enforced by nothing that knows the callers.

Now each call ends at its deadline or 0.5 s before the end of the drain, whichever is earlier, by the path of a timeout: its attempts are cancelled, a stream gets its error event, and any other request 4002 if it may have run. The claim flow of a booking answers at the same time: 4004 before its claim is confirmed, the recorded answer if there is one, else 4000.

Tests. test_requests_longer_than_the_drain (a stream, a chat, a lookup, a booking) and test_attempt_at_the_end_of_a_planned_stop failed on the commit before and pass. 27 tests of test_drain_with_agents.py, test_claim_flow.py and test_calls.py pass.

--- a/src/lycheefall/_rules/calls.py
+++ b/src/lycheefall/_rules/calls.py
@@ -39,7 +39,7 @@
     UpstreamHeartbeat,
     UpstreamLeft,
 )
-from lycheefall._rules import hedge_calls, retries, streams, suspect_calls, upstreams
+from lycheefall._rules import hedge_calls, planned_stop, retries, streams, suspect_calls, upstreams
 from lycheefall._rules.booking_calls import (
     is_booking,
     on_booking_answered,
@@ -338,16 +338,17 @@
 
 
 def _end_timed_out_calls(state: CallsState, now_s: float) -> list[FromDispatch]:
-    """End calls at their deadline; the claim flow of a booking handles its deadline itself."""
+    """End calls at their deadline or with the entry; the claim flow of a booking does so itself."""
     expired = [
         call
         for call in state.calls.values()
-        if call.caller_request.deadline_s <= now_s and not is_booking(call)
+        if planned_stop.end_s(call.caller_request.deadline_s, state.ends_s) <= now_s
+        and not is_booking(call)
     ]
     results: list[FromDispatch] = []
     for call in expired:
+        is_late = call.caller_request.deadline_s <= now_s
+        detail = "the request ran into its timeout" if is_late else "the entry stops"
         results += cancel(call)
-        results += end_call(
-            state, call, timeout_code(call), "the request ran into its timeout", now_s
-        )
+        results += end_call(state, call, timeout_code(call), detail, now_s)
     return results
--- a/src/lycheefall/_rules/claim_flow.py
+++ b/src/lycheefall/_rules/claim_flow.py
@@ -290,7 +290,8 @@
     if now_s >= flow.booking.deadline_s + RECORD_GRACE_S:
         return _answer_and_end(flow, Answer(ResultCode.OUTCOME_UNKNOWN))
     effects: list[Effect] = []
-    if now_s >= flow.booking.deadline_s and not flow.answered:
+    end_s = planned_stop.end_s(flow.booking.deadline_s, flow.ends_s)
+    if now_s >= end_s and not flow.answered:
         effects = _answer(flow, _answer_at_deadline(flow))
     match flow.stage:
         case Stage.JOINED:
--- a/tests/processes/test_drain_with_agents.py
+++ b/tests/processes/test_drain_with_agents.py
@@ -7,12 +7,17 @@
 import aiohttp
 from msgspec import Struct
 
+from processes.control_harness import eventually
 from processes.fleet import Fleet, running
 from processes.test_whole_path import TEAM_HEADERS, chat_body, time_ms
 
 DRAIN_S = 4.0
 LEAVING_ENTRY = 3
+# About 16 s at the engine.
+LONG_TOKENS = 1_500
 BEFORE_S = 0.5
+# Longer than a drain and the timeout of any route.
+CALL_TIMEOUT_S = 30.0
 
 
 class Reply(Struct):
@@ -50,13 +55,48 @@
         body = chat_body(name, stream=False) | changes
         return await ask(self.session, "POST", url, timeout_s, json=body)
 
+    async def lookup(self) -> Reply:
+        url = self.fleet.url(self.entry, "/v1/services/counter/balances/7")
+        return await ask(self.session, "GET", url)
+
     async def booking(self, name: str) -> Reply:
         url = self.fleet.url(self.entry, "/v1/services/counter/bookings")
         headers = {"Idempotency-Key": f"{time_ms()}-{name}"}
         return await ask(self.session, "POST", url, json={"item": name}, headers=headers)
 
+    async def set_fault(self, upstream: str, fault: str) -> None:
+        url = f"http://{self.fleet.addresses[upstream]}/fault"
+        async with self.session.post(url, json={"fault": fault}) as response:
+            assert response.status < 300
+
 
 class TestEntry:
+    async def test_requests_longer_than_the_drain(self, tmp_path: Path) -> None:
+        """Guards against requests that run and end without an answer when their entry stops."""
+        fleet = Fleet(tmp_path, engines=1, drain_s=DRAIN_S)
+        fleet.assign_addresses()
+        async with running(fleet) as session:
+            caller = Caller(fleet, session, LEAVING_ENTRY)
+            stream = asyncio.create_task(caller.chat("long", stream=True, max_tokens=LONG_TOKENS))
+            whole = asyncio.create_task(caller.chat("whole", max_tokens=LONG_TOKENS))
+            await asyncio.sleep(BEFORE_S)
+            await caller.set_fault("service-0", "stall-after-run")
+            booking = asyncio.create_task(caller.booking("before"))
+            await eventually(lambda: len(fleet.executions()) == 1, DRAIN_S)
+            await caller.set_fault("service-0", "stall")
+            lookup = asyncio.create_task(caller.lookup())
+            await asyncio.sleep(BEFORE_S)
+            process = fleet.terminate(f"entry-{LEAVING_ENTRY}")
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                replies = await asyncio.gather(
+                    stream, whole, booking, lookup, return_exceptions=True
+                )
+            await eventually(lambda: process.poll() is not None, CALL_TIMEOUT_S)
+            assert [each for each in replies if not isinstance(each, Reply)] == []
+            assert "event: error" in replies[0].body and '"run":"unknown"' in replies[0].body
+            assert [each.run for each in replies[1:]] == ["unknown"] * 3
+            assert process.returncode == 0
+
     async def test_requests_after_the_signal(self, tmp_path: Path) -> None:
         """Guards against requests that a stopping entry starts though they may outlive it."""
         fleet = Fleet(tmp_path, engines=1, drain_s=DRAIN_S)
--- a/tests/test_claim_flow.py
+++ b/tests/test_claim_flow.py
@@ -420,3 +420,12 @@
         simulation.choices.append(bm.Target("u2", "u2.0"))  # type: ignore[arg-type]
         simulation.settle(1)
         assert simulation.answers[retry].code is Code.OK
+
+    def test_attempt_at_the_end_of_a_planned_stop(self) -> None:
+        """Guards against a booking that is cut off, or called "not run", while it may run."""
+        simulation = Simulation()
+        first = self.begin(simulation, "e1")
+        simulation.command(0, confirmed=True)
+        simulation.send(first, bm.Stopping(1.0))
+        simulation.wake(1.1, simulation.entries())
+        assert simulation.answers[first].code is Code.OUTCOME_UNKNOWN
