Report the attempts that are left when an agent's drain ends

What callers saw: a booking that ran at a stopping agent was answered only at its own deadline, 5.0 s after it was sent with a drain of 1.5 s. Streams were resumed elsewhere only after their link had gone silent.

Cause: the agent ended its tasks at the end of drain_s without a word to the entries, which then waited for a link that was lost, and for an attempt that nobody could resolve.

Now the check filter cancels what is left at the end of the drain and reports it as lost (4001), which is truthful for a booking (outcome unknown) and makes an entry resume a stream or retry a lookup elsewhere at once. Queued suspects, which have not started, are refused: at the signal if their deadline is after the end of the drain, else at its end.

--- a/src/lycheefall/_agent/check.py
+++ b/src/lycheefall/_agent/check.py
@@ -17,6 +17,7 @@
     AttemptId,
     ConfigurationReceived,
     Drained,
+    DrainEnded,
     DrainRequested,
     Forward,
     FromCheck,
@@ -47,7 +48,7 @@
     Started,
 )
 from lycheefall._core.messages.membership import Load, UpstreamMember
-from lycheefall._rules import attempts
+from lycheefall._rules import attempts, planned_stop
 from lycheefall._rules.attempts import AttemptsState, SetDraining, SetKeyRetention
 from lycheefall._rules.slots import may_start
 
@@ -81,6 +82,8 @@
     # Fraction of the concurrency for each priority, in the order of the configuration file.
     share_ratios: tuple[float, ...] = ()
     stopping: bool = False
+    # The drain has ended, and with it all attempts.
+    has_drain_ended: bool = False
     # Load queries that have failed in a row.
     failed_queries: int = 0
     # Time of the last successful load query; 0 before the first.
@@ -121,7 +124,13 @@
         case DrainRequested():
             state.stopping = True
             _update_draining(state, now_s)
-            return _announce(state, state.member.load, now_s) + _drained_if_idle(state)
+            return [
+                *_announce(state, state.member.load, now_s),
+                *_refuse_late_suspects(state, message.ends_s, now_s),
+                *_drained_if_idle(state),
+            ]
+        case DrainEnded():
+            return _end_drain(state, now_s)
         case Tick():
             return _start_suspect(state, now_s) + _drained_if_idle(state)
 
@@ -242,6 +251,26 @@
     return results
 
 
+def _refuse_late_suspects(state: CheckState, ends_s: float, now_s: float) -> list[FromCheck]:
+    """Refuse the queued suspects whose deadline is after a time."""
+    late = [
+        queued
+        for queued in state.suspect_queue
+        if not planned_stop.may_start(queued.deadline_s, ends_s)
+    ]
+    for queued in late:
+        state.suspect_queue.remove(queued)
+    code = ResultCode.UPSTREAM_DRAINING
+    return [_refuse_suspect(state, queued, code, now_s) for queued in late]
+
+
+def _end_drain(state: CheckState, now_s: float) -> list[FromCheck]:
+    """Refuse all queued suspects and cancel all attempts, so that their entries know their end."""
+    state.has_drain_ended = True
+    cancels = [SignalAttempt(Cancel(attempt.request, attempt.attempt)) for attempt in state.running]
+    return [*_refuse_late_suspects(state, float("-inf"), now_s), *cancels]
+
+
 def _cancel_suspect(state: CheckState, message: Cancel | Credit, now_s: float) -> list[FromCheck]:
     """Refuse the queued suspect that a cancel names; return no messages if there is none."""
     for queued in state.suspect_queue:
@@ -265,6 +294,9 @@
 def _end_attempt(state: CheckState, ended: AttemptEnded, now_s: float) -> list[FromCheck]:
     result = ended.result
     assert isinstance(result, Finished | Refused)
+    if state.has_drain_ended and result.code is ResultCode.CANCELLED_AFTER_START:
+        # The entry resumes a lost stream and retries a lost lookup, but no cancelled one.
+        result = structs.replace(result, code=ResultCode.UPSTREAM_LOST)
     attempt = AttemptId(result.request, result.attempt)
     forward = state.running.pop(attempt, None)
     if state.running_suspect == attempt:
--- a/src/lycheefall/_agent/messages.py
+++ b/src/lycheefall/_agent/messages.py
@@ -39,7 +39,13 @@
 
 
 class DrainRequested(Struct, frozen=True):
-    """Drain the agent permanently because the process is shutting down."""
+    """Drain the agent permanently because the process is shutting down at a time."""
+
+    ends_s: float
+
+
+class DrainEnded(Struct, frozen=True):
+    """End the attempts that are left at the end of the drain."""
 
 
 class Tick(Struct, frozen=True):
@@ -53,6 +59,7 @@
     | LoadQueryFailed
     | ConfigurationReceived
     | DrainRequested
+    | DrainEnded
     | Tick
 )
 
--- a/src/lycheefall/_agent/service.py
+++ b/src/lycheefall/_agent/service.py
@@ -1,7 +1,6 @@
 """Assembly of the filters of an agent: receive, check, forward, query load, announce."""
 
 import asyncio
-import contextlib
 from collections.abc import Callable
 
 import msgspec
@@ -13,6 +12,7 @@
     AttemptEnded,
     ConfigurationReceived,
     Drained,
+    DrainEnded,
     DrainRequested,
     Forward,
     FromCheck,
@@ -213,12 +213,15 @@
     timeout_s: float,
     shutdown_done: asyncio.Event,
 ) -> None:
-    """Wait for `stop`, drain for up to a timeout, and set `shutdown_done` after a delay."""
+    """Drain for up to a timeout after `stop`, end what is left, and set `shutdown_done` later."""
     await stop.wait()
     log(Event.PROCESS_STOPPING, role="agent")
-    await inbox.put(DrainRequested())
-    with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(timeout_s):
+    ends_s = asyncio.get_running_loop().time() + timeout_s
+    await inbox.put(DrainRequested(ends_s))
+    try:
+        async with asyncio.timeout_at(ends_s):
             await drained.wait()
+    except TimeoutError:
+        await inbox.put(DrainEnded())
     await asyncio.sleep(LINGER_AFTER_DRAIN_S)
     shutdown_done.set()
--- a/tests/processes/test_drain_with_agents.py
+++ b/tests/processes/test_drain_with_agents.py
@@ -7,6 +7,7 @@
 import aiohttp
 from msgspec import Struct
 
+from processes.callers import read_stream
 from processes.control_harness import eventually
 from processes.fleet import Fleet, running
 from processes.test_whole_path import TEAM_HEADERS, chat_body, time_ms
@@ -115,3 +116,26 @@
             assert (fitting.status, fitting.code) == (200, "1000")
             assert fleet.executions() == []
             assert '"late"' not in fleet.requests() and "late" not in fleet.requests()
+
+
+class TestAgent:
+    async def test_attempts_longer_than_the_drain(self, tmp_path: Path) -> None:
+        """Guards against attempts that vanish with their agent, so that callers wait in vain."""
+        fleet = Fleet(tmp_path, engines=2, agent_flags=["--drain-s", "1.5"])
+        fleet.assign_addresses()
+        async with running(fleet) as session:
+            caller = Caller(fleet, session, LEAVING_ENTRY)
+            streams = [
+                asyncio.create_task(read_stream(fleet, session, n % 4, f"s{n}", LONG_TOKENS // 2))
+                for n in range(4)
+            ]
+            await caller.set_fault("service-0", "stall-after-run")
+            booking = asyncio.create_task(caller.booking("before"))
+            await eventually(lambda: len(fleet.executions()) == 1, DRAIN_S)
+            for name in ("engine-0-agent", "service-0-agent"):
+                fleet.terminate(name)
+            reply = await booking
+            assert (reply.code[0], reply.run) == ("4", "unknown")
+            assert reply.took_s < 3.0
+            results = await asyncio.gather(*streams)
+            assert all(each.is_complete for each in results)
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -3,10 +3,25 @@
 from typing import Any
 
 from lycheefall._agent.check import CheckState, check
-from lycheefall._agent.messages import AttemptEnded, FromEntry, ToPeer
+from lycheefall._agent.messages import (
+    AttemptEnded,
+    DrainEnded,
+    DrainRequested,
+    FromEntry,
+    SignalAttempt,
+    ToPeer,
+)
 from lycheefall._core.codes import ResultCode
 from lycheefall._core.enums import MemberState, RouteKind, UpstreamKind
-from lycheefall._core.messages.dispatch import Dispatch, Finished, Occupancy, Ping, Pong, Refused
+from lycheefall._core.messages.dispatch import (
+    Cancel,
+    Dispatch,
+    Finished,
+    Occupancy,
+    Ping,
+    Pong,
+    Refused,
+)
 from lycheefall._core.messages.membership import Load, UpstreamMember
 from lycheefall._rules import attempts
 
@@ -79,3 +94,28 @@
         codes = [agent.dispatch(0, RouteKind.BOOKING) for _ in range(2 * CONCURRENCY + 1)]
         assert codes.count(ResultCode.OK) == 2 * CONCURRENCY
         assert codes[-1] is ResultCode.UPSTREAM_BUSY
+
+
+class TestPlannedStop:
+    def test_running_attempts(self) -> None:
+        """Guards against attempts that vanish with their agent, or end as a caller's cancel."""
+        agent = Agent()
+        agent.dispatch()
+        agent.send(DrainRequested(60.0))
+        assert agent.send(DrainEnded()) == [SignalAttempt(Cancel("r1", 1))]  # type: ignore[arg-type]
+        cancelled: Any = Finished("r1", 1, ResultCode.CANCELLED_AFTER_START)  # type: ignore[arg-type]
+        reply = agent.send(AttemptEnded(b"a", cancelled))[0]
+        assert reply.message.code is ResultCode.UPSTREAM_LOST
+
+    def test_queued_suspects(self) -> None:
+        """Guards against a queued suspect that waits for an agent that ends before it."""
+        agent = Agent()
+        agent.dispatch()
+        for number, remaining_s in enumerate((10.0, 2.0)):
+            fields: Any = (f"s{number}", 1, "1", remaining_s, RouteKind.CHAT, "POST", "/", "", b"")
+            suspect = Dispatch(*fields, "p", 0, "f", isolated=True)  # type: ignore[arg-type]
+            assert agent.send(FromEntry(b"a", suspect)) == []
+        for message in (DrainRequested(5.0), DrainEnded()):
+            (refused,) = [each for each in agent.send(message) if isinstance(each, ToPeer)]
+            assert isinstance(refused.message, Refused)
+            assert refused.message.code is ResultCode.UPSTREAM_DRAINING
