Stay until a draining entry's output has left the process

What callers saw: a caller that read slowly lost the end of a response that was complete in the entry: 12,288 of 60,000 bytes arrived (a socket with small buffers). And an entry with a caller that read nothing stayed 60 s longer than its drain.

Cause: the drain ended when the handlers had returned. aiohttp writes a response after that, and the cleanup of its runner closes transports whose output, up to 64 KB, is still in the process. That cleanup waits for handlers up to 60 s by default.

Now the entry exits once no request is open and no transport holds output, at the end of the drain at the latest. The cleanup gets 0.1 s.

--- a/src/lycheefall/_entry/service.py
+++ b/src/lycheefall/_entry/service.py
@@ -86,6 +86,9 @@
 DIRECTORY_STALENESS_S = 1.5
 # The last requests end this long before the end of the drain, which leaves time for their answers.
 ANSWERS_MARGIN_S = 0.5
+OUTPUT_POLL_S = 0.05
+# For handlers of callers that have not read their response by the end of the drain.
+HANDLER_SHUTDOWN_S = 0.1
 # Control elects a new leader within 2 s of losing one; proposals are retried until then.
 PROPOSAL_TIMEOUT_S = 4.0
 
@@ -328,7 +331,12 @@
 
 async def _listen(address: Address, application: web.Application) -> web.AppRunner:
     host, _, port = address.rpartition(":")
-    runner = web.AppRunner(application, access_log=None, handler_cancellation=True)
+    runner = web.AppRunner(
+        application,
+        access_log=None,
+        handler_cancellation=True,
+        shutdown_timeout=HANDLER_SHUTDOWN_S,
+    )
     await runner.setup()
     try:
         await web.TCPSite(runner, host, int(port), backlog=4096).start()
@@ -353,7 +361,7 @@
     drained_s = asyncio.get_running_loop().time() + pipeline.settings.drain_s
     await pipeline.begin_stop(drained_s - ANSWERS_MARGIN_S)
     try:
-        async with asyncio.timeout_at(drained_s):
+        async with asyncio.timeout_at(drained_s - ANSWERS_MARGIN_S):
             await asyncio.sleep(DIRECTORY_STALENESS_S + _directory_ttl_s(pipeline))
             for site in list(runner.sites):
                 await site.stop()
@@ -365,9 +373,26 @@
             role="entry",
             detail=f"{unfinished} requests are still in flight",
         )
+    await _send_output(pipeline, runner, drained_s)
     drained.set()
 
 
+async def _send_output(pipeline: Pipeline, runner: web.AppRunner, until_s: float) -> None:
+    """Wait until no request is open and all output has left the process."""
+    loop = asyncio.get_running_loop()
+    while loop.time() < until_s:
+        # A response is written after its handler has returned.
+        await asyncio.sleep(OUTPUT_POLL_S)
+        if pipeline.acceptor.idle.is_set() and not _unsent_bytes(runner):
+            return
+
+
+def _unsent_bytes(runner: web.AppRunner) -> int:
+    assert runner.server is not None
+    transports = [each.transport for each in runner.server.connections]
+    return sum(each.get_write_buffer_size() for each in transports if each is not None)
+
+
 def _directory_ttl_s(pipeline: Pipeline) -> float:
     catalogue = pipeline.acceptor.catalogue.value
     return catalogue.configuration.directory.ttl_s if catalogue else 0.0
