--- a/src/lycheefall/_entry/service.py
+++ b/src/lycheefall/_entry/service.py
@@ -39,6 +39,7 @@
     ScheduleHedge,
     SendHedge,
     StartBooking,
+    StopBegan,
     Submit,
     SuspectEnded,
     Tick,
@@ -83,6 +84,11 @@
 # Other entries may list a draining entry for this long: control reports the change within a poll
 # period, or once a silent connection to control has been replaced.
 DIRECTORY_STALENESS_S = 1.5
+# The last requests end this long before the end of the drain, which leaves time for their answers.
+ANSWERS_MARGIN_S = 0.5
+OUTPUT_POLL_S = 0.05
+# For handlers of callers that have not read their response by the end of the drain.
+HANDLER_SHUTDOWN_S = 0.1
 # Control elects a new leader within 2 s of losing one; proposals are retried until then.
 PROPOSAL_TIMEOUT_S = 4.0
 
@@ -229,6 +235,14 @@
             self.announce(MemberState.READY)
         log(Event.CONFIGURATION_IN_FORCE, revision=configuration.revision)
 
+    async def begin_stop(self, ends_s: float) -> None:
+        """Start only requests that end before `ends_s`."""
+        self.acceptor.draining = True
+        self.announce(MemberState.DRAINING)
+        await self.queue.put(StopBegan(ends_s))
+        await self.dispatch.put(StopBegan(ends_s))
+        await self.bookings.put(StopBegan(ends_s))
+
     def announce(self, state: MemberState) -> None:
         """Announce this entry in the given state."""
         settings = self.settings
@@ -317,7 +331,12 @@
 
 async def _listen(address: Address, application: web.Application) -> web.AppRunner:
     host, _, port = address.rpartition(":")
-    runner = web.AppRunner(application, access_log=None, handler_cancellation=True)
+    runner = web.AppRunner(
+        application,
+        access_log=None,
+        handler_cancellation=True,
+        shutdown_timeout=HANDLER_SHUTDOWN_S,
+    )
     await runner.setup()
     try:
         await web.TCPSite(runner, host, int(port), backlog=4096).start()
@@ -339,10 +358,10 @@
     """Leave the directory, serve callers that cached the address, then finish open requests."""
     await stop.wait()
     log(Event.PROCESS_STOPPING, role="entry")
-    pipeline.acceptor.draining = True
-    pipeline.announce(MemberState.DRAINING)
+    drained_s = asyncio.get_running_loop().time() + pipeline.settings.drain_s
+    await pipeline.begin_stop(drained_s - ANSWERS_MARGIN_S)
     try:
-        async with asyncio.timeout(pipeline.settings.drain_s):
+        async with asyncio.timeout_at(drained_s - ANSWERS_MARGIN_S):
             await asyncio.sleep(DIRECTORY_STALENESS_S + _directory_ttl_s(pipeline))
             for site in list(runner.sites):
                 await site.stop()
@@ -354,9 +373,26 @@
             role="entry",
             detail=f"{unfinished} requests are still in flight",
         )
+    await _send_output(pipeline, runner, drained_s)
     drained.set()
 
 
+async def _send_output(pipeline: Pipeline, runner: web.AppRunner, until_s: float) -> None:
+    """Wait until no request is open and all output has left the process."""
+    loop = asyncio.get_running_loop()
+    while loop.time() < until_s:
+        # A response is written after its handler has returned.
+        await asyncio.sleep(OUTPUT_POLL_S)
+        if pipeline.acceptor.idle.is_set() and not _unsent_bytes(runner):
+            return
+
+
+def _unsent_bytes(runner: web.AppRunner) -> int:
+    assert runner.server is not None
+    transports = [each.transport for each in runner.server.connections]
+    return sum(each.get_write_buffer_size() for each in transports if each is not None)
+
+
 def _directory_ttl_s(pipeline: Pipeline) -> float:
     catalogue = pipeline.acceptor.catalogue.value
     return catalogue.configuration.directory.ttl_s if catalogue else 0.0
