--- a/review/7/case.py
+++ b/review/7/case.py
@@ -13,6 +13,7 @@
     LIMITS,
     STABILITY_WINDOW_S,
     TENANTS,
+    ZONES,
     Received,
     Record,
     Server,
@@ -24,11 +25,13 @@
     service,
 )
 
-# The server is back after some seconds.
-BACK_AFTER_S = 3.0
+# A server crashes this long after it has begun to run the request, and is back after some seconds.
+CRASHES_AFTER_S = 0.02
+BACK_AFTER_S = 2.0
+WORK_S = 0.045
 # Time between two attempts of the client, each with an id of its own.
-AGAIN_AFTER_S = 5.0
-RETRIES = 14
+AGAIN_AFTER_S = 4.0
+RETRIES = 18
 # Sound requests of the sheet: stock-booking 3.19 and loyalty-lookup 1.5 a second.
 BOOKINGS_PER_S = 3.19
 LOOKUPS_PER_S = 1.5
@@ -41,6 +44,9 @@
     # When the crashing request reached a server, and from a machine in touch.
     reached: list[tuple[float, bool]] = []
     sent_to = {"entry": ""}
+    # Sound requests that a server runs, and those that were lost with each crash.
+    running: dict[str, int] = {}
+    lost_with_it: list[int] = []
 
     async with running_system(record) as system:
 
@@ -51,19 +57,28 @@
                 reached.append((now_s, system.in_touch(entry, now_s)))
                 record.write(
                     f"server {server.id}: began the crashing request "
-                    f"{received.headers['attempt-id']} and crashed"
+                    f"{received.headers['attempt-id']}"
                 )
-                crashes.append(now_s)
+                await asyncio.sleep(CRASHES_AFTER_S)
+                crashes.append(record.now_s())
+                lost = running.pop(server.name, 0)
+                lost_with_it.append(lost)
+                record.write(f"server {server.id}: crashed; other requests lost with it: {lost}")
                 server.crash()
                 asyncio.get_running_loop().call_later(
                     BACK_AFTER_S, lambda: tasks.append(asyncio.create_task(server.start()))
                 )
                 raise ConnectionResetError
-            await asyncio.sleep(0.045)
+            running[server.name] = running.get(server.name, 0) + 1
+            await asyncio.sleep(WORK_S)
+            running[server.name] = max(0, running.get(server.name, 0) - 1)
             received.writer.write(received.answer())
 
         tasks: list[asyncio.Task[None]] = []
-        servers = [Server(system, f"s{n}", "counter-app", handle) for n in range(3)]
+        # One in each zone, as on the sheet.
+        servers = [
+            Server(system, f"s{n}", "counter-app", handle, zone=ZONES[n]) for n in range(3)
+        ]
         answers: dict[str, int] = {}
 
         async def sound(kind: str, method: str, prefix: str, per_s: float) -> None:
@@ -126,7 +141,7 @@
                 task.cancel()
             for server in servers:
                 server.crash()
-    record.write(f"sound requests: {answers}")
+    record.write(f"sound requests: {answers}; lost with crashes: {sum(lost_with_it)}")
     if len(crashes) < 3:
         record.write(f"{len(crashes)} crashes")
         return HELD
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -14,6 +14,7 @@
     HELD,
     LIMITS,
     TENANTS,
+    ZONES,
     Received,
     Record,
     Server,
@@ -91,7 +92,10 @@
             await asyncio.sleep(0.045)
             received.writer.write(received.answer())
 
-        servers = [Server(system, f"s{n}", "counter-app", handle) for n in range(3)]
+        # One in each zone, as on the sheet.
+        servers = [
+            Server(system, f"s{n}", "counter-app", handle, zone=ZONES[n]) for n in range(3)
+        ]
 
         async def sound(kind: str, method: str, prefix: str, per_s: float) -> None:
             number = 0
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -10,6 +10,7 @@
 import os
 import random
 import shutil
+import signal
 import socket
 import struct
 import sys
@@ -385,8 +386,10 @@
         service: str,
         handler: Handler,
         fields: dict[str, Any] | None = None,
+        zone: str = ZONES[0],
     ) -> None:
         self.system = system
+        self.zone = zone
         self.name = name
         self.service = service
         self.handler = handler
@@ -438,7 +441,7 @@
         body = {
             "Service": self.service,
             "Address": self.address,
-            "Zone": ZONES[0],
+            "Zone": self.zone,
             "Version": "v1",
             "Slots": 6,
             "State": state,
@@ -534,12 +537,16 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def limited() -> int:
+        # All processes are ended, too, if the script is told to stop.
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(115.0):
             return await case(record, has_trouble)
 
     try:
         result = asyncio.run(limited())
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (CannotRun, TimeoutError, OSError, asyncio.CancelledError) as error:
         record.write(f"could not run: {error!r}")
         result = NOT_RUN
     words = {HELD: "the rule held", BROKEN: "the rule was broken", NOT_RUN: "could not run"}
