--- a/review/7/case.py
+++ b/review/7/case.py
@@ -76,9 +76,7 @@
 
         tasks: list[asyncio.Task[None]] = []
         # One in each zone, as on the sheet.
-        servers = [
-            Server(system, f"s{n}", "counter-app", handle, zone=ZONES[n]) for n in range(3)
-        ]
+        servers = [Server(system, f"s{n}", "counter-app", handle, zone=ZONES[n]) for n in range(3)]
         answers: dict[str, int] = {}
 
         async def sound(kind: str, method: str, prefix: str, per_s: float) -> None:
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -83,19 +83,16 @@
             attempt = received.headers.get("attempt-id", "")
             entry = sent_by.get(attempt, "")
             used[server.name, entry] += 1
-            if server is leaving:
-                if entry:
-                    now_s = record.now_s()
-                    is_in_touch = system.in_touch(system.machines[entry], now_s)
-                    reached.append((now_s, entry, is_in_touch))
-                    record.write(f"server {server.id}: runs {attempt} from {entry}")
+            if server is leaving and entry:
+                now_s = record.now_s()
+                is_in_touch = system.in_touch(system.machines[entry], now_s)
+                reached.append((now_s, entry, is_in_touch))
+                record.write(f"server {server.id}: runs {attempt} from {entry}")
             await asyncio.sleep(0.045)
             received.writer.write(received.answer())
 
         # One in each zone, as on the sheet.
-        servers = [
-            Server(system, f"s{n}", "counter-app", handle, zone=ZONES[n]) for n in range(3)
-        ]
+        servers = [Server(system, f"s{n}", "counter-app", handle, zone=ZONES[n]) for n in range(3)]
 
         async def sound(kind: str, method: str, prefix: str, per_s: float) -> None:
             number = 0
@@ -110,9 +107,7 @@
             sent_by[attempt] = entry.name
             body = attempt.encode() if method == "POST" else b""
             headers = request_headers(attempt)
-            reply = await call(
-                system.front(entry), method, f"{prefix}{number}", headers, body, 1.5
-            )
+            reply = await call(system.front(entry), method, f"{prefix}{number}", headers, body, 1.5)
             status = "none" if reply is None else str(reply.status)
             answers[f"{kind} {status}"] = answers.get(f"{kind} {status}", 0) + 1
 
