Keep case 8 inside the site's share of a herd kill, and judge it later

The script had four entries, so 4 of 7 processes were killed (0.57); the site file has shares of 0.55 and 0.56. With five entries it is 4 of 8 (0.5).

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -13,6 +13,7 @@
     DRAIN_S,
     HELD,
     LIMITS,
+    STABILITY_WINDOW_S,
     TENANTS,
     ZONES,
     Received,
@@ -35,6 +36,10 @@
 EXITS_S = 14.0
 # The platform starts killed processes again after this time.
 DOWN_S = 0.5
+# With three machines of control, 4 of 8 are killed.
+ENTRIES = 5
+# Twice the window, as after a fault that took most of the core.
+CALM_S = 2 * STABILITY_WINDOW_S
 BOOKINGS_PER_S = 3.19
 LOOKUPS_PER_S = 1.5
 
@@ -77,7 +82,7 @@
     used: Counter[tuple[str, str]] = Counter()
     leaving: Server | None = None
 
-    async with running_system(record) as system:
+    async with running_system(record, entries=ENTRIES) as system:
 
         async def handle(server: Server, received: Received) -> None:
             attempt = received.headers.get("attempt-id", "")
@@ -85,7 +90,7 @@
             used[server.name, entry] += 1
             if server is leaving and entry:
                 now_s = record.now_s()
-                is_in_touch = system.in_touch(system.machines[entry], now_s)
+                is_in_touch = system.in_touch(system.machines[entry], now_s, CALM_S)
                 reached.append((now_s, entry, is_in_touch))
                 record.write(f"server {server.id}: runs {attempt} from {entry}")
             await asyncio.sleep(0.045)
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -141,10 +141,10 @@
     def front(self, machine: Machine) -> str:
         return f"{machine.ip}:{self.port + 2}"
 
-    def in_touch(self, machine: Machine, at_s: float) -> bool:
+    def in_touch(self, machine: Machine, at_s: float, window_s: float = STABILITY_WINDOW_S) -> bool:
         """Return whether nothing disturbed the machine or the core for the stability window."""
         disturbed_s = max(each.disturbed_s for each in (machine, *self.of("control")))
-        return at_s - disturbed_s >= STABILITY_WINDOW_S
+        return at_s - disturbed_s >= window_s
 
     def add(self, role: str, number: int) -> Machine:
         """Add a machine that isn't started yet."""
